--- /dev/null
+++ b/include/limpetpond/Clock.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/// The source of time, passed in so that tests can drive it.
+
+#include <chrono>
+
+namespace limpetpond {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+using SystemTime = std::chrono::system_clock::time_point;
+using Duration = std::chrono::nanoseconds;
+
+/// Tells the time. Ages, leases and deadlines use the steady clock only;
+/// the system clock serves time lines and cleaning windows.
+///
+///     SystemClock clock;
+///     SteadyTime start = clock.steadyNow();
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual SteadyTime steadyNow() const = 0;
+    virtual SystemTime systemNow() const = 0;
+};
+
+/// The clocks of the operating system. The steady one counts while the process is stopped.
+class SystemClock final : public Clock {
+public:
+    SteadyTime steadyNow() const override { return std::chrono::steady_clock::now(); }
+    SystemTime systemNow() const override { return std::chrono::system_clock::now(); }
+};
+
+/// A clock that moves only when told to.
+///
+///     ManualClock clock;
+///     clock.advance(std::chrono::seconds(3));
+class ManualClock final : public Clock {
+public:
+    SteadyTime steadyNow() const override { return SteadyTime(m_sinceStart); }
+    SystemTime systemNow() const override { return m_systemStart + std::chrono::duration_cast<SystemTime::duration>(m_sinceStart); }
+    void advance(Duration step) { m_sinceStart += step; }
+    void setSystemStart(SystemTime start) { m_systemStart = start; }
+
+private:
+    Duration m_sinceStart { std::chrono::hours(1) };
+    SystemTime m_systemStart {};
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/include/limpetpond/Ids.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// Strong types for the identities that the system passes around.
+///
+/// Two ids of different kinds never compare or convert, so a target id can't be
+/// given where an instance id is expected.
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace limpetpond {
+
+/// A name with a kind: `Tag` only tells the kinds apart.
+///
+///     TargetId target { "engine-1" };
+///     log(target.value());
+template <typename Tag>
+class StringId {
+public:
+    StringId() = default;
+    explicit StringId(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const std::string& value() const { return m_value; }
+    bool isEmpty() const { return m_value.empty(); }
+    auto operator<=>(const StringId&) const = default;
+
+private:
+    std::string m_value;
+};
+
+/// A number with a kind. Zero means "none".
+///
+///     SettingsVersion seen { 12 };
+///     if (seen < SettingsVersion { 13 }) fetch();
+template <typename Tag>
+class NumericId {
+public:
+    constexpr NumericId() = default;
+    constexpr explicit NumericId(std::uint64_t value)
+        : m_value(value)
+    {
+    }
+
+    constexpr std::uint64_t value() const { return m_value; }
+    constexpr bool isNone() const { return !m_value; }
+    constexpr auto operator<=>(const NumericId&) const = default;
+
+private:
+    std::uint64_t m_value { 0 };
+};
+
+using InstanceId = StringId<struct InstanceIdTag>;
+using TargetId = StringId<struct TargetIdTag>;
+using PoolId = StringId<struct PoolIdTag>;
+using ClientAccountId = StringId<struct ClientAccountIdTag>;
+using FailureDomainId = StringId<struct FailureDomainIdTag>;
+using ModelId = StringId<struct ModelIdTag>;
+using ChangeId = StringId<struct ChangeIdTag>;
+using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
+
+/// A request as the caller sees it; unique over all instances.
+using RequestId = StringId<struct RequestIdTag>;
+
+/// One try to have a request run at one target; unique over all instances.
+using AttemptId = StringId<struct AttemptIdTag>;
+
+/// The global number of the settings tree; each accepted change raises it by one.
+using SettingsVersion = NumericId<struct SettingsVersionTag>;
+
+/// The number of a lease term; a target that checks it refuses lower ones.
+using FencingNumber = NumericId<struct FencingNumberTag>;
+
+/// The number of a start of an instance's process; a restart gets a higher one.
+using Incarnation = NumericId<struct IncarnationTag>;
+
+/// A tier of requests: a larger level is more urgent.
+struct TierLevel {
+    std::uint32_t level { 0 };
+    constexpr auto operator<=>(const TierLevel&) const = default;
+};
+
+} // namespace limpetpond
+
+template <typename Tag>
+struct std::hash<limpetpond::StringId<Tag>> {
+    std::size_t operator()(const limpetpond::StringId<Tag>& id) const noexcept { return std::hash<std::string> {}(id.value()); }
+};
+
+template <typename Tag>
+struct std::hash<limpetpond::NumericId<Tag>> {
+    std::size_t operator()(const limpetpond::NumericId<Tag>& id) const noexcept { return std::hash<std::uint64_t> {}(id.value()); }
+};
--- /dev/null
+++ b/test/OutcomeTest.cpp
@@ -0,0 +1,24 @@
+#include "limpetpond/Outcome.h"
+#include <set>
+#include <string_view>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+
+TEST_GROUP(Outcome) {};
+
+TEST(Outcome, outcomesHaveTheirApiCodes)
+{
+    CHECK(toString(Outcome::Completed) == "completed");
+    CHECK(toString(Outcome::NotRun) == "not_run");
+    CHECK(toString(Outcome::Unknown) == "unknown");
+}
+
+TEST(Outcome, everyReasonHasACodeOfItsOwn)
+{
+    std::set<std::string_view> codes;
+    for (int i = 0; i <= static_cast<int>(Reason::CallerGone); ++i)
+        codes.insert(toString(static_cast<Reason>(i)));
+    LONGS_EQUAL(static_cast<int>(Reason::CallerGone) + 1, codes.size());
+}
