--- /dev/null
+++ b/src/core/StreamAssembler.cpp
@@ -0,0 +1,92 @@
+#include "core/StreamAssembler.h"
+
+#include <utility>
+
+namespace limpetpond {
+
+StreamAssembler::StreamAssembler(StreamAssemblerOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::vector<AnswerPiece> StreamAssembler::take(AnswerPiece piece)
+{
+    std::vector<AnswerPiece> ready;
+    if (!accept(piece))
+        return ready;
+
+    m_held.emplace(piece.position, std::move(piece));
+    while (m_state == AnswerState::Open && !m_held.empty() && m_held.begin()->first == m_next) {
+        ready.push_back(std::move(m_held.begin()->second));
+        m_held.erase(m_held.begin());
+        remember(ready.back());
+        ++m_next;
+        if (ready.back().last)
+            close();
+    }
+    return ready;
+}
+
+bool StreamAssembler::accept(const AnswerPiece& piece)
+{
+    if (piece.attempt != m_options.attempt) {
+        ++m_dropped.foreign;
+        return false;
+    }
+    if (!piece.position) {
+        ++m_dropped.malformed;
+        return false;
+    }
+    if (contradicts(piece)) {
+        ++m_dropped.malformed;
+        if (m_state == AnswerState::Open)
+            m_state = AnswerState::Broken;
+        return false;
+    }
+    if (m_state != AnswerState::Open) {
+        ++(piece.position < m_next ? m_dropped.repeated : m_dropped.afterEnd);
+        return false;
+    }
+    if (piece.position < m_next || m_held.contains(piece.position)) {
+        ++m_dropped.repeated;
+        return false;
+    }
+    if (piece.position - m_next >= m_options.window) {
+        ++m_dropped.beyondWindow;
+        return false;
+    }
+    return true;
+}
+
+bool StreamAssembler::contradicts(const AnswerPiece& piece) const
+{
+    auto held = m_held.find(piece.position);
+    if (held != m_held.end())
+        return held->second != piece;
+    for (const Digest& digest : m_given) {
+        if (digest.position == piece.position)
+            return digest != digestOf(piece);
+    }
+    return false;
+}
+
+void StreamAssembler::remember(const AnswerPiece& piece)
+{
+    m_given.push_back(digestOf(piece));
+    if (m_given.size() > m_options.window)
+        m_given.pop_front();
+}
+
+StreamAssembler::Digest StreamAssembler::digestOf(const AnswerPiece& piece)
+{
+    return { .position = piece.position, .hash = std::hash<std::string> {}(piece.data), .last = piece.last };
+}
+
+void StreamAssembler::close()
+{
+    m_state = AnswerState::Whole;
+    m_dropped.afterEnd += m_held.size();
+    m_held.clear();
+}
+
+} // namespace limpetpond
--- a/src/core/StreamAssembler.h
+++ b/src/core/StreamAssembler.h
@@ -5,6 +5,7 @@
 #include "limpetpond/Ids.h"
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,7 +34,7 @@
 enum class AnswerState {
     Open, ///< More pieces are wanted.
     Whole, ///< The end marker and everything before it was given out.
-    Broken, ///< The source contradicted itself; no further piece is given out.
+    Broken, ///< The source sent two pieces that differ at one position; no further piece is given out.
 };
 
 struct StreamAssemblerOptions {
@@ -63,13 +64,24 @@
     const DroppedPieces& dropped() const { return m_dropped; }
 
 private:
+    struct Digest {
+        std::uint64_t position { 0 };
+        std::size_t hash { 0 };
+        bool last { false };
+        bool operator==(const Digest&) const = default;
+    };
+
     bool accept(const AnswerPiece&);
+    bool contradicts(const AnswerPiece&) const;
+    void remember(const AnswerPiece&);
+    static Digest digestOf(const AnswerPiece&);
     void close();
 
     StreamAssemblerOptions m_options;
     std::uint64_t m_next { 1 };
     AnswerState m_state { AnswerState::Open };
     std::map<std::uint64_t, AnswerPiece> m_held;
+    std::deque<Digest> m_given; ///< Of the last pieces given out, to find a source that contradicts itself.
     DroppedPieces m_dropped;
 };
 
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,234 @@
+#include "http/HttpClient.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace limpetpond {
+
+namespace {
+
+    constexpr std::size_t maxIdleConnections = 16;
+
+    // Between creation and connect a socket can't be shut down; the wait for that state is bounded.
+    constexpr int maxShutdownTries = 50;
+    constexpr auto shutdownRetryDelay = std::chrono::milliseconds(1);
+
+    bool equalsWithoutCase(std::string_view a, std::string_view b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+            [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+    }
+
+    // A peer that closes its connection must not end this process.
+    void ignoreBrokenPipes()
+    {
+        static const auto done = std::signal(SIGPIPE, SIG_IGN);
+        static_cast<void>(done);
+    }
+
+    std::unique_ptr<httplib::Client> makeClient(const HttpEndpoint& endpoint, const HttpTimeouts& timeouts)
+    {
+        ignoreBrokenPipes();
+        auto client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
+        client->set_tcp_nodelay(true);
+        client->set_decompress(false);
+        client->set_connection_timeout(timeouts.connect);
+        client->set_read_timeout(timeouts.read);
+        client->set_write_timeout(timeouts.write);
+        return client;
+    }
+
+    httplib::Request toLibrary(const HttpRequest& request)
+    {
+        httplib::Request out;
+        out.method = request.method;
+        out.path = request.path;
+        for (const HttpHeader& header : request.headers)
+            out.headers.emplace(header.name, header.value);
+        if (!request.contentType.empty())
+            out.set_header("Content-Type", request.contentType);
+        if (!out.has_header("Accept-Encoding"))
+            out.set_header("Accept-Encoding", "identity");
+        out.body = request.body;
+        return out;
+    }
+
+    HttpResponse fromLibrary(const httplib::Response& response)
+    {
+        HttpResponse out { .status = response.status };
+        for (const auto& [name, value] : response.headers)
+            out.headers.push_back({ name, value });
+        out.body = response.body;
+        return out;
+    }
+
+    CallFailure failureOf(httplib::Error error)
+    {
+        switch (error) {
+        case httplib::Error::Connection:
+        case httplib::Error::ConnectionTimeout:
+        case httplib::Error::BindIPAddress:
+        case httplib::Error::SSLConnection:
+        case httplib::Error::SSLLoadingCerts:
+        case httplib::Error::SSLServerVerification:
+            return CallFailure::NotSent;
+        default:
+            return CallFailure::NoAnswer;
+        }
+    }
+
+    CallError callError(httplib::Error error, int status)
+    {
+        return CallError { .failure = failureOf(error), .status = status, .detail = httplib::to_string(error) };
+    }
+
+    // Shuts a call's socket down on a request for as long as the call runs.
+    class StopGuard {
+    public:
+        StopGuard(CallStop* stop, httplib::Client& client)
+            : m_stop(stop)
+        {
+            if (m_stop)
+                client.set_socket_options([stop](socket_t socket) { stop->attach(socket); });
+        }
+        ~StopGuard()
+        {
+            if (m_stop)
+                m_stop->detach();
+        }
+        StopGuard(const StopGuard&) = delete;
+        StopGuard& operator=(const StopGuard&) = delete;
+
+    private:
+        CallStop* m_stop;
+    };
+
+} // namespace
+
+std::string headerValue(const std::vector<HttpHeader>& headers, std::string_view name)
+{
+    for (const HttpHeader& header : headers) {
+        if (equalsWithoutCase(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+void CallStop::request()
+{
+    m_requested = true;
+    for (int i = 0; i < maxShutdownTries; ++i) {
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_socket < 0)
+                return;
+            if (!::shutdown(m_socket, SHUT_RDWR) || errno != ENOTCONN)
+                return;
+        }
+        std::this_thread::sleep_for(shutdownRetryDelay);
+    }
+}
+
+void CallStop::attach(int socket)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_socket >= 0)
+        ::close(m_socket);
+    m_socket = ::dup(socket);
+}
+
+void CallStop::detach()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_socket >= 0)
+        ::close(m_socket);
+    m_socket = -1;
+}
+
+Result<HttpResponse> httpStream(const HttpEndpoint& endpoint, const HttpRequest& request, const HttpTimeouts& timeouts,
+    const HttpStreamHandlers& handlers, CallStop* stop)
+{
+    auto stopped = [stop] { return stop && stop->isRequested(); };
+    if (stopped())
+        return boost::leaf::new_error(CallError { .failure = CallFailure::NotSent, .detail = "stopped before the start" });
+
+    auto client = makeClient(endpoint, timeouts);
+    StopGuard guard(stop, *client);
+    httplib::Request out = toLibrary(request);
+    HttpResponse head;
+    out.response_handler = [&](const httplib::Response& response) {
+        head = fromLibrary(response);
+        return !stopped() && (!handlers.head || handlers.head(head));
+    };
+    out.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
+        return !stopped() && handlers.data(std::string_view(data, length));
+    };
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    if (!client->send(out, response, error))
+        return boost::leaf::new_error(callError(error, head.status));
+    return head;
+}
+
+Result<HttpResponse> httpCall(const HttpEndpoint& endpoint, const HttpRequest& request, const HttpTimeouts& timeouts, CallStop* stop)
+{
+    std::string body;
+    HttpStreamHandlers handlers;
+    handlers.data = [&](std::string_view data) {
+        body += data;
+        return true;
+    };
+    Result<HttpResponse> answer = httpStream(endpoint, request, timeouts, handlers, stop);
+    if (answer)
+        answer->body = std::move(body);
+    return answer;
+}
+
+HttpPool::HttpPool(HttpEndpoint endpoint, HttpTimeouts timeouts)
+    : m_endpoint(std::move(endpoint))
+    , m_timeouts(timeouts)
+{
+}
+
+HttpPool::~HttpPool() = default;
+
+Result<HttpResponse> HttpPool::call(const HttpRequest& request)
+{
+    auto client = take();
+    httplib::Request out = toLibrary(request);
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    if (!client->send(out, response, error))
+        return boost::leaf::new_error(callError(error, 0));
+    give(std::move(client));
+    return fromLibrary(response);
+}
+
+std::unique_ptr<httplib::Client> HttpPool::take()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_idle.empty()) {
+            auto client = std::move(m_idle.back());
+            m_idle.pop_back();
+            return client;
+        }
+    }
+    auto client = makeClient(m_endpoint, m_timeouts);
+    client->set_keep_alive(true);
+    return client;
+}
+
+void HttpPool::give(std::unique_ptr<httplib::Client> client)
+{
+    std::lock_guard lock(m_mutex);
+    if (m_idle.size() < maxIdleConnections)
+        m_idle.push_back(std::move(client));
+}
+
+} // namespace limpetpond
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -63,16 +63,22 @@
 ///     stop.request(); // From any thread: the call under way ends within milliseconds.
 class CallStop {
 public:
+    CallStop() = default;
+    ~CallStop() { detach(); }
+    CallStop(const CallStop&) = delete;
+    CallStop& operator=(const CallStop&) = delete;
+
     void request();
     bool isRequested() const { return m_requested.load(); }
 
-    /// Used by the clients: the connection to shut down on a request, or null.
-    void attach(httplib::Client*);
+    /// Used by the clients: holds the socket of the call under way, to shut it down on a request.
+    void attach(int socket);
+    void detach();
 
 private:
     std::atomic<bool> m_requested { false };
     std::mutex m_mutex;
-    httplib::Client* m_client { nullptr };
+    int m_socket { -1 }; ///< A duplicate, so that its number can't pass to another connection.
 };
 
 /// What a streamed call reports while it runs. A callback that returns false ends the call.
