--- /dev/null
+++ b/test/ProcessSettingsTest.cpp
@@ -0,0 +1,137 @@
+#include "base/ProcessSettings.h"
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+
+namespace {
+
+using TextMap = std::map<std::string, std::string>;
+
+const TextMap kLeast { { "instance_id", "i1" }, { "table_endpoint", "127.0.0.1:8000" } };
+
+TextMap with(const std::string& flag, const std::string& value)
+{
+    TextMap flags = kLeast;
+    flags[flag] = value;
+    return flags;
+}
+
+InvalidSetting refusal(const TextMap& flags, const TextMap& variables = {})
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<InvalidSetting> {
+            BOOST_LEAF_CHECK(resolveProcessSettings(flags, variables));
+            return InvalidSetting {};
+        },
+        [](const InvalidSetting& invalid) { return invalid; },
+        [] { return InvalidSetting { "untyped", "", "" }; });
+}
+
+InvalidSetting commandLineRefusal(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), "limpetpondd");
+    std::vector<char*> pointers;
+    for (std::string& argument : arguments)
+        pointers.push_back(argument.data());
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<InvalidSetting> {
+            BOOST_LEAF_CHECK(parseCommandLine(static_cast<int>(pointers.size()), pointers.data()));
+            return InvalidSetting {};
+        },
+        [](const InvalidSetting& invalid) { return invalid; },
+        [] { return InvalidSetting { "untyped", "", "" }; });
+}
+
+} // namespace
+
+TEST_GROUP(ProcessSettings) {};
+
+TEST(ProcessSettings, defaultsAreValid)
+{
+    STRCMP_EQUAL("", refusal(kLeast).name.c_str());
+}
+
+TEST(ProcessSettings, flagWinsOverVariable)
+{
+    auto settings = resolveProcessSettings(with("caller_port", "8081"), { { "LIMPETPOND_CALLER_PORT", "8082" }, { "LIMPETPOND_PEER_PORT", "9099" } });
+    LONGS_EQUAL(8081, settings->callerPort);
+    LONGS_EQUAL(9099, settings->peerPort);
+}
+
+TEST(ProcessSettings, unitsAreRead)
+{
+    auto settings = resolveProcessSettings(with("read_timeout", "2m"), { { "LIMPETPOND_MAX_BODY", "64KiB" } });
+    LONGS_EQUAL(120'000, settings->readTimeout.count());
+    LONGS_EQUAL(65'536, settings->maxBody.count());
+}
+
+TEST(ProcessSettings, refusalNamesSettingValueAndRule)
+{
+    InvalidSetting refused = refusal(with("read_timeout", "5"));
+    STRCMP_EQUAL("--read_timeout", refused.name.c_str());
+    STRCMP_EQUAL("5", refused.value.c_str());
+    STRCMP_CONTAINS("unit", refused.allowed.c_str());
+}
+
+TEST(ProcessSettings, badValuesAreRefused)
+{
+    const std::vector<std::pair<std::string, std::string>> bad {
+        { "instance_id", "" }, { "instance_id", "a b" }, { "caller_host", "localhost" }, { "caller_port", "0" },
+        { "caller_port", "65536" }, { "caller_port", "80x" }, { "peer_host", "" }, { "peers", "i2" }, { "peers", "i2=host:1" },
+        { "peers", "i2=127.0.0.1:0" }, { "table_endpoint", "" }, { "table_endpoint", "127.0.0.1" },
+        { "object_store_endpoint", "store:80" }, { "traffic_threads", "1" }, { "traffic_threads", "-8" },
+        { "max_body", "4MB" }, { "max_body", "1B" }, { "max_body", "99999999999999999999GiB" }, { "read_timeout", "5 s" },
+        { "read_timeout", "2h" }, { "tick_period", "200ms" }, { "log_level", "loud" }, { "max_open_streams", "5000" }
+    };
+    for (const auto& [flag, value] : bad)
+        STRCMP_EQUAL_TEXT(("--" + flag).c_str(), refusal(with(flag, value)).name.c_str(), value.c_str());
+}
+
+TEST(ProcessSettings, unknownVariableIsRefused)
+{
+    STRCMP_EQUAL("LIMPETPOND_CALER_PORT", refusal(kLeast, { { "LIMPETPOND_CALER_PORT", "1" } }).name.c_str());
+}
+
+TEST(ProcessSettings, unknownFlagIsRefused)
+{
+    STRCMP_EQUAL("--caler_port", commandLineRefusal({ "--caler_port=1" }).name.c_str());
+    STRCMP_EQUAL("stray", commandLineRefusal({ "stray" }).name.c_str());
+    STRCMP_EQUAL("--flagfile", commandLineRefusal({ "--flagfile=x" }).name.c_str());
+    STRCMP_EQUAL("--caller_port", commandLineRefusal({ "--caller_port" }).name.c_str());
+}
+
+TEST(ProcessSettings, secretIsNoFlagAndIsNeverShown)
+{
+    InvalidSetting refused = commandLineRefusal({ "--peer_secret=sesame-sesame-sesame" });
+    STRCMP_EQUAL("--peer_secret", refused.name.c_str());
+    STRCMP_EQUAL("(hidden)", refused.value.c_str());
+    STRCMP_EQUAL("(hidden)", refusal(kLeast, { { "LIMPETPOND_PEER_SECRET", "short" } }).value.c_str());
+    auto settings = resolveProcessSettings(kLeast, { { "LIMPETPOND_PEER_SECRET", "sesame-sesame-sesame" } });
+    for (const ShownSetting& setting : shownSettings(*settings))
+        CHECK(setting.value.find("sesame") == std::string::npos);
+}
+
+TEST(ProcessSettings, secretIsReadFromAFile)
+{
+    std::string path = "/tmp/limpetpond-secret-" + std::to_string(getpid());
+    std::ofstream(path) << "sesame-sesame-sesame\n";
+    auto settings = resolveProcessSettings(with("peer_secret_file", path), {});
+    std::remove(path.c_str());
+    STRCMP_EQUAL("sesame-sesame-sesame", settings->peerSecret.reveal().c_str());
+    STRCMP_EQUAL("--peer_secret_file", refusal(with("peer_secret_file", path)).name.c_str());
+}
+
+TEST(ProcessSettings, helpListsEverySettingWithItsRangeAndDefault)
+{
+    std::string help = processSettingsHelp();
+    auto settings = resolveProcessSettings(kLeast, {});
+    for (const ShownSetting& setting : shownSettings(*settings)) {
+        bool isSecret = setting.value == "(not set)";
+        CHECK_TEXT(help.find(isSecret ? "--" + setting.name + "_file=" : "--" + setting.name + "=") != std::string::npos, setting.name.c_str());
+    }
+    STRCMP_CONTAINS("from 10ms to 10m; default 15s", help.c_str());
+}
