--- a/include/limpetpond/Settings.h
+++ b/include/limpetpond/Settings.h
@@ -28,6 +28,7 @@
 
 /// A weekly window in local time during which a target is emptied and cleaned.
 struct CleaningWindow {
+    std::string name;
     std::string timeZone { "UTC" }; ///< A POSIX TZ rule or an IANA name, with its daylight-saving rules.
     std::chrono::weekday day { std::chrono::Sunday };
     std::chrono::minutes startOfDay { 0 }; ///< Local time since midnight.
@@ -44,6 +45,8 @@
     int port { 0 };
     TargetMark mark { TargetMark::Serving };
     SettingsVersion markVersion; ///< The version that set the mark.
+    bool markedForCleaning { false }; ///< The cleaning schedule set the mark and will return the target.
+    SettingsVersion branchVersion; ///< The version of the target's branch.
     TokenCount maxTokensInProgress { 64'000 }; ///< Model engines: prompt and answer tokens admitted at once.
     int maxRequestsInProgress { 64 };
     TokenRate prefillRate { 8'000 }; ///< The expected speed; the learned one replaces it.
@@ -52,6 +55,7 @@
     bool checksFencing { false }; ///< Refuses orders with an old fencing number.
     bool checksKeys { false }; ///< Refuses a second run of an idempotency key itself.
     std::optional<CleaningWindow> cleaningWindow;
+    std::chrono::minutes cleaningTime { 30 }; ///< What the cleaning takes once the target is empty.
 };
 
 /// A set of targets that serve the same requests.
@@ -66,6 +70,7 @@
     int maxDispatches { 3 }; ///< Dispatches of one idempotent request.
     double retryBudget { 0.1 }; ///< Second dispatches as a share of first ones.
     std::string policy { "limpetpond" }; ///< The routing policy; the others are baselines.
+    double maxLeavingShare { 0.25 }; ///< The share of the pool's targets that the schedule empties at once; at least one target.
     std::vector<std::string> nonIdempotentMethods; ///< Service pools: methods whose calls run at most once.
     std::vector<std::string> nonIdempotentPaths; ///< Service pools: path prefixes whose calls run at most once; none means all paths.
     std::vector<TargetId> targets;
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -145,11 +145,17 @@
     SteadyTime readStartedAt;
 };
 
-/// Settings of a version, resolved, from the table service or a peer.
+/// Settings of a version, resolved, from the table service or a peer; null when the fetch failed.
 struct SettingsArrived {
     std::shared_ptr<const Settings> settings;
 };
 
+/// How a MarkTarget went.
+struct MarkAnswered {
+    ChangeId change;
+    bool settled { false }; ///< Accepted, now or earlier, or refused because the target's branch was edited since.
+};
+
 // ---- Other instances ----
 
 enum class MemberState {
@@ -185,11 +191,11 @@
     InstanceId instance;
     Incarnation incarnation;
     std::uint64_t sequence { 0 };
-    SettingsVersion settingsVersion;
+    SettingsVersion settingsVersion; ///< None until it was confirmed since the start; see `versionToReport`.
     std::optional<Duration> storeConfirmedAge; ///< Since the start of the last read that confirmed the version.
     bool leaving { false };
     std::vector<PoolNews> pools;
-    std::vector<TargetNews> targets;
+    std::vector<TargetNews> targets; ///< Those that are leaving or have work of the sender.
     std::vector<MemberNews> members;
 };
 
@@ -232,7 +238,7 @@
 };
 
 using ControlEvent = std::variant<RequestArrived, AnswerStarted, DispatchEnded, CallerGone, ClaimAnswered, TargetReported,
-    CacheChanged, SettingsHeadRead, SettingsArrived, HeartbeatReceived, HeartbeatAnswered, HeartbeatLost, InstanceListRead,
+    CacheChanged, SettingsHeadRead, SettingsArrived, MarkAnswered, HeartbeatReceived, HeartbeatAnswered, HeartbeatLost, InstanceListRead,
     Tick, ShutdownRequested>;
 
 // ---- Actions ----
@@ -292,6 +298,14 @@
     Heartbeat news;
 };
 
+/// Propose a mark of the cleaning schedule as a settings change; reported by MarkAnswered.
+struct MarkTarget {
+    ChangeId change; ///< The same from every instance that proposes the step.
+    TargetId target;
+    bool cleaning { false }; ///< True to empty the target for cleaning, false to return it.
+    SettingsVersion branchVersion; ///< The version of the target's branch that the step is based on.
+};
+
 /// A condition that operators must hear of.
 enum class AlarmKind {
     SettingsWentBack, ///< The store showed an older version than the one in force.
@@ -307,7 +321,7 @@
 };
 
 using ControlAction = std::variant<Dispatch, CancelDispatch, FinalAnswer, WriteClaim, ReadClaim, ReadSettingsHead,
-    FetchSettings, SendHeartbeat, RaiseAlarm>;
+    FetchSettings, MarkTarget, SendHeartbeat, RaiseAlarm>;
 
 using ControlActions = std::vector<ControlAction>;
 
