Give heartbeats an answer action of their own and ticks the system time

Cause: an answer and a heartbeat of ours to the same peer could not be told apart among the actions, and cleaning windows need the system clock. Change: AnswerHeartbeat, Tick::systemNow. Before: SendHeartbeat served both. After: each has its own type. Conclusion: adapters answer a heartbeat with the action of that event.

--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -199,7 +199,7 @@
     std::vector<MemberNews> members;
 };
 
-/// A heartbeat came in; the adapter answers it with the one in the SendHeartbeat action.
+/// A heartbeat came in; the AnswerHeartbeat action carries its answer.
 struct HeartbeatReceived {
     Heartbeat news;
 };
@@ -232,6 +232,7 @@
 
 /// Sent at least every 100 ms.
 struct Tick {
+    SystemTime systemNow; ///< For cleaning windows.
 };
 
 struct ShutdownRequested {
@@ -298,6 +299,12 @@
     Heartbeat news;
 };
 
+/// The answer to a HeartbeatReceived; appended while that event is handled.
+struct AnswerHeartbeat {
+    InstanceId to;
+    Heartbeat news;
+};
+
 /// Propose a mark of the cleaning schedule as a settings change; reported by MarkAnswered.
 struct MarkTarget {
     ChangeId change; ///< The same from every instance that proposes the step.
@@ -321,7 +328,7 @@
 };
 
 using ControlAction = std::variant<Dispatch, CancelDispatch, FinalAnswer, WriteClaim, ReadClaim, ReadSettingsHead,
-    FetchSettings, MarkTarget, SendHeartbeat, RaiseAlarm>;
+    FetchSettings, MarkTarget, SendHeartbeat, AnswerHeartbeat, RaiseAlarm>;
 
 using ControlActions = std::vector<ControlAction>;
 
