--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -33,16 +33,4 @@
     return hash ? hash : 1;
 }
 
-std::vector<std::uint64_t> hashPrefixBlocks(std::string_view pool, std::string_view prompt)
-{
-    std::vector<std::uint64_t> blocks;
-    blocks.reserve(prompt.size() / kPrefixBlockBytes);
-    std::uint64_t previous = XXH3_64bits(pool.data(), pool.size());
-    for (; prompt.size() >= kPrefixBlockBytes; prompt.remove_prefix(kPrefixBlockBytes)) {
-        previous = XXH3_64bits_withSeed(prompt.data(), kPrefixBlockBytes, previous);
-        blocks.push_back(previous);
-    }
-    return blocks;
-}
-
 } // namespace limpetpond
--- a/src/base/Hash.h
+++ b/src/base/Hash.h
@@ -1,17 +1,13 @@
 #pragma once
 
-/// Hashes of keys, bodies and prompts.
+/// Hashes of keys and bodies.
 
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace limpetpond {
 
-/// Bytes of the rendered prompt in one hashed block.
-inline constexpr std::size_t kPrefixBlockBytes = 256;
-
 /// The SHA-256 of the text in lower-case hexadecimal.
 ///
 ///     sha256Hex("").substr(0, 8) == "e3b0c442";
@@ -27,10 +23,4 @@
 ///     hashBody(request.body);
 std::uint64_t hashBody(std::string_view body);
 
-/// Chained hashes of the prompt's whole blocks, first block first; each covers all before it.
-/// Equal prompts in one pool hash alike for every client account.
-///
-///     hashPrefixBlocks("pool", prompt).size() == prompt.size() / kPrefixBlockBytes;
-std::vector<std::uint64_t> hashPrefixBlocks(std::string_view pool, std::string_view prompt);
-
 } // namespace limpetpond
--- a/test/HashTest.cpp
+++ b/test/HashTest.cpp
@@ -18,21 +18,8 @@
     CHECK_FALSE(constantTimeEquals("abc", "ab"));
 }
 
-TEST(Hash, prefixBlocksAgreeUpToTheFirstDifference)
+TEST(Hash, bodyHashIsNeverNone)
 {
-    std::string prompt(4 * kPrefixBlockBytes + 7, 'a');
-    std::string changed = prompt;
-    changed[2 * kPrefixBlockBytes] = 'b';
-    auto first = hashPrefixBlocks("pool", prompt);
-    auto second = hashPrefixBlocks("pool", changed);
-    LONGS_EQUAL(4, first.size());
-    CHECK(first[0] == second[0] && first[1] == second[1]);
-    CHECK(first[2] != second[2] && first[3] != second[3]);
-    CHECK(first[0] != first[1]);
-}
-
-TEST(Hash, prefixBlocksDifferBetweenPools)
-{
-    std::string prompt(kPrefixBlockBytes, 'a');
-    CHECK(hashPrefixBlocks("one", prompt) != hashPrefixBlocks("two", prompt));
+    CHECK(hashBody("") != 0);
+    CHECK(hashBody("a") != hashBody("b"));
 }
