--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -7,26 +7,26 @@
 
 namespace {
 
-int requestsAt(const PoolScheduler& pool, const TargetId& target)
-{
-    return static_cast<int>(std::count_if(pool.running.begin(), pool.running.end(),
-        [&](const auto& entry) { return entry.second.target == target; }));
-}
+    int requestsAt(const PoolScheduler& pool, const TargetId& target)
+    {
+        return static_cast<int>(std::count_if(pool.running.begin(), pool.running.end(),
+            [&](const auto& entry) { return entry.second.target == target; }));
+    }
 
-const TargetId* leastWork(const PoolScheduler& pool, const QueuedRequest& request)
-{
-    const TargetId* best = nullptr;
-    int bestRequests = std::numeric_limits<int>::max();
-    for (const auto& [id, target] : pool.targets) {
-        int requests = requestsAt(pool, id);
-        bool isExcluded = request.excludedTarget == id && pool.targets.size() > 1;
-        if (target.mark == TargetMark::Leaving || requests >= target.maxRequestsInProgress || isExcluded || requests >= bestRequests)
-            continue;
-        best = &id;
-        bestRequests = requests;
+    const TargetId* leastWork(const PoolScheduler& pool, const QueuedRequest& request)
+    {
+        const TargetId* best = nullptr;
+        int bestRequests = std::numeric_limits<int>::max();
+        for (const auto& [id, target] : pool.targets) {
+            int requests = requestsAt(pool, id);
+            bool isExcluded = request.excludedTarget == id && pool.targets.size() > 1;
+            if (target.mark == TargetMark::Leaving || requests >= target.maxRequestsInProgress || isExcluded || requests >= bestRequests)
+                continue;
+            best = &id;
+            bestRequests = requests;
+        }
+        return best;
     }
-    return best;
-}
 
 } // namespace
 
--- a/src/core/SchedulerState.h
+++ b/src/core/SchedulerState.h
@@ -32,20 +32,20 @@
 
 namespace detail {
 
-struct RunningRequest {
-    QueuedRequest queued;
-    TargetId target;
-    SteadyTime dispatchedAt;
-    bool started { false };
-    bool cancelling { false };
-};
+    struct RunningRequest {
+        QueuedRequest queued;
+        TargetId target;
+        SteadyTime dispatchedAt;
+        bool started { false };
+        bool cancelling { false };
+    };
 
-struct PeerState {
-    bool heard { false };
-    PoolNews news;
-    std::map<TargetId, TargetNews> targets;
-    std::optional<SteadyTime> confirmedAt;
-};
+    struct PeerState {
+        bool heard { false };
+        PoolNews news;
+        std::map<TargetId, TargetNews> targets;
+        std::optional<SteadyTime> confirmedAt;
+    };
 
 } // namespace detail
 
