--- a/src/core/StreamAssembler.cpp
+++ b/src/core/StreamAssembler.cpp
@@ -1,5 +1,7 @@
 #include "core/StreamAssembler.h"
 
+#include "core/Guard.h"
+#include "core/Invariant.h"
 #include <utility>
 
 namespace limpetpond {
@@ -16,20 +18,31 @@
         return ready;
 
     m_held.emplace(piece.position, std::move(piece));
-    while (m_state == AnswerState::Open && !m_held.empty() && m_held.begin()->first == m_next) {
+    while (m_state == AnswerState::Open && !m_held.empty() && isNext(m_held.begin()->first)) {
         ready.push_back(std::move(m_held.begin()->second));
         m_held.erase(m_held.begin());
-        remember(ready.back());
-        ++m_next;
-        if (ready.back().last)
-            close();
+        giveOut(ready.back());
     }
     return ready;
 }
 
+bool StreamAssembler::isNext(std::uint64_t position) const
+{
+    return position <= m_next || isGuardDisabled(GuardId::GapHeldBack);
+}
+
+void StreamAssembler::giveOut(const AnswerPiece& piece)
+{
+    checkInvariant(piece.attempt == m_options.attempt && piece.position == m_next, InvariantId::WholeAnswer);
+    remember(piece);
+    m_next = piece.position + 1;
+    if (piece.last)
+        close();
+}
+
 bool StreamAssembler::accept(const AnswerPiece& piece)
 {
-    if (piece.attempt != m_options.attempt) {
+    if (piece.attempt != m_options.attempt && !isGuardDisabled(GuardId::ForeignPieceDropped)) {
         ++m_dropped.foreign;
         return false;
     }
@@ -47,11 +60,12 @@
         ++(piece.position < m_next ? m_dropped.repeated : m_dropped.afterEnd);
         return false;
     }
-    if (piece.position < m_next || m_held.contains(piece.position)) {
+    bool repeated = piece.position < m_next && !isGuardDisabled(GuardId::RepeatedPieceDropped);
+    if (repeated || m_held.contains(piece.position)) {
         ++m_dropped.repeated;
         return false;
     }
-    if (piece.position - m_next >= m_options.window) {
+    if (piece.position > m_next && piece.position - m_next >= m_options.window) {
         ++m_dropped.beyondWindow;
         return false;
     }
--- a/src/core/StreamAssembler.h
+++ b/src/core/StreamAssembler.h
@@ -72,6 +72,8 @@
     };
 
     bool accept(const AnswerPiece&);
+    bool isNext(std::uint64_t position) const;
+    void giveOut(const AnswerPiece&);
     bool contradicts(const AnswerPiece&) const;
     void remember(const AnswerPiece&);
     static Digest digestOf(const AnswerPiece&);
--- a/src/engine/EngineClient.cpp
+++ b/src/engine/EngineClient.cpp
@@ -16,7 +16,7 @@
     constexpr std::string_view endMarker = "[DONE]";
     constexpr auto firstResumeDelay = milliseconds(50);
     constexpr auto cancelRetryDelay = milliseconds(50);
-    constexpr std::size_t maxErrorBody = 64 * 1024;
+    constexpr std::size_t maxErrorBody = 65'536;
 
     std::string streamPath(const AttemptId& attempt)
     {
--- a/src/engine/Prompt.cpp
+++ b/src/engine/Prompt.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/json.hpp>
 #include <limits>
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace limpetpond {
--- a/src/platform/ClaimStore.cpp
+++ b/src/platform/ClaimStore.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <numeric>
 #include <set>
 
 namespace limpetpond {
@@ -190,13 +191,13 @@
 std::vector<ClaimAnswered> writeClaims(TableClient& table, const std::vector<WriteClaim>& writes)
 {
     std::vector<ClaimAnswered> answers(writes.size());
-    std::vector<std::size_t> waiting;
-    for (std::size_t i = 0; i < writes.size(); ++i)
-        waiting.push_back(i);
+    std::vector<std::size_t> waiting(writes.size());
+    std::iota(waiting.begin(), waiting.end(), std::size_t { 0 });
 
     while (!waiting.empty()) {
         std::vector<std::size_t> batch = nextBatch(writes, waiting);
         std::vector<TableWrite> rows;
+        rows.reserve(batch.size());
         for (std::size_t i : batch)
             rows.push_back(tableWrite(writes[i]));
         BatchEnd end = transactClaims(table, rows);
--- a/src/service/ServiceClient.h
+++ b/src/service/ServiceClient.h
@@ -18,7 +18,7 @@
     HttpRequest request; ///< Hop-by-hop headers and the caller's authorization are left out.
     std::chrono::milliseconds connectTimeout { 1'000 };
     std::chrono::milliseconds timeout { 60'000 };
-    ByteCount maxAnswer { 16 * 1024 * 1024 };
+    ByteCount maxAnswer { 16'777'216 };
 };
 
 /// How a call to a service ended.
