Add the control state that composes the core modules

Cause: no module tied requests, claims, scheduling, settings and membership together. Ruled out: letting traffic threads hold request state, which would need locks shared with control. Change: class Control takes events and appends actions; each request has one phase and one final answer; invariants are checked where requests are dispatched and answered. Before: none. After: compiles against the headers of the modules. Conclusion: adapters can be written against Control::handle.

--- a/src/core/Claims.h
+++ b/src/core/Claims.h
@@ -26,7 +26,7 @@
     Duration longestDelay { std::chrono::seconds(2) }; ///< The delay doubles up to this.
     int maxNotSent { 2 }; ///< Claim writes that provably had no effect before the store counts as unavailable.
     int maxBackgroundWrites { 12 }; ///< Writes that record an end after the caller was answered.
-    ByteCount maxStoredAnswer { 256 * 1024 }; ///< A larger answer is recorded as completed but not kept.
+    ByteCount maxStoredAnswer { 256L * 1024 }; ///< A larger answer is recorded as completed but not kept.
 };
 
 enum class ClaimPhase {
--- /dev/null
+++ b/src/core/Control.cpp
@@ -0,0 +1,675 @@
+#include "core/Control.h"
+
+#include "core/Guard.h"
+#include "core/Invariant.h"
+#include <algorithm>
+
+namespace limpetpond {
+
+using detail::ActiveRequest;
+using detail::RequestPhase;
+
+namespace {
+
+    constexpr std::chrono::seconds retryElsewhere { 1 };
+    constexpr Duration alarmLifetime = std::chrono::minutes(1);
+
+    bool needsClaim(const RequestArrived& arrival)
+    {
+        return !arrival.idempotent && !isGuardDisabled(GuardId::KeyedCallIsClaimed);
+    }
+
+    QueuedRequest toQueued(const ActiveRequest& active)
+    {
+        QueuedRequest queued;
+        queued.request = active.arrival.request;
+        queued.account = active.arrival.account;
+        queued.tier = active.arrival.tier;
+        queued.promptTokens = active.arrival.promptTokens;
+        queued.answerTokens = active.arrival.answerTokens;
+        queued.prefixBlocks = active.arrival.prefixBlocks;
+        queued.deadline = active.arrival.deadline;
+        queued.arrivedAt = active.arrivedAt;
+        queued.dispatchesSoFar = active.dispatches;
+        queued.cancellable = active.arrival.idempotent;
+        if (active.dispatches)
+            queued.excludedTarget = active.target;
+        return queued;
+    }
+
+} // namespace
+
+Control::Control(ControlOptions options, SteadyTime now)
+    : m_options(std::move(options))
+    , m_lastBroadcastAt(now)
+{
+    m_replica.self = m_options.instance;
+    m_replica.startedAt = now;
+    m_drains.self = m_options.instance;
+    m_membership = makeMembership({ .self = m_options.instance, .incarnation = m_options.incarnation, .seed = m_options.seed }, now);
+}
+
+void Control::handle(const ControlEvent& event, SteadyTime now, ControlActions& out)
+{
+    const std::size_t firstOwn = out.size();
+    std::visit([&](const auto& typed) { take(typed, now, out); }, event);
+    schedule(now, out);
+    noteAlarms(firstOwn, now, out);
+}
+
+bool Control::isReady(SteadyTime now) const
+{
+    return !m_isShuttingDown && m_replica.settings && mayDispatch(m_replica, now);
+}
+
+// ---- Requests ----
+
+std::optional<Reason> Control::refusalReason(const RequestArrived& arrival, SteadyTime now) const
+{
+    if (m_isShuttingDown)
+        return Reason::ShuttingDown;
+    if (!m_replica.settings)
+        return Reason::NotReady;
+    if (!m_replica.settings->pools.contains(arrival.pool))
+        return Reason::NoTarget;
+    if (!mayDispatch(m_replica, now) && m_staleSince && now - *m_staleSince > m_options.staleGrace)
+        return Reason::ViewStale;
+    return std::nullopt;
+}
+
+void Control::refuse(const RequestArrived& arrival, Reason reason, SteadyTime now, ControlActions& out)
+{
+    if (!needsClaim(arrival)) {
+        out.push_back(FinalAnswer { .request = arrival.request, .outcome = Outcome::NotRun, .reason = reason, .retryAfter = retryElsewhere });
+        return;
+    }
+    // An earlier attempt of the key may run elsewhere, so the key is closed before "not run" is said.
+    ActiveRequest active { .arrival = arrival, .phase = RequestPhase::Claiming, .arrivedAt = now };
+    active.attempt = nextAttempt();
+    active.claim = startClosingClaim(arrival, active.attempt, m_options.instance, reason, retryElsewhere, m_options.claims, now, out);
+    m_openClaims.insert(arrival.request);
+    m_requests.emplace(arrival.request, std::move(active));
+}
+
+void Control::take(const RequestArrived& arrival, SteadyTime now, ControlActions& out)
+{
+    if (const std::optional<Reason> reason = refusalReason(arrival, now)) {
+        refuse(arrival, *reason, now, out);
+        return;
+    }
+    ActiveRequest active { .arrival = arrival, .arrivedAt = now };
+    if (needsClaim(arrival)) {
+        active.phase = RequestPhase::Claiming;
+        active.attempt = nextAttempt();
+        active.claim = startClaim(arrival, active.attempt, m_options.instance, m_options.claims, now, out);
+        m_openClaims.insert(arrival.request);
+        m_requests.emplace(arrival.request, std::move(active));
+        return;
+    }
+    ActiveRequest& stored = m_requests.emplace(arrival.request, std::move(active)).first->second;
+    queue(stored, now);
+}
+
+AttemptId Control::nextAttempt()
+{
+    const std::string start = m_options.instance.value() + "-" + std::to_string(m_options.incarnation.value());
+    return AttemptId(start + "-" + std::to_string(++m_attemptsMade));
+}
+
+void Control::queue(ActiveRequest& active, SteadyTime now)
+{
+    active.phase = RequestPhase::Waiting;
+    enqueue(m_schedulers.at(active.arrival.pool), toQueued(active), now);
+}
+
+void Control::take(const AnswerStarted& started, SteadyTime now, ControlActions&)
+{
+    const auto found = m_requests.find(started.request);
+    if (found == m_requests.end() || found->second.attempt != started.attempt)
+        return;
+    found->second.mayHaveRun = true;
+    answerStarted(m_schedulers.at(found->second.arrival.pool), started.request, started.cachedPromptTokens, now);
+}
+
+void Control::take(const DispatchEnded& ended, SteadyTime now, ControlActions& out)
+{
+    const auto found = m_requests.find(ended.request);
+    if (found == m_requests.end() || found->second.attempt != ended.attempt || found->second.phase != RequestPhase::Dispatched)
+        return;
+    ActiveRequest& active = found->second;
+    if (ended.end != DispatchEnd::NotStarted)
+        active.mayHaveRun = true;
+    dispatchEnded(m_schedulers.at(active.arrival.pool), ended.request, ended.end, ended.answerTokens, now);
+    if (active.claim)
+        endClaimedDispatch(active, ended, now, out);
+    else
+        endIdempotentDispatch(active, ended, now, out);
+    forgetIfEnded(ended.request);
+}
+
+void Control::endClaimedDispatch(ActiveRequest& active, const DispatchEnded& ended, SteadyTime now, ControlActions& out)
+{
+    active.phase = RequestPhase::Recording;
+    followClaim(active, handleClaimDispatchEnded(*active.claim, ended, m_options.claims, now, out), now, out);
+}
+
+void Control::endIdempotentDispatch(ActiveRequest& active, const DispatchEnded& ended, SteadyTime now, ControlActions& out)
+{
+    if (active.callerGone) {
+        answer(active, ended.end == DispatchEnd::Completed ? Outcome::Completed : Outcome::Unknown, Reason::CallerGone, std::nullopt, out);
+        return;
+    }
+    switch (ended.end) {
+    case DispatchEnd::Completed:
+    case DispatchEnd::TargetError:
+        answer(active, Outcome::Completed, Reason::None, std::nullopt, out);
+        return;
+    case DispatchEnd::NotStarted:
+        retryOrGiveUp(active, now, out);
+        return;
+    case DispatchEnd::Cancelled:
+        answer(active, Outcome::Unknown, active.cancelReason.value_or(Reason::AnswerLost), active.retryAfter, out);
+        return;
+    case DispatchEnd::Lost:
+        if (isGuardDisabled(GuardId::SecondDispatchOnlyIfNotStarted)) {
+            retryOrGiveUp(active, now, out);
+            return;
+        }
+        answer(active, Outcome::Unknown, active.cancelReason.value_or(Reason::AnswerLost), active.retryAfter, out);
+        return;
+    }
+}
+
+void Control::retryOrGiveUp(ActiveRequest& active, SteadyTime now, ControlActions& out)
+{
+    PoolScheduler& pool = m_schedulers.at(active.arrival.pool);
+    if (m_isShuttingDown) {
+        giveUp(active, Reason::ShuttingDown, retryElsewhere, now, out);
+        return;
+    }
+    if (active.cancelReason) {
+        giveUp(active, *active.cancelReason, active.retryAfter, now, out);
+        return;
+    }
+    if (active.dispatches < pool.settings.maxDispatches && takeRetry(pool, now)) {
+        queue(active, now);
+        return;
+    }
+    giveUp(active, Reason::TargetFailed, retryElsewhere, now, out);
+}
+
+void Control::take(const CallerGone& gone, SteadyTime now, ControlActions& out)
+{
+    const auto found = m_requests.find(gone.request);
+    if (found == m_requests.end() || found->second.callerGone)
+        return;
+    ActiveRequest& active = found->second;
+    active.callerGone = true;
+    // A claimed call goes on to its end, so that a second arrival of its key finds the answer.
+    if (active.claim)
+        return;
+    if (active.phase == RequestPhase::Dispatched) {
+        out.push_back(CancelDispatch { gone.request, active.attempt, active.target });
+        return;
+    }
+    removeWaiting(m_schedulers.at(active.arrival.pool), gone.request);
+    giveUp(active, Reason::CallerGone, std::nullopt, now, out);
+    forgetIfEnded(gone.request);
+}
+
+void Control::take(const ClaimAnswered& answered, SteadyTime now, ControlActions& out)
+{
+    const auto found = m_requests.find(answered.request);
+    if (found == m_requests.end() || !found->second.claim)
+        return;
+    ActiveRequest& active = found->second;
+    followClaim(active, handleClaimAnswered(*active.claim, answered, m_options.claims, now, out), now, out);
+    forgetIfEnded(answered.request);
+}
+
+void Control::followClaim(ActiveRequest& active, ClaimVerdict verdict, SteadyTime now, ControlActions& out)
+{
+    if (verdict == ClaimVerdict::Answered)
+        active.isAnswered = true;
+    if (verdict != ClaimVerdict::MayDispatch)
+        return;
+    if (const std::optional<Reason> reason = refusalReason(active.arrival, now)) {
+        giveUp(active, *reason, retryElsewhere, now, out);
+        return;
+    }
+    if (active.dispatches >= m_schedulers.at(active.arrival.pool).settings.maxDispatches) {
+        giveUp(active, Reason::TargetFailed, retryElsewhere, now, out);
+        return;
+    }
+    queue(active, now);
+}
+
+void Control::giveUp(ActiveRequest& active, Reason reason, std::optional<std::chrono::seconds> retryAfter, SteadyTime now, ControlActions& out)
+{
+    if (active.claim) {
+        active.phase = RequestPhase::Claiming;
+        followClaim(active, giveUpClaim(*active.claim, reason, retryAfter, m_options.claims, now, out), now, out);
+        return;
+    }
+    answer(active, active.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, reason, retryAfter, out);
+}
+
+void Control::giveUpWaiting(Reason reason, std::chrono::seconds retryAfter, SteadyTime now, ControlActions& out)
+{
+    std::vector<RequestId> waiting;
+    for (const auto& [request, active] : m_requests) {
+        if (active.phase == RequestPhase::Waiting || (active.phase == RequestPhase::Claiming && active.claim && !active.claim->isGivenUp))
+            waiting.push_back(request);
+    }
+    for (const RequestId& request : waiting) {
+        ActiveRequest& active = m_requests.at(request);
+        if (active.phase == RequestPhase::Waiting)
+            removeWaiting(m_schedulers.at(active.arrival.pool), request);
+        giveUp(active, reason, retryAfter, now, out);
+        forgetIfEnded(request);
+    }
+}
+
+void Control::answer(ActiveRequest& active, Outcome outcome, Reason reason, std::optional<std::chrono::seconds> retryAfter, ControlActions& out)
+{
+    checkInvariant(!active.isAnswered, InvariantId::OneFinalAnswer);
+    checkInvariant(outcome != Outcome::NotRun || !active.mayHaveRun, InvariantId::NotRunNeverRan);
+    active.isAnswered = true;
+    out.push_back(FinalAnswer { .request = active.arrival.request, .outcome = outcome, .reason = reason, .retryAfter = retryAfter });
+}
+
+void Control::forgetIfEnded(const RequestId& request)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end())
+        return;
+    const ActiveRequest& active = found->second;
+    const bool isEnded = active.claim ? isClaimEnded(*active.claim) : active.isAnswered;
+    if (!isEnded)
+        return;
+    m_openClaims.erase(request);
+    m_requests.erase(found);
+}
+
+// ---- Scheduling ----
+
+void Control::schedule(SteadyTime now, ControlActions& out)
+{
+    if (!m_replica.settings)
+        return;
+    if (waitOutStaleView(now, out))
+        return;
+    for (auto& [id, pool] : m_schedulers)
+        schedulePool(pool, now, out);
+    if (floorsChanged() && now - m_lastBroadcastAt >= m_options.urgentHeartbeatGap)
+        sendHeartbeats(now, out);
+}
+
+bool Control::waitOutStaleView(SteadyTime now, ControlActions& out)
+{
+    if (mayDispatch(m_replica, now)) {
+        m_staleSince.reset();
+        return false;
+    }
+    if (!m_staleSince)
+        m_staleSince = now;
+    if (now - *m_staleSince > m_options.staleGrace)
+        giveUpWaiting(Reason::ViewStale, retryElsewhere, now, out);
+    return true;
+}
+
+void Control::schedulePool(PoolScheduler& pool, SteadyTime now, ControlActions& out)
+{
+    std::vector<SchedulerDecision> decisions;
+    decide(pool, now, decisions);
+    for (const SchedulerDecision& decision : decisions)
+        std::visit([&](const auto& typed) { carryOut(pool, typed, now, out); }, decision);
+}
+
+void Control::carryOut(PoolScheduler& pool, const DispatchDecision& decision, SteadyTime now, ControlActions& out)
+{
+    ActiveRequest& active = m_requests.at(decision.request);
+    if (active.claim && !mayDispatchClaim(*active.claim, m_options.claims, now)) {
+        dispatchEnded(pool, decision.request, DispatchEnd::NotStarted, TokenCount(), now);
+        giveUp(active, Reason::DeadlineExceeded, retryElsewhere, now, out);
+        forgetIfEnded(decision.request);
+        return;
+    }
+    const TargetSettings& target = m_replica.settings->targets.at(decision.target);
+    checkInvariant(target.mark != TargetMark::Leaving, InvariantId::NoDispatchToLeavingTarget);
+    checkInvariant(active.phase == RequestPhase::Waiting && !active.mayHaveRun, InvariantId::DispatchAtMostOnce);
+    checkInvariant(confirmedUntil(m_replica) && now <= *confirmedUntil(m_replica), InvariantId::DispatchOnFreshView);
+    checkInvariant(active.arrival.idempotent || active.claim, InvariantId::ClaimedRunsOnce);
+
+    SteadyTime notAfter = *confirmedUntil(m_replica);
+    if (active.claim) {
+        notAfter = std::min(notAfter, claimDispatchBefore(*active.claim, m_options.claims));
+        markClaimDispatched(*active.claim);
+    } else {
+        active.attempt = nextAttempt();
+    }
+    active.phase = RequestPhase::Dispatched;
+    active.target = decision.target;
+    ++active.dispatches;
+    out.push_back(Dispatch { decision.request, active.attempt, decision.target, notAfter });
+}
+
+void Control::carryOut(PoolScheduler&, const ShedDecision& decision, SteadyTime now, ControlActions& out)
+{
+    ActiveRequest& active = m_requests.at(decision.request);
+    giveUp(active, decision.reason, decision.retryAfter, now, out);
+    forgetIfEnded(decision.request);
+}
+
+void Control::carryOut(PoolScheduler&, const CancelDecision& decision, SteadyTime, ControlActions& out)
+{
+    ActiveRequest& active = m_requests.at(decision.request);
+    active.cancelReason = Reason::Overloaded;
+    active.retryAfter = decision.retryAfter;
+    out.push_back(CancelDispatch { decision.request, active.attempt, decision.target });
+}
+
+// ---- Targets ----
+
+void Control::take(const TargetReported& report, SteadyTime now, ControlActions&)
+{
+    noteTargetReport(m_drains, report);
+    for (auto& [id, pool] : m_schedulers) {
+        if (pool.targets.contains(report.target))
+            targetReported(pool, report, now);
+    }
+}
+
+void Control::take(const CacheChanged& change, SteadyTime, ControlActions&)
+{
+    for (auto& [id, pool] : m_schedulers) {
+        if (pool.targets.contains(change.target))
+            cacheChanged(pool, change);
+    }
+}
+
+// ---- Settings ----
+
+void Control::take(const SettingsHeadRead& read, SteadyTime now, ControlActions& out)
+{
+    std::ranges::move(headRead(m_replica, read, now), std::back_inserter(out));
+}
+
+void Control::take(const SettingsArrived& arrived, SteadyTime now, ControlActions& out)
+{
+    std::ranges::move(settingsArrived(m_replica, arrived, now), std::back_inserter(out));
+    applyNewSettings(now);
+}
+
+void Control::applyNewSettings(SteadyTime now)
+{
+    if (!m_replica.settings || m_replica.settings->version == m_appliedVersion)
+        return;
+    checkInvariant(m_replica.settings->version > m_appliedVersion, InvariantId::SettingsNeverGoBack);
+    m_appliedVersion = m_replica.settings->version;
+    for (const auto& [id, pool] : m_replica.settings->pools) {
+        if (m_schedulers.contains(id))
+            continue;
+        PoolScheduler& made = m_schedulers.emplace(id, makePoolScheduler(id, m_options.instance, m_options.seed)).first->second;
+        for (const auto& [peer, incarnation] : m_schedulerPeers)
+            peerListed(made, peer);
+    }
+    for (auto& [id, pool] : m_schedulers)
+        applySettings(pool, *m_replica.settings, now);
+}
+
+void Control::take(const MarkAnswered& answered, SteadyTime, ControlActions&)
+{
+    markAnswered(m_cleaning, answered);
+}
+
+// ---- Other instances ----
+
+void Control::take(const HeartbeatReceived& received, SteadyTime now, ControlActions& out)
+{
+    hearHeartbeat(m_membership, received.news, now);
+    std::ranges::move(heartbeatReceived(m_replica, received, now), std::back_inserter(out));
+    takeNews(received.news, std::nullopt, now);
+    // Decides first, so that the answer shows floors that were raised on this news.
+    schedule(now, out);
+    out.push_back(AnswerHeartbeat { received.news.instance, makeHeartbeat(now) });
+}
+
+void Control::take(const HeartbeatAnswered& answered, SteadyTime now, ControlActions& out)
+{
+    hearHeartbeatAnswer(m_membership, answered.news, answered.sentAt, now);
+    std::ranges::move(heartbeatAnswered(m_replica, answered, now), std::back_inserter(out));
+    takeNews(answered.news, answered.sentAt, now);
+}
+
+void Control::take(const HeartbeatLost& lost, SteadyTime, ControlActions&)
+{
+    loseHeartbeat(m_membership, lost);
+    heartbeatLost(m_replica, lost);
+}
+
+void Control::take(const InstanceListRead& list, SteadyTime now, ControlActions&)
+{
+    readInstanceList(m_membership, list, now);
+    instanceListRead(m_replica, list);
+    noteListed(m_drains, list, now);
+    followMembership(now);
+}
+
+void Control::takeNews(const Heartbeat& news, std::optional<SteadyTime> answersSentAt, SteadyTime now)
+{
+    detail::HeartbeatMark& mark = m_heard[news.instance];
+    const detail::HeartbeatMark received { news.incarnation, news.sequence };
+    if (std::tie(received.incarnation, received.sequence) <= std::tie(mark.incarnation, mark.sequence))
+        return;
+    mark = received;
+    noteWork(m_drains, news, now);
+    followMembership(now);
+    for (const PoolNews& poolNews : news.pools) {
+        const auto pool = m_schedulers.find(poolNews.pool);
+        if (pool != m_schedulers.end())
+            peerNews(pool->second, news.instance, poolNews, news.targets, answersSentAt, now);
+    }
+}
+
+void Control::followMembership(SteadyTime now)
+{
+    const SiteSettings site = m_replica.settings ? m_replica.settings->site : SiteSettings {};
+    updateMembership(m_membership, site, now);
+    for (const auto& [id, member] : m_membership.members) {
+        noteMemberState(m_drains, id, member.state);
+        if (member.state == MemberState::Departed) {
+            if (m_schedulerPeers.erase(id)) {
+                for (auto& [poolId, pool] : m_schedulers)
+                    peerDeparted(pool, id);
+            }
+            continue;
+        }
+        const auto known = m_schedulerPeers.find(id);
+        if (known != m_schedulerPeers.end() && known->second == member.incarnation)
+            continue;
+        m_schedulerPeers[id] = member.incarnation;
+        for (auto& [poolId, pool] : m_schedulers)
+            peerListed(pool, id);
+    }
+    std::erase_if(m_schedulerPeers, [this](const auto& entry) {
+        if (m_membership.members.contains(entry.first))
+            return false;
+        for (auto& [poolId, pool] : m_schedulers)
+            peerDeparted(pool, entry.first);
+        return true;
+    });
+}
+
+std::vector<TargetNews> Control::allTargetNews() const
+{
+    std::vector<TargetNews> all;
+    for (const auto& [id, pool] : m_schedulers) {
+        for (TargetNews& news : targetNews(pool)) {
+            if (news.requestsInProgress || !news.leavingMarkVersion.isNone())
+                all.push_back(std::move(news));
+        }
+    }
+    return all;
+}
+
+Heartbeat Control::makeHeartbeat(SteadyTime now)
+{
+    Heartbeat heartbeat;
+    fillHeartbeat(m_membership, heartbeat);
+    heartbeat.settingsVersion = versionToReport(m_replica);
+    heartbeat.storeConfirmedAge = storeConfirmedAge(m_replica, now);
+    heartbeat.leaving = m_isShuttingDown;
+    for (const auto& [id, pool] : m_schedulers)
+        heartbeat.pools.push_back(poolNews(pool));
+    heartbeat.targets = allTargetNews();
+    return heartbeat;
+}
+
+bool Control::floorsChanged()
+{
+    bool changed = false;
+    for (const auto& [id, pool] : m_schedulers) {
+        const PoolNews news = poolNews(pool);
+        changed |= m_lastFloors[id] != std::pair(news.floor, news.wantedFloor);
+    }
+    return changed;
+}
+
+bool Control::wantsFloor() const
+{
+    return std::ranges::any_of(m_schedulers, [](const auto& entry) { return poolNews(entry.second).wantedFloor > TierLevel {}; });
+}
+
+void Control::sendHeartbeats(SteadyTime now, ControlActions& out)
+{
+    m_lastBroadcastAt = now;
+    for (const auto& [id, pool] : m_schedulers) {
+        const PoolNews news = poolNews(pool);
+        m_lastFloors[id] = { news.floor, news.wantedFloor };
+    }
+    for (const auto& [id, member] : m_membership.members) {
+        if (member.state == MemberState::Departed)
+            continue;
+        Heartbeat heartbeat = makeHeartbeat(now);
+        countSent(m_membership, heartbeat);
+        out.push_back(SendHeartbeat { id, std::move(heartbeat) });
+    }
+}
+
+// ---- Time ----
+
+void Control::take(const Tick& tick, SteadyTime now, ControlActions& out)
+{
+    std::ranges::move(limpetpond::tick(m_replica, now), std::back_inserter(out));
+    followMembership(now);
+    const SiteSettings site = m_replica.settings ? m_replica.settings->site : SiteSettings {};
+    for (const InstanceId& peer : chooseProbes(m_membership, site, now)) {
+        Heartbeat heartbeat = makeHeartbeat(now);
+        countSent(m_membership, heartbeat);
+        out.push_back(SendHeartbeat { peer, std::move(heartbeat) });
+    }
+    if (wantsFloor() && now - m_lastBroadcastAt >= m_options.floorHeartbeatPeriod)
+        sendHeartbeats(now, out);
+    const std::vector<RequestId> open(m_openClaims.begin(), m_openClaims.end());
+    for (const RequestId& request : open) {
+        ActiveRequest& active = m_requests.at(request);
+        const std::optional<SteadyTime> due = nextClaimTick(*active.claim);
+        if (!due || *due > now)
+            continue;
+        followClaim(active, tickClaim(*active.claim, m_options.claims, now, out), now, out);
+        forgetIfEnded(request);
+    }
+    advanceDrains(tick, now, out);
+}
+
+std::set<TargetId> Control::emptyTargets(SteadyTime now) const
+{
+    std::set<TargetId> empty;
+    for (const auto& [id, target] : m_replica.settings->targets) {
+        if (target.mark != TargetMark::Leaving)
+            continue;
+        if (drainStatus(m_drains, *m_replica.settings, id, now).state == DrainState::Empty)
+            empty.insert(id);
+    }
+    return empty;
+}
+
+std::size_t Control::rankAmongLive() const
+{
+    const std::vector<InstanceId> live = liveMembers(m_membership);
+    return static_cast<std::size_t>(std::ranges::count_if(live, [this](const InstanceId& id) { return id < m_options.instance; }));
+}
+
+void Control::advanceDrains(const Tick& tick, SteadyTime now, ControlActions& out)
+{
+    if (!m_replica.settings)
+        return;
+    noteOwnWork(m_drains, m_options.incarnation, allTargetNews(), now);
+    updateDrains(m_drains, *m_replica.settings, now);
+    CleaningInput input { .systemNow = tick.systemNow, .steadyNow = now };
+    input.emptyTargets = emptyTargets(now);
+    input.proposerRank = rankAmongLive();
+    std::ranges::move(advanceCleaning(m_cleaning, *m_replica.settings, input), std::back_inserter(out));
+}
+
+void Control::take(const ShutdownRequested&, SteadyTime now, ControlActions& out)
+{
+    m_isShuttingDown = true;
+    giveUpWaiting(Reason::ShuttingDown, retryElsewhere, now, out);
+    sendHeartbeats(now, out);
+}
+
+// ---- Status ----
+
+void Control::noteAlarms(std::size_t from, SteadyTime now, const ControlActions& out)
+{
+    for (std::size_t i = from; i < out.size(); ++i) {
+        if (const auto* alarm = std::get_if<RaiseAlarm>(&out[i]))
+            m_alarms[{ alarm->kind, alarm->subject }] = now;
+    }
+    std::erase_if(m_alarms, [now](const auto& entry) { return now - entry.second > alarmLifetime; });
+}
+
+ControlStatus Control::status(SteadyTime now) const
+{
+    ControlStatus status;
+    status.self = m_options.instance;
+    status.incarnation = m_options.incarnation;
+    status.ready = isReady(now);
+    status.mayDispatch = mayDispatch(m_replica, now);
+    status.hearsMajority = hearsMajority(m_replica, now);
+    status.takenAt = now;
+    status.version = versionInForce(m_replica);
+    status.highestKnown = m_replica.highestKnown;
+    status.confirmedAge = storeConfirmedAge(m_replica, now);
+    status.storeReachable = m_replica.storeReachable;
+    status.instances.push_back({ .instance = m_options.instance, .listed = m_replica.listed.contains(m_options.instance), .leaving = m_isShuttingDown, .version = versionToReport(m_replica) });
+    for (const auto& [id, member] : m_membership.members) {
+        InstanceStatus other { .instance = id, .state = member.state, .listed = member.isOnList, .leaving = member.isLeaving, .version = member.settingsVersion };
+        if (member.lastHeardAt)
+            other.lastHeardAge = now - *member.lastHeardAt;
+        status.instances.push_back(std::move(other));
+    }
+    for (const auto& [id, scheduler] : m_schedulers) {
+        const SchedulerSnapshot pool = snapshot(scheduler);
+        PoolStatus poolStatus { .pool = id, .floor = pool.floor };
+        for (const TierSnapshot& tier : pool.tiers) {
+            poolStatus.waiting += tier.waiting;
+            poolStatus.inProgress += tier.inProgress;
+            poolStatus.waitingByTier[tier.tier] = tier.waiting;
+        }
+        status.pools.push_back(std::move(poolStatus));
+        for (const TargetSnapshot& target : pool.targets) {
+            TargetControlStatus targetStatus { .target = target.target, .pool = id, .requestsHere = target.requestsInProgress, .tokensHere = target.tokensInProgress };
+            if (m_replica.settings->targets.contains(target.target))
+                targetStatus.drain = drainStatus(m_drains, *m_replica.settings, target.target, now);
+            status.targets.push_back(std::move(targetStatus));
+        }
+    }
+    for (const auto& [alarm, raisedAt] : m_alarms)
+        status.alarms.push_back({ alarm.first, alarm.second, now - raisedAt });
+    return status;
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/Control.h
@@ -0,0 +1,165 @@
+#pragma once
+
+/// The control state of one instance: composes the modules of the decision core.
+///
+/// One thread owns a `Control`. Each event goes in through `handle`, which appends the
+/// actions to carry out; nothing here does I/O or reads a clock. Each request gets exactly
+/// one FinalAnswer.
+
+#include "core/Claims.h"
+#include "core/CleaningSchedule.h"
+#include "core/ControlStatus.h"
+#include "core/Drain.h"
+#include "core/Membership.h"
+#include "core/Messages.h"
+#include "core/Scheduler.h"
+#include "core/SettingsReplica.h"
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace limpetpond {
+
+struct ControlOptions {
+    InstanceId instance;
+    Incarnation incarnation;
+    std::uint64_t seed { 1 }; ///< Feeds every random choice of the core.
+    ClaimOptions claims;
+    Duration staleGrace { std::chrono::seconds(1) }; ///< How long requests wait for a stale view to be confirmed again.
+    Duration urgentHeartbeatGap { std::chrono::milliseconds(20) }; ///< Between heartbeats that carry a changed floor.
+    Duration floorHeartbeatPeriod { std::chrono::milliseconds(100) }; ///< Between heartbeats while a floor is wanted.
+};
+
+namespace detail {
+
+    enum class RequestPhase {
+        Claiming, ///< Waits for its claim; not queued.
+        Waiting, ///< Queued in its pool.
+        Dispatched,
+        Recording, ///< Answered; the claim's last state is being written.
+    };
+
+    struct ActiveRequest {
+        RequestArrived arrival;
+        RequestPhase phase { RequestPhase::Waiting };
+        SteadyTime arrivedAt;
+        std::optional<ClaimProgress> claim;
+        AttemptId attempt; ///< The current dispatch, or the claim's attempt.
+        TargetId target;
+        int dispatches { 0 };
+        bool mayHaveRun { false }; ///< A dispatch started at a target.
+        bool callerGone { false };
+        bool isAnswered { false };
+        std::optional<Reason> cancelReason; ///< Why a cancellation was asked for.
+        std::optional<std::chrono::seconds> retryAfter;
+    };
+
+    /// The newest heartbeat taken in from a peer; older ones are dropped.
+    struct HeartbeatMark {
+        Incarnation incarnation;
+        std::uint64_t sequence { 0 };
+    };
+
+} // namespace detail
+
+class Control {
+public:
+    explicit Control(ControlOptions, SteadyTime now);
+
+    /// Takes in one event and appends what is to be done.
+    ///
+    ///     ControlActions actions;
+    ///     control.handle(Tick { clock.systemNow() }, clock.steadyNow(), actions);
+    void handle(const ControlEvent&, SteadyTime now, ControlActions& out);
+
+    /// The settings in force; null before the first arrived.
+    std::shared_ptr<const Settings> settings() const { return m_replica.settings; }
+
+    /// Whether the balancer should send callers here.
+    bool isReady(SteadyTime now) const;
+
+    /// Whether every request has its final answer and nothing is left to write.
+    bool isDrained() const { return m_requests.empty(); }
+
+    /// The snapshot for operators.
+    ControlStatus status(SteadyTime now) const;
+
+    const SettingsReplica& replica() const { return m_replica; }
+    const Membership& membership() const { return m_membership; }
+    const std::map<PoolId, PoolScheduler>& schedulers() const { return m_schedulers; }
+
+private:
+    using Requests = std::map<RequestId, detail::ActiveRequest>;
+
+    void take(const RequestArrived&, SteadyTime now, ControlActions& out);
+    void take(const AnswerStarted&, SteadyTime now, ControlActions& out);
+    void take(const DispatchEnded&, SteadyTime now, ControlActions& out);
+    void take(const CallerGone&, SteadyTime now, ControlActions& out);
+    void take(const ClaimAnswered&, SteadyTime now, ControlActions& out);
+    void take(const TargetReported&, SteadyTime now, ControlActions& out);
+    void take(const CacheChanged&, SteadyTime now, ControlActions& out);
+    void take(const SettingsHeadRead&, SteadyTime now, ControlActions& out);
+    void take(const SettingsArrived&, SteadyTime now, ControlActions& out);
+    void take(const MarkAnswered&, SteadyTime now, ControlActions& out);
+    void take(const HeartbeatReceived&, SteadyTime now, ControlActions& out);
+    void take(const HeartbeatAnswered&, SteadyTime now, ControlActions& out);
+    void take(const HeartbeatLost&, SteadyTime now, ControlActions& out);
+    void take(const InstanceListRead&, SteadyTime now, ControlActions& out);
+    void take(const Tick&, SteadyTime now, ControlActions& out);
+    void take(const ShutdownRequested&, SteadyTime now, ControlActions& out);
+
+    std::optional<Reason> refusalReason(const RequestArrived&, SteadyTime now) const;
+    void refuse(const RequestArrived&, Reason, SteadyTime now, ControlActions& out);
+    AttemptId nextAttempt();
+    void queue(detail::ActiveRequest&, SteadyTime now);
+    void giveUp(detail::ActiveRequest&, Reason, std::optional<std::chrono::seconds> retryAfter, SteadyTime now, ControlActions& out);
+    void giveUpWaiting(Reason, std::chrono::seconds retryAfter, SteadyTime now, ControlActions& out);
+    void answer(detail::ActiveRequest&, Outcome, Reason, std::optional<std::chrono::seconds> retryAfter, ControlActions& out);
+    void endIdempotentDispatch(detail::ActiveRequest&, const DispatchEnded&, SteadyTime now, ControlActions& out);
+    void endClaimedDispatch(detail::ActiveRequest&, const DispatchEnded&, SteadyTime now, ControlActions& out);
+    void retryOrGiveUp(detail::ActiveRequest&, SteadyTime now, ControlActions& out);
+    void followClaim(detail::ActiveRequest&, ClaimVerdict, SteadyTime now, ControlActions& out);
+    void forgetIfEnded(const RequestId&);
+
+    void schedule(SteadyTime now, ControlActions& out);
+    void schedulePool(PoolScheduler&, SteadyTime now, ControlActions& out);
+    void carryOut(PoolScheduler&, const DispatchDecision&, SteadyTime now, ControlActions& out);
+    void carryOut(PoolScheduler&, const ShedDecision&, SteadyTime now, ControlActions& out);
+    void carryOut(PoolScheduler&, const CancelDecision&, SteadyTime now, ControlActions& out);
+    bool waitOutStaleView(SteadyTime now, ControlActions& out);
+
+    void applyNewSettings(SteadyTime now);
+    void takeNews(const Heartbeat&, std::optional<SteadyTime> answersSentAt, SteadyTime now);
+    void followMembership(SteadyTime now);
+    void sendHeartbeats(SteadyTime now, ControlActions& out);
+    bool floorsChanged();
+    bool wantsFloor() const;
+    Heartbeat makeHeartbeat(SteadyTime now);
+    std::vector<TargetNews> allTargetNews() const;
+    std::set<TargetId> emptyTargets(SteadyTime now) const;
+    std::size_t rankAmongLive() const;
+    void advanceDrains(const Tick&, SteadyTime now, ControlActions& out);
+    void noteAlarms(std::size_t from, SteadyTime now, const ControlActions& out);
+
+    ControlOptions m_options;
+    SettingsReplica m_replica;
+    Membership m_membership;
+    DrainTracker m_drains;
+    CleaningState m_cleaning;
+    std::map<PoolId, PoolScheduler> m_schedulers;
+    Requests m_requests;
+    std::set<RequestId> m_openClaims;
+    std::map<InstanceId, detail::HeartbeatMark> m_heard;
+    std::map<InstanceId, Incarnation> m_schedulerPeers;
+    std::map<PoolId, std::pair<TierLevel, TierLevel>> m_lastFloors;
+    std::map<std::pair<AlarmKind, std::string>, SteadyTime> m_alarms;
+    SettingsVersion m_appliedVersion;
+    std::optional<SteadyTime> m_staleSince;
+    SteadyTime m_lastBroadcastAt;
+    std::uint64_t m_attemptsMade { 0 };
+    bool m_isShuttingDown { false };
+};
+
+} // namespace limpetpond
