--- /dev/null
+++ b/test/fakes/relay/main.cpp
@@ -0,0 +1,188 @@
+/// A relay of TCP connections whose links can be cut, for tests of a broken network.
+///
+/// Each of --targets gets a port of its own; the ports are printed in that order, then the control port.
+/// POST /_control sets for `link` (its number from 0; -1: all) any of: `to_target`, `to_client` (false holds
+/// the bytes of that direction back, as a cut line would, until it is true again), `open` (false resets
+/// the connections and refuses new ones), `delay_ms` (each way).
+
+#include "test/fakes/common/FakeServer.h"
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstring>
+#include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+ABSL_FLAG(std::vector<std::string>, targets, {}, "where each link leads, as IP:PORT");
+ABSL_FLAG(int, control_port, 0, "the port of the control calls; 0 for any");
+
+namespace limpetpond::fakes {
+namespace {
+
+    constexpr auto pollPeriod = std::chrono::milliseconds(2);
+
+    struct Link {
+        sockaddr_in target {};
+        int listener { -1 };
+        std::atomic<bool> isOpen { true };
+        std::atomic<bool> passesToTarget { true };
+        std::atomic<bool> passesToClient { true };
+        std::atomic<int> delayMs { 0 };
+    };
+
+    sockaddr_in addressOf(const std::string& text)
+    {
+        sockaddr_in out {};
+        std::size_t colon = text.rfind(':');
+        out.sin_family = AF_INET;
+        inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr);
+        out.sin_port = htons(static_cast<std::uint16_t>(std::atoi(text.substr(colon + 1).c_str())));
+        return out;
+    }
+
+    int listenAnywhere(int& port)
+    {
+        constexpr int backlog = 128;
+        int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address = addressOf("127.0.0.1:0");
+        ::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        ::listen(listener, backlog);
+        socklen_t length = sizeof(address);
+        ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+        port = ntohs(address.sin_port);
+        return listener;
+    }
+
+    bool sendAll(int socket, const char* data, std::size_t length)
+    {
+        while (length) {
+            ssize_t sent = ::send(socket, data, length, MSG_NOSIGNAL);
+            if (sent <= 0)
+                return false;
+            data += sent;
+            length -= static_cast<std::size_t>(sent);
+        }
+        return true;
+    }
+
+    // Passes one direction on until an end closes or the link is reset.
+    void pump(const Link& link, const std::atomic<bool>& passes, int from, int to)
+    {
+        std::vector<char> buffer(65'536);
+        while (link.isOpen) {
+            ssize_t got = ::recv(from, buffer.data(), buffer.size(), 0);
+            if (got <= 0)
+                break;
+            std::this_thread::sleep_for(std::chrono::milliseconds(link.delayMs));
+            while (!passes && link.isOpen)
+                std::this_thread::sleep_for(pollPeriod);
+            if (!link.isOpen || !sendAll(to, buffer.data(), static_cast<std::size_t>(got)))
+                break;
+        }
+        // A closed end is held back as its bytes are.
+        while (!passes && link.isOpen)
+            std::this_thread::sleep_for(pollPeriod);
+        ::shutdown(to, SHUT_WR);
+    }
+
+    // Ends a connection with a reset, so that its peers see an error at once.
+    void resetClose(int socket)
+    {
+        linger hard { .l_onoff = 1, .l_linger = 0 };
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+        ::close(socket);
+    }
+
+    void serveConnection(const Link& link, int client)
+    {
+        int target = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::connect(target, reinterpret_cast<const sockaddr*>(&link.target), sizeof(link.target))) {
+            resetClose(client);
+            ::close(target);
+            return;
+        }
+        int on = 1;
+        ::setsockopt(client, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        ::setsockopt(target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        std::thread answers([&] { pump(link, link.passesToClient, target, client); });
+        std::atomic<bool> ended { false };
+        std::thread watch([&] {
+            while (link.isOpen && !ended)
+                std::this_thread::sleep_for(pollPeriod);
+            if (!ended) {
+                ::shutdown(client, SHUT_RDWR);
+                ::shutdown(target, SHUT_RDWR);
+            }
+        });
+        pump(link, link.passesToTarget, client, target);
+        answers.join();
+        ended = true;
+        watch.join();
+        bool reset = !link.isOpen;
+        reset ? resetClose(client) : static_cast<void>(::close(client));
+        ::close(target);
+    }
+
+    void acceptForever(const Link& link)
+    {
+        while (true) {
+            int client = ::accept4(link.listener, nullptr, nullptr, SOCK_CLOEXEC);
+            if (client < 0)
+                continue;
+            if (!link.isOpen) {
+                resetClose(client);
+                continue;
+            }
+            std::thread([&link, client] { serveConnection(link, client); }).detach();
+        }
+    }
+
+    void control(Link& link, const json::object& wanted)
+    {
+        link.isOpen = flagIn(wanted, "open", link.isOpen);
+        link.passesToTarget = flagIn(wanted, "to_target", link.passesToTarget);
+        link.passesToClient = flagIn(wanted, "to_client", link.passesToClient);
+        link.delayMs = static_cast<int>(numberIn(wanted, "delay_ms", link.delayMs));
+    }
+
+    void runRelay()
+    {
+        std::vector<std::unique_ptr<Link>> links;
+        for (const std::string& target : absl::GetFlag(FLAGS_targets)) {
+            auto link = std::make_unique<Link>();
+            int port = 0;
+            link->target = addressOf(target);
+            link->listener = listenAnywhere(port);
+            printPort(port);
+            std::thread([&link = *link] { acceptForever(link); }).detach();
+            links.push_back(std::move(link));
+        }
+        httplib::Server server;
+        configure(server);
+        server.Post("/_control", [&](const httplib::Request& request, httplib::Response& response) {
+            json::object wanted = parseBody(request.body);
+            int which = static_cast<int>(numberIn(wanted, "link", -1));
+            for (std::size_t i = 0; i < links.size(); ++i) {
+                if (which < 0 || static_cast<std::size_t>(which) == i)
+                    control(*links[i], wanted);
+            }
+            answerJson(response, json::object());
+        });
+        printPort(bindLoopback(server, absl::GetFlag(FLAGS_control_port)));
+        server.listen_after_bind();
+    }
+
+} // namespace
+} // namespace limpetpond::fakes
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    limpetpond::fakes::runRelay();
+    return 0;
+}
