Scheduler: token limits, learned speeds, prefixes, fair shares and strict tiers over instances

Change: start-time fair queueing between accounts; limits in tokens shared by demand; speed learned from first tokens and answers; a bounded model of each engine's prefix cache; ejection of at most half a pool with a gradual return; floors that peers confirm before a higher tier is shed; a retry budget; return times that spread a crowd at the rate of service. Ruled out: a floor confirmed by any news of a peer. News that was sent before the peer heard of a raised floor could confirm an older one, so only answers to heartbeats sent after the raise count. Proof: build/debug/limpetpond-tests, groups Scheduler, FairQueue, Floors, PrefixIndex, TargetModel, RetryBudget.

--- /dev/null
+++ b/src/core/Floors.cpp
@@ -0,0 +1,72 @@
+#include "core/Floors.h"
+
+#include <algorithm>
+
+namespace limpetpond {
+
+namespace {
+
+    // The level that lies under pressure, or did within the hold.
+    TierLevel levelToWant(const FloorState& floors, Duration hold, SteadyTime now)
+    {
+        TierLevel wanted;
+        for (const auto& [tier, level] : floors.levels) {
+            if (level.pressedAt && now - *level.pressedAt < hold)
+                wanted = tier;
+        }
+        return wanted;
+    }
+
+    bool confirms(const PeerState& peer, TierLevel tier, SteadyTime wantedSince)
+    {
+        if (!peer.isHeard || !peer.knowsSince || *peer.knowsSince < wantedSince)
+            return false;
+        if (peer.news.floor < tier)
+            return false;
+        return !peer.news.lowestServed || *peer.news.lowestServed >= tier;
+    }
+
+} // namespace
+
+void notePressure(FloorState& floors, TierLevel tier, SteadyTime now)
+{
+    floors.levels[tier].pressedAt = now;
+}
+
+void updateFloors(FloorState& floors, Duration hold, SteadyTime now)
+{
+    floors.wanted = levelToWant(floors, hold, now);
+    for (auto& [tier, level] : floors.levels) {
+        if (tier > floors.wanted)
+            level.wantedSince.reset();
+        else if (!level.wantedSince)
+            level.wantedSince = now;
+    }
+    TierLevel inForce = floors.wanted;
+    for (const auto& [id, peer] : floors.peers)
+        inForce = std::max(inForce, peer.news.wantedFloor);
+    if (inForce != floors.inForce)
+        floors.inForceSince = now;
+    floors.inForce = inForce;
+}
+
+bool mayShed(const FloorState& floors, const ServedTiers& served, TierLevel tier)
+{
+    if (!tier.level || (served.lowestKnown && tier <= *served.lowestKnown))
+        return true;
+    if (served.lowest && *served.lowest < tier)
+        return false;
+    auto level = floors.levels.find(tier);
+    if (level == floors.levels.end() || !level->second.wantedSince || floors.inForce < tier)
+        return false;
+    SteadyTime wantedSince = *level->second.wantedSince;
+    return std::all_of(floors.peers.begin(), floors.peers.end(),
+        [&](const auto& entry) { return confirms(entry.second, tier, wantedSince); });
+}
+
+bool hasUnheardPeer(const FloorState& floors)
+{
+    return std::any_of(floors.peers.begin(), floors.peers.end(), [](const auto& entry) { return !entry.second.isHeard; });
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/PrefixIndex.cpp
@@ -0,0 +1,172 @@
+#include "core/PrefixIndex.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace limpetpond {
+
+namespace {
+
+    constexpr std::size_t bitsPerWord = 64;
+
+    std::size_t wordOf(const PrefixIndex& index, std::uint32_t entry, std::size_t target)
+    {
+        return entry * index.wordsPerBlock + target / bitsPerWord;
+    }
+
+    std::uint64_t bitOf(std::size_t target)
+    {
+        return std::uint64_t { 1 } << (target % bitsPerWord);
+    }
+
+    std::uint32_t entryFor(PrefixIndex& index, std::uint64_t block)
+    {
+        auto found = index.entryOf.find(block);
+        if (found != index.entryOf.end())
+            return found->second;
+        std::uint32_t entry = 0;
+        if (index.freeEntries.empty()) {
+            entry = static_cast<std::uint32_t>(index.blockOf.size());
+            index.blockOf.push_back(block);
+            index.holders.resize(index.holders.size() + index.wordsPerBlock);
+            index.recent.resize(index.recent.size() + index.wordsPerBlock);
+            index.placed.resize(index.placed.size() + index.wordsPerBlock);
+        } else {
+            entry = index.freeEntries.back();
+            index.freeEntries.pop_back();
+            index.blockOf[entry] = block;
+        }
+        index.entryOf.emplace(block, entry);
+        return entry;
+    }
+
+    bool isPlacedAnywhere(const PrefixIndex& index, std::uint32_t entry)
+    {
+        auto begin = index.placed.begin() + static_cast<std::ptrdiff_t>(entry * index.wordsPerBlock);
+        return std::any_of(begin, begin + static_cast<std::ptrdiff_t>(index.wordsPerBlock), [](std::uint64_t word) { return word; });
+    }
+
+    void dropPlace(PrefixIndex& index, std::uint32_t entry, std::size_t target)
+    {
+        std::size_t word = wordOf(index, entry, target);
+        index.holders[word] &= ~bitOf(target);
+        index.recent[word] &= ~bitOf(target);
+        index.placed[word] &= ~bitOf(target);
+        if (isPlacedAnywhere(index, entry))
+            return;
+        index.entryOf.erase(index.blockOf[entry]);
+        index.freeEntries.push_back(entry);
+    }
+
+    // Gives the entry a place in the target's ring, replacing one that was not touched lately.
+    void place(PrefixIndex& index, std::uint32_t entry, std::size_t target)
+    {
+        PrefixIndex::TargetRing& ring = index.rings[target];
+        index.placed[wordOf(index, entry, target)] |= bitOf(target);
+        if (ring.entries.size() < ring.capacity) {
+            ring.entries.push_back(entry);
+            return;
+        }
+        while (true) {
+            std::uint32_t& candidate = ring.entries[ring.hand];
+            ring.hand = (ring.hand + 1) % ring.entries.size();
+            std::uint64_t& recent = index.recent[wordOf(index, candidate, target)];
+            if (!(recent & bitOf(target))) {
+                dropPlace(index, candidate, target);
+                candidate = entry;
+                return;
+            }
+            recent &= ~bitOf(target);
+        }
+    }
+
+    void widen(PrefixIndex& index, std::size_t words)
+    {
+        auto widened = [&](const std::vector<std::uint64_t>& old) {
+            std::vector<std::uint64_t> result(index.blockOf.size() * words);
+            for (std::size_t entry = 0; entry < index.blockOf.size(); ++entry)
+                std::copy_n(old.begin() + static_cast<std::ptrdiff_t>(entry * index.wordsPerBlock), index.wordsPerBlock,
+                    result.begin() + static_cast<std::ptrdiff_t>(entry * words));
+            return result;
+        };
+        index.holders = widened(index.holders);
+        index.recent = widened(index.recent);
+        index.placed = widened(index.placed);
+        index.wordsPerBlock = words;
+    }
+
+} // namespace
+
+void resizeTargets(PrefixIndex& index, std::size_t targets)
+{
+    std::size_t words = std::max<std::size_t>(1, (targets + bitsPerWord - 1) / bitsPerWord);
+    if (words > index.wordsPerBlock)
+        widen(index, words);
+    index.rings.resize(std::max(targets, index.rings.size()));
+    index.scratch.resize(index.wordsPerBlock);
+}
+
+void setCapacity(PrefixIndex& index, std::size_t target, TokenCount capacity)
+{
+    clearTarget(index, target);
+    index.rings[target].capacity = static_cast<std::size_t>(std::max<std::int64_t>(0, capacity.count() / prefixBlockTokens.count()));
+    index.rings[target].entries.reserve(index.rings[target].capacity);
+}
+
+void insert(PrefixIndex& index, std::size_t target, const std::vector<std::uint64_t>& blocks)
+{
+    if (!index.rings[target].capacity)
+        return;
+    for (std::uint64_t block : blocks) {
+        std::uint32_t entry = entryFor(index, block);
+        std::size_t word = wordOf(index, entry, target);
+        bool isPlaced = index.placed[word] & bitOf(target);
+        index.holders[word] |= bitOf(target);
+        index.recent[word] |= bitOf(target);
+        if (!isPlaced)
+            place(index, entry, target);
+    }
+}
+
+void erase(PrefixIndex& index, std::size_t target, const std::vector<std::uint64_t>& blocks)
+{
+    for (std::uint64_t block : blocks) {
+        auto found = index.entryOf.find(block);
+        if (found == index.entryOf.end())
+            continue;
+        std::size_t word = wordOf(index, found->second, target);
+        index.holders[word] &= ~bitOf(target);
+        index.recent[word] &= ~bitOf(target);
+    }
+}
+
+void clearTarget(PrefixIndex& index, std::size_t target)
+{
+    PrefixIndex::TargetRing& ring = index.rings[target];
+    for (std::uint32_t entry : ring.entries)
+        dropPlace(index, entry, target);
+    ring.entries.clear();
+    ring.hand = 0;
+}
+
+void matchAll(PrefixIndex& index, const std::vector<std::uint64_t>& blocks, std::vector<int>& matched)
+{
+    matched.assign(index.rings.size(), 0);
+    std::fill(index.scratch.begin(), index.scratch.end(), ~std::uint64_t { 0 });
+    for (std::uint64_t block : blocks) {
+        auto found = index.entryOf.find(block);
+        if (found == index.entryOf.end())
+            return;
+        std::uint64_t left = 0;
+        for (std::size_t word = 0; word < index.wordsPerBlock; ++word) {
+            index.scratch[word] &= index.holders[found->second * index.wordsPerBlock + word];
+            left |= index.scratch[word];
+            for (std::uint64_t bits = index.scratch[word]; bits; bits &= bits - 1)
+                matched[word * bitsPerWord + static_cast<std::size_t>(std::countr_zero(bits))] += 1;
+        }
+        if (!left)
+            return;
+    }
+}
+
+} // namespace limpetpond
--- a/src/core/SchedulerState.h
+++ b/src/core/SchedulerState.h
@@ -2,63 +2,104 @@
 
 /// The plain structs that hold a pool's state at one instance.
 
-#include "core/Messages.h"
+#include "core/FairQueue.h"
+#include "core/Floors.h"
+#include "core/PrefixIndex.h"
+#include "core/RetryBudget.h"
+#include "core/TargetModel.h"
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
 #include "limpetpond/Settings.h"
 #include "limpetpond/Units.h"
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace limpetpond {
 
-/// A request as the queue holds it.
-struct QueuedRequest {
-    RequestId request;
-    ClientAccountId account;
-    TierLevel tier;
-    TokenCount promptTokens; ///< An estimate; 0 for a plain service.
-    TokenCount answerTokens; ///< An estimate; 0 for a plain service.
-    std::vector<std::uint64_t> prefixBlocks; ///< Chained hashes of the prompt's blocks, first block first.
-    std::optional<SteadyTime> deadline;
-    SteadyTime arrivedAt;
-    int dispatchesSoFar { 0 };
-    std::optional<TargetId> excludedTarget; ///< Failed this request before; taken only where no other is left.
-    bool cancellable { true }; ///< False for non-idempotent calls: they are never cancelled once dispatched.
+/// How a pool picks targets. All but the first are baselines that measurements compare with.
+enum class RoutingPolicy {
+    Limpetpond,
+    NoTiers, ///< As Limpetpond, with all requests in one tier.
+    RoundRobin,
+    LeastOutstanding, ///< Least requests in progress from this instance.
+    TwoChoices, ///< The less loaded of two at random.
+    PrefixHash, ///< By rendezvous hash of the prompt's start.
 };
 
-namespace detail {
+/// The policy that a setting names; Limpetpond for an unknown name.
+///
+///     RoutingPolicy policy = routingPolicyOf("round_robin");
+///     policy == RoutingPolicy::RoundRobin;
+RoutingPolicy routingPolicyOf(const std::string& name);
 
-    struct RunningRequest {
-        QueuedRequest queued;
-        TargetId target;
-        SteadyTime dispatchedAt;
-        bool started { false };
-        bool cancelling { false };
-    };
+/// A request in progress at a target.
+struct RunningRequest {
+    QueuedRequest queued;
+    std::size_t target { 0 }; ///< Its place in the pool's list.
+    SteadyTime dispatchedAt;
+    std::optional<SteadyTime> startedAt;
+    double workBefore { 0 }; ///< Prompt tokens expected to be computed before the first token, its own included.
+    TokenCount expectedCached;
+    TokenCount uncached; ///< Prompt tokens that its target has to compute.
+    TokenCount cachedSomewhere; ///< The longest prefix that any target held at dispatch.
+    bool isCancelling { false };
+    bool inUse { false };
+};
 
-    struct PeerState {
-        bool heard { false };
-        PoolNews news;
-        std::map<TargetId, TargetNews> targets;
-        std::optional<SteadyTime> confirmedAt;
-    };
+/// All requests of a pool in progress; slots are reused.
+struct RunningStore {
+    std::vector<RunningRequest> slots;
+    std::vector<std::uint32_t> freeSlots;
+    boost::unordered_flat_map<RequestId, std::uint32_t, std::hash<RequestId>> byId; ///< Looked up, never iterated.
+};
 
-} // namespace detail
+/// One tier's queue and work.
+struct TierState {
+    FairQueue queue;
+    int running { 0 };
+    bool isListed { false }; ///< In the settings.
+};
+
+struct SchedulerCounters {
+    TokenCount computedPrefill;
+    TokenCount wastedPrefill;
+    std::uint64_t shed { 0 };
+    std::uint64_t preempted { 0 };
+};
 
 /// The state of one pool at one instance. Only the functions of `core/Scheduler.h` change it.
 struct PoolScheduler {
     PoolId pool;
     InstanceId instance;
-    std::uint64_t seed { 0 };
     PoolSettings settings;
-    std::map<TargetId, TargetSettings> targets;
-    std::map<TierLevel, std::deque<QueuedRequest>, std::greater<>> waiting;
-    std::map<RequestId, detail::RunningRequest> running;
-    std::map<InstanceId, detail::PeerState> peers;
+    RoutingPolicy policy { RoutingPolicy::Limpetpond };
+    Duration heartbeatPeriod { std::chrono::milliseconds(500) };
+    boost::unordered_flat_map<ClientAccountId, AccountShare, std::hash<ClientAccountId>> accounts; ///< Never iterated.
+
+    WaitingStore waiting;
+    RunningStore running;
+    std::map<TierLevel, TierState> tiers;
+    int waitingCount { 0 };
+
+    std::vector<TargetModel> targets; ///< A target keeps its place.
+    std::map<TargetId, std::size_t> targetIndex;
+    PrefixIndex prefixes;
+
+    FloorState floors;
+    RetryBudget retries;
+    ReturnSchedule returns;
+    SchedulerCounters counters;
+
+    std::uint64_t random { 1 };
+    std::size_t nextRoundRobin { 0 };
+    double limitShare { 1 }; ///< This instance's part of each target's limits.
+    SteadyTime refreshedAt;
+
+    std::vector<int> matchedBlocks; ///< Scratch: blocks of the request at hand by target.
+    std::vector<std::uint32_t> skippedAccounts; ///< Scratch: accounts whose next request fits nowhere now.
 };
 
 } // namespace limpetpond
--- /dev/null
+++ b/src/core/TargetModel.cpp
@@ -0,0 +1,175 @@
+#include "core/TargetModel.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace limpetpond {
+
+namespace {
+
+    using std::chrono::duration;
+
+    constexpr double firstTokenGain = 0.15;
+    constexpr double decodeGain = 0.1;
+    constexpr double minPromptForRate = 500; // tokens
+    constexpr double slowestRateShare = 0.02; // of the expected rate
+    constexpr double fastestRateShare = 5;
+    constexpr Duration speedMemory = std::chrono::seconds(20);
+    constexpr Duration minElapsed = std::chrono::milliseconds(1);
+    constexpr int failuresBeforeEjection = 2;
+    constexpr Duration firstEjection = std::chrono::seconds(1);
+    constexpr Duration longestEjection = std::chrono::seconds(30);
+    constexpr Duration returnRamp = std::chrono::seconds(10);
+    constexpr double firstReturnWeight = 0.1;
+
+    double seconds(Duration time)
+    {
+        return duration<double>(std::max(time, minElapsed)).count();
+    }
+
+    double bounded(double rate, double expected)
+    {
+        return std::clamp(rate, expected * slowestRateShare, expected * fastestRateShare);
+    }
+
+    // FNV-1a.
+    std::uint64_t stableHash(const std::string& text)
+    {
+        std::uint64_t hash = 0xcbf29ce484222325;
+        for (char c : text)
+            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+        return hash;
+    }
+
+    WorkSample ownWorkAt(const TargetModel& target, SteadyTime at)
+    {
+        WorkSample best;
+        for (const WorkSample& sample : target.samples) {
+            if (sample.at <= at && sample.at >= best.at)
+                best = sample;
+        }
+        return best;
+    }
+
+} // namespace
+
+void applyTargetSettings(TargetModel& target, const TargetSettings& settings)
+{
+    bool isNew = target.settings.id != settings.id;
+    if (isNew || target.settings.prefillRate != settings.prefillRate)
+        target.prefillRate = settings.prefillRate.perSecond;
+    if (isNew || target.settings.decodeRate != settings.decodeRate)
+        target.decodeRate = settings.decodeRate.perSecond;
+    target.settings = settings;
+    target.idHash = stableHash(settings.id.value());
+    target.isListed = true;
+}
+
+void addOwnWork(TargetModel& target, TokenCount tokens, int requests, SteadyTime now)
+{
+    target.tokens += tokens;
+    target.requests += requests;
+    target.samples[target.nextSample] = { .at = now, .tokens = target.tokens, .requests = target.requests };
+    target.nextSample = (target.nextSample + 1) % workSampleCount;
+}
+
+void takeReport(TargetModel& target, const TargetReported& report)
+{
+    if (report.failed || report.measuredAt < target.reportedAt)
+        return;
+    WorkSample own = ownWorkAt(target, report.measuredAt);
+    target.reportedAt = report.measuredAt;
+    target.reportedOthers = std::max(TokenCount(0), report.tokensInProgress - own.tokens);
+    target.reportedOtherRequests = std::max(0, report.runningRequests + report.waitingRequests - own.requests);
+}
+
+TokenCount tokensInProgress(const TargetModel& target)
+{
+    return target.tokens + std::max(target.peerTokens, target.reportedOthers);
+}
+
+int requestsInProgress(const TargetModel& target)
+{
+    return target.requests + std::max(target.peerRequests, target.reportedOtherRequests);
+}
+
+void learnFirstToken(TargetModel& target, double work, Duration elapsed, SteadyTime now)
+{
+    double expected = target.settings.prefillRate.perSecond;
+    double time = seconds(elapsed);
+    if (work < minPromptForRate) {
+        double base = std::max(0.0, time - work / target.prefillRate);
+        target.firstTokenBase += firstTokenGain * (base - target.firstTokenBase);
+        return;
+    }
+    double rate = bounded(work / std::max(time - target.firstTokenBase, time / 4), expected);
+    target.prefillRate += firstTokenGain * (rate - target.prefillRate);
+    target.learnedAt = now;
+}
+
+void learnOverdue(TargetModel& target, double work, Duration elapsed, SteadyTime now)
+{
+    double rate = bounded(std::max(work, minPromptForRate) / seconds(elapsed), target.settings.prefillRate.perSecond);
+    if (rate >= target.prefillRate)
+        return;
+    target.prefillRate += firstTokenGain * (rate - target.prefillRate);
+    target.learnedAt = now;
+}
+
+void learnDecode(TargetModel& target, TokenCount answer, Duration elapsed, SteadyTime now)
+{
+    double rate = bounded(static_cast<double>(answer.count()) / seconds(elapsed), target.settings.decodeRate.perSecond);
+    target.decodeRate += decodeGain * (rate - target.decodeRate);
+    target.learnedAt = now;
+}
+
+void forgetOldSpeed(TargetModel& target, Duration step, SteadyTime now)
+{
+    if (now - target.learnedAt < speedMemory)
+        return;
+    double share = std::min(1.0, seconds(step) / seconds(speedMemory));
+    target.prefillRate += share * (target.settings.prefillRate.perSecond - target.prefillRate);
+    target.decodeRate += share * (target.settings.decodeRate.perSecond - target.decodeRate);
+}
+
+bool noteFailure(TargetModel& target)
+{
+    target.failuresInRow += 1;
+    return target.failuresInRow >= failuresBeforeEjection && !target.isEjected;
+}
+
+void noteSuccess(TargetModel& target)
+{
+    target.failuresInRow = 0;
+}
+
+void eject(TargetModel& target, SteadyTime now)
+{
+    target.ejectionTime = target.ejectionTime.count() ? std::min(target.ejectionTime * 2, longestEjection) : firstEjection;
+    target.ejectedUntil = now + target.ejectionTime;
+    target.isEjected = true;
+    target.weight = 0;
+}
+
+void updateWeight(TargetModel& target, SteadyTime now)
+{
+    if (target.isEjected) {
+        if (now < target.ejectedUntil)
+            return;
+        target.isEjected = false;
+        target.failuresInRow = failuresBeforeEjection - 1;
+        target.returnedAt = now;
+        target.weight = firstReturnWeight;
+        return;
+    }
+    if (target.weight >= 1)
+        return;
+    if (target.failuresInRow)
+        return;
+    double share = seconds(now - target.returnedAt) / seconds(returnRamp);
+    target.weight = std::clamp(share, firstReturnWeight, 1.0);
+    if (target.weight >= 1)
+        target.ejectionTime = Duration(0);
+}
+
+} // namespace limpetpond
--- a/test/SchedulerTest.cpp
+++ b/test/SchedulerTest.cpp
@@ -104,3 +104,184 @@
     CHECK(removeWaiting(pool, RequestId("r1")));
     CHECK_FALSE(removeWaiting(pool, RequestId("r1")));
 }
+
+TEST(Scheduler, keepsWorkWithinATargetsTokens)
+{
+    settings.targets[TargetId("engine-1")].maxTokensInProgress = TokenCount(400);
+    settings.targets[TargetId("engine-2")].maxTokensInProgress = TokenCount(400);
+    settings.tiers.clear();
+    apply();
+    for (int i = 0; i < 10; ++i)
+        enqueueOne(("r" + std::to_string(i)).c_str());
+    decideNow();
+    LONGS_EQUAL(4, all<DispatchDecision>().size());
+}
+
+TEST(Scheduler, anEndedDispatchMakesRoom)
+{
+    settings.targets.erase(TargetId("engine-2"));
+    settings.targets[TargetId("engine-1")].maxRequestsInProgress = 1;
+    apply();
+    enqueueOne("r1", 2);
+    enqueueOne("r2", 2);
+    decideNow();
+    LONGS_EQUAL(1, all<DispatchDecision>().size());
+    dispatchEnded(pool, RequestId("r1"), DispatchEnd::Completed, TokenCount(50), clock.steadyNow());
+    decideNow();
+    CHECK(all<DispatchDecision>().at(0).request == RequestId("r2"));
+}
+
+TEST(Scheduler, prefersTheTargetThatHoldsThePrefix)
+{
+    std::vector<std::uint64_t> blocks(60);
+    for (std::size_t i = 0; i < blocks.size(); ++i)
+        blocks[i] = i + 1;
+    for (const char* holder : { "engine-1", "engine-2" }) {
+        PoolScheduler fresh = makePoolScheduler(PoolId("drafts"), InstanceId("a"), 1);
+        applySettings(fresh, settings, clock.steadyNow());
+        cacheChanged(fresh, { .target = TargetId(holder), .added = blocks });
+        QueuedRequest one = request("r1");
+        one.promptTokens = TokenCount(4000);
+        one.prefixBlocks = blocks;
+        enqueue(fresh, one, clock.steadyNow());
+        decisions.clear();
+        decide(fresh, clock.steadyNow(), decisions);
+        CHECK(all<DispatchDecision>().at(0).target == TargetId(holder));
+    }
+}
+
+TEST(Scheduler, aHigherTierIsNotShedWhileAPeerMayServeLower)
+{
+    peerListed(pool, InstanceId("b"));
+    settings.targets.clear();
+    apply();
+    enqueueOne("high", 2);
+    clock.advance(std::chrono::seconds(30));
+    decideNow();
+    decideNow();
+    LONGS_EQUAL(0, all<ShedDecision>().size());
+    CHECK(poolNews(pool).wantedFloor == TierLevel { 2 });
+    PoolNews confirmed { .pool = PoolId("drafts"), .floor = { 2 } };
+    peerNews(pool, InstanceId("b"), confirmed, {}, clock.steadyNow(), clock.steadyNow());
+    decideNow();
+    LONGS_EQUAL(1, all<ShedDecision>().size());
+}
+
+TEST(Scheduler, aPeersWantedFloorShedsAndCancelsLowerWork)
+{
+    settings.targets.erase(TargetId("engine-2"));
+    settings.targets[TargetId("engine-1")].maxRequestsInProgress = 1;
+    apply();
+    enqueueOne("running", 0);
+    enqueueOne("waiting", 0);
+    decideNow();
+    PoolNews wants { .pool = PoolId("drafts"), .floor = { 1 }, .wantedFloor = { 1 } };
+    peerNews(pool, InstanceId("b"), wants, {}, clock.steadyNow(), clock.steadyNow());
+    decideNow();
+    CHECK(all<ShedDecision>().at(0).request == RequestId("waiting"));
+    CHECK(lowestServed(pool) == TierLevel { 0 });
+    clock.advance(std::chrono::seconds(2));
+    decideNow();
+    CHECK(all<CancelDecision>().at(0).request == RequestId("running"));
+    decideNow();
+    LONGS_EQUAL(0, all<CancelDecision>().size());
+    dispatchEnded(pool, RequestId("running"), DispatchEnd::Cancelled, {}, clock.steadyNow());
+    CHECK_FALSE(lowestServed(pool).has_value());
+}
+
+TEST(Scheduler, neverCancelsACallThatMayNotBeRepeatedOrRunsAtALeavingTarget)
+{
+    QueuedRequest fixed = request("fixed");
+    fixed.cancellable = false;
+    enqueue(pool, fixed, clock.steadyNow());
+    decideNow();
+    settings.targets[TargetId("engine-1")].mark = TargetMark::Leaving;
+    settings.targets[TargetId("engine-2")].mark = TargetMark::Leaving;
+    apply();
+    PoolNews wants { .pool = PoolId("drafts"), .floor = { 1 }, .wantedFloor = { 1 } };
+    peerNews(pool, InstanceId("b"), wants, {}, clock.steadyNow(), clock.steadyNow());
+    decideNow();
+    clock.advance(std::chrono::seconds(5));
+    decideNow();
+    LONGS_EQUAL(0, all<CancelDecision>().size());
+}
+
+TEST(Scheduler, beforeAPeerAnsweredOnlyTheHighestTierIsDispatched)
+{
+    peerListed(pool, InstanceId("b"));
+    enqueueOne("low", 0);
+    enqueueOne("high", 2);
+    decideNow();
+    LONGS_EQUAL(1, all<DispatchDecision>().size());
+    peerNews(pool, InstanceId("b"), { .pool = PoolId("drafts") }, {}, clock.steadyNow(), clock.steadyNow());
+    decideNow();
+    CHECK(all<DispatchDecision>().at(0).request == RequestId("low"));
+}
+
+TEST(Scheduler, neverEjectsAWholePool)
+{
+    for (int i = 0; i < 5; ++i) {
+        targetReported(pool, { .target = TargetId("engine-1"), .failed = true }, clock.steadyNow());
+        targetReported(pool, { .target = TargetId("engine-2"), .failed = true }, clock.steadyNow());
+    }
+    enqueueOne("r1");
+    decideNow();
+    CHECK(all<DispatchDecision>().at(0).target == TargetId("engine-2"));
+}
+
+TEST(Scheduler, overflowShedsTheLowestTierFirst)
+{
+    settings.targets.clear();
+    settings.pools[PoolId("drafts")].maxWaiting = 2;
+    apply();
+    enqueueOne("low", 0);
+    enqueueOne("high1", 2);
+    enqueueOne("high2", 2);
+    decideNow();
+    CHECK(all<ShedDecision>().at(0).request == RequestId("low"));
+    CHECK(isWaiting(pool, RequestId("high2")));
+}
+
+TEST(Scheduler, anAccountOverItsLimitLosesItsNewest)
+{
+    settings.targets.clear();
+    settings.accounts[ClientAccountId("account")] = { .id = ClientAccountId("account"), .maxWaiting = 1 };
+    apply();
+    enqueueOne("r1");
+    enqueueOne("r2");
+    decideNow();
+    CHECK(all<ShedDecision>().at(0).request == RequestId("r2"));
+    CHECK(all<ShedDecision>().at(0).reason == Reason::AccountLimit);
+}
+
+TEST(Scheduler, anImpossibleDeadlineIsAnsweredAtOnceAndRaisesNoFloor)
+{
+    QueuedRequest hopeless = request("hopeless", 2);
+    hopeless.answerTokens = TokenCount(4000);
+    hopeless.deadline = clock.steadyNow() + std::chrono::seconds(1);
+    enqueue(pool, hopeless, clock.steadyNow());
+    decideNow();
+    CHECK(all<ShedDecision>().at(0).reason == Reason::DeadlineExceeded);
+    CHECK(poolNews(pool).wantedFloor == TierLevel {});
+}
+
+TEST(Scheduler, aTargetThatLeftTheSettingsStaysCountedUntilItsWorkEnds)
+{
+    enqueueOne("r1");
+    decideNow();
+    TargetId target = all<DispatchDecision>().at(0).target;
+    settings.targets.erase(target);
+    apply();
+    LONGS_EQUAL(2, targetNews(pool).size());
+    dispatchEnded(pool, RequestId("r1"), DispatchEnd::Completed, TokenCount(50), clock.steadyNow());
+    LONGS_EQUAL(1, targetNews(pool).size());
+}
+
+TEST(Scheduler, anUnknownRequestOrTargetChangesNothing)
+{
+    dispatchEnded(pool, RequestId("none"), DispatchEnd::Completed, {}, clock.steadyNow());
+    answerStarted(pool, RequestId("none"), TokenCount(1), clock.steadyNow());
+    cacheChanged(pool, { .target = TargetId("none"), .added = { 1 } });
+    targetReported(pool, { .target = TargetId("none") }, clock.steadyNow());
+    LONGS_EQUAL(2, snapshot(pool).targets.size());
+}
