Take a peer's news of the pool's own targets only

Cause: a heartbeat carries the targets of all pools; the demand of a peer counted them all. Change: news is filtered when it comes in; Control looks targets up in the index.

--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -375,7 +375,7 @@
 {
     noteTargetReport(m_drains, report);
     for (auto& [id, pool] : m_schedulers) {
-        if (pool.targets.contains(report.target))
+        if (pool.targetIndex.contains(report.target))
             targetReported(pool, report, now);
     }
 }
@@ -383,7 +383,7 @@
 void Control::take(const CacheChanged& change, SteadyTime, ControlActions&)
 {
     for (auto& [id, pool] : m_schedulers) {
-        if (pool.targets.contains(change.target))
+        if (pool.targetIndex.contains(change.target))
             cacheChanged(pool, change);
     }
 }
--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -2,7 +2,7 @@
 
 #include "core/Routing.h"
 #include <algorithm>
-#include <cmath>
+#include <iterator>
 
 namespace limpetpond {
 
@@ -628,7 +628,9 @@
 {
     PeerState& state = pool.floors.peers[peer];
     state.news = news;
-    state.targets = targets;
+    state.targets.clear();
+    std::copy_if(targets.begin(), targets.end(), std::back_inserter(state.targets),
+        [&](const TargetNews& target) { return pool.targetIndex.contains(target.target); });
     if (answersSentAt) {
         state.isHeard = true;
         state.knowsSince = std::max(state.knowsSince.value_or(*answersSentAt), *answersSentAt);
