--- a/src/gen/limpetpond_types.cpp
+++ b/src/gen/limpetpond_types.cpp
@@ -569,6 +569,10 @@
 void Heartbeat::__set_members(const std::vector<MemberNews> & val) {
   this->members = val;
 }
+
+void Heartbeat::__set_logicalTime(const int64_t val) {
+  this->logicalTime = val;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -705,6 +709,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->logicalTime);
+          this->__isset.logicalTime = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -782,6 +794,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("logicalTime", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->logicalTime);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -798,6 +814,7 @@
   swap(a.pools, b.pools);
   swap(a.targets, b.targets);
   swap(a.members, b.members);
+  swap(a.logicalTime, b.logicalTime);
   swap(a.__isset, b.__isset);
 }
 
@@ -811,6 +828,7 @@
   pools = other30.pools;
   targets = other30.targets;
   members = other30.members;
+  logicalTime = other30.logicalTime;
   __isset = other30.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other31) {
@@ -823,6 +841,7 @@
   pools = other31.pools;
   targets = other31.targets;
   members = other31.members;
+  logicalTime = other31.logicalTime;
   __isset = other31.__isset;
   return *this;
 }
@@ -838,6 +857,7 @@
   out << ", " << "pools=" << to_string(pools);
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "members=" << to_string(members);
+  out << ", " << "logicalTime=" << to_string(logicalTime);
   out << ")";
 }
 
--- a/src/gen/limpetpond_types.h
+++ b/src/gen/limpetpond_types.h
@@ -259,7 +259,7 @@
 std::ostream& operator<<(std::ostream& out, const MemberNews& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), storeConfirmedAgeMs(false), leaving(false), pools(false), targets(false), members(false) {}
+  _Heartbeat__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), storeConfirmedAgeMs(false), leaving(false), pools(false), targets(false), members(false), logicalTime(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -269,6 +269,7 @@
   bool pools :1;
   bool targets :1;
   bool members :1;
+  bool logicalTime :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -282,7 +283,8 @@
               sequence(0),
               settingsVersion(0),
               storeConfirmedAgeMs(0),
-              leaving(0) {
+              leaving(0),
+              logicalTime(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -295,6 +297,7 @@
   std::vector<PoolNews>  pools;
   std::vector<TargetNews>  targets;
   std::vector<MemberNews>  members;
+  int64_t logicalTime;
 
   _Heartbeat__isset __isset;
 
@@ -316,6 +319,8 @@
 
   void __set_members(const std::vector<MemberNews> & val);
 
+  void __set_logicalTime(const int64_t val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -336,6 +341,8 @@
       return false;
     if (!(members == rhs.members))
       return false;
+    if (!(logicalTime == rhs.logicalTime))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/thrift/limpetpond.thrift
+++ b/thrift/limpetpond.thrift
@@ -39,6 +39,7 @@
   7: list<PoolNews> pools
   8: list<TargetNews> targets
   9: list<MemberNews> members
+  10: i64 logicalTime          // Lamport time of the sender's time line
 }
 
 // One accepted change of the settings tree.
