--- a/src/core/Claims.h
+++ b/src/core/Claims.h
@@ -5,7 +5,8 @@
 /// A call with an idempotency key owns a row in the table service before it is dispatched.
 /// The row is written under a condition and never taken over: only the attempt that the row
 /// names may dispatch, once. "Not run" is answered only after the row is known to be in state
-/// Closed, so that no earlier attempt of the key can run. See docs/design/claims.md.
+/// Closed, so that no earlier attempt of the key can run. A claim that was given up goes on being
+/// closed in the background after its caller was answered as unknown. See docs/design/claims.md.
 ///
 /// The functions append actions (claim writes and reads, the final answer) to `out`; the caller
 /// hands each `ClaimAnswered` back. At most one store operation is outstanding for a request.
@@ -25,7 +26,8 @@
     Duration firstDelay { std::chrono::milliseconds(50) }; ///< Before the first repetition of a store operation or poll.
     Duration longestDelay { std::chrono::seconds(2) }; ///< The delay doubles up to this.
     int maxNotSent { 2 }; ///< Claim writes that provably had no effect before the store counts as unavailable.
-    int maxBackgroundWrites { 12 }; ///< Writes that record an end after the caller was answered.
+    Duration longestBackgroundDelay { std::chrono::seconds(60) }; ///< The same once the caller was answered.
+    int maxBackgroundFailures { 80 }; ///< Operations without a usable answer after which the row is left as it stands.
     ByteCount maxStoredAnswer { 256 * 1024 }; ///< A larger answer is recorded as completed but not kept.
 };
 
@@ -35,7 +37,7 @@
     Owned, ///< The row names this attempt; it may dispatch.
     Dispatched, ///< Handed to a traffic thread.
     Closing, ///< Gave up: the key is being closed.
-    Recording, ///< The caller has its answer; the row's last state is being written.
+    Recording, ///< The dispatch ended and the caller was answered; the end is being written into the row.
     Ended,
 };
 
@@ -62,7 +64,8 @@
     SteadyTime startedAt;
     SteadyTime answerBefore; ///< The caller is answered as unknown at the latest then.
     std::optional<SteadyTime> nextOperationAt; ///< A repetition or a poll is due then.
-    int failures { 0 }; ///< Consecutive operations without a usable answer.
+    int failures { 0 }; ///< Operations without a usable answer, or polls, in this phase.
+    ClaimState writtenState { ClaimState::Claimed }; ///< Of the row in the outstanding write.
 };
 
 /// Makes the progress of a request and asks for its first claim write: under the condition Absent, or
--- a/src/core/Invariant.cpp
+++ b/src/core/Invariant.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    std::atomic<InvariantHandler> s_handler { nullptr };
-    std::array<std::atomic<std::uint64_t>, invariantCount> s_violations {};
+    std::atomic<InvariantHandler> invariantHandler { nullptr };
+    std::array<std::atomic<std::uint64_t>, invariantCount> violationCounts {};
 
 } // namespace
 
@@ -43,18 +43,18 @@
 
 void setInvariantHandler(InvariantHandler handler)
 {
-    s_handler.store(handler);
+    invariantHandler.store(handler);
 }
 
 std::uint64_t invariantViolations(InvariantId id)
 {
-    return s_violations[static_cast<std::size_t>(id)].load();
+    return violationCounts[static_cast<std::size_t>(id)].load();
 }
 
 std::uint64_t invariantViolations()
 {
     std::uint64_t total = 0;
-    for (const auto& count : s_violations)
+    for (const auto& count : violationCounts)
         total += count.load();
     return total;
 }
@@ -63,8 +63,8 @@
 
     void reportViolation(InvariantId id)
     {
-        s_violations[static_cast<std::size_t>(id)].fetch_add(1);
-        if (InvariantHandler handler = s_handler.load())
+        violationCounts[static_cast<std::size_t>(id)].fetch_add(1);
+        if (InvariantHandler handler = invariantHandler.load())
             handler(id);
     }
 
--- a/test/InvariantTest.cpp
+++ b/test/InvariantTest.cpp
@@ -7,7 +7,7 @@
 using namespace limpetpond;
 
 namespace {
-int s_handled = 0;
+int handledViolations = 0;
 }
 
 TEST_GROUP(Invariant) {
@@ -35,10 +35,10 @@
 
 TEST(Invariant, violationReachesTheHandler)
 {
-    s_handled = 0;
-    setInvariantHandler([](InvariantId id) { s_handled += id == InvariantId::NotRunNeverRan; });
+    handledViolations = 0;
+    setInvariantHandler([](InvariantId id) { handledViolations += id == InvariantId::NotRunNeverRan; });
     checkInvariant(false, InvariantId::NotRunNeverRan);
-    LONGS_EQUAL(1, s_handled);
+    LONGS_EQUAL(1, handledViolations);
 }
 
 TEST(Invariant, everyInvariantHasANameOfItsOwn)
