--- a/src/core/Claims.h
+++ b/src/core/Claims.h
@@ -28,7 +28,7 @@
     int maxNotSent { 2 }; ///< Claim writes that provably had no effect before the store counts as unavailable.
     Duration longestBackgroundDelay { std::chrono::seconds(60) }; ///< The same once the caller was answered.
     int maxBackgroundFailures { 80 }; ///< Operations without a usable answer after which the row is left as it stands.
-    ByteCount maxStoredAnswer { 256 * 1024 }; ///< A larger answer is recorded as completed but not kept.
+    ByteCount maxStoredAnswer { 256L * 1024 }; ///< A larger answer is recorded as completed but not kept.
 };
 
 enum class ClaimPhase {
