--- /dev/null
+++ b/test/ScriptedServer.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// An HTTP server inside the test program that answers as a test says.
+
+#include <functional>
+#include <httplib.h>
+#include <netinet/in.h>
+#include <mutex>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace limpetpond {
+
+/// Serves every method and path by one handler and keeps the requests.
+///
+///     ScriptedServer server([](const httplib::Request&, httplib::Response& response) { response.status = 503; });
+///     callTo({ "127.0.0.1", server.port() });
+class ScriptedServer {
+public:
+    using Handler = std::function<void(const httplib::Request&, httplib::Response&)>;
+
+    explicit ScriptedServer(Handler handler)
+        : m_handler(std::move(handler))
+    {
+        auto serve = [this](const httplib::Request& request, httplib::Response& response) {
+            {
+                std::lock_guard lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            m_handler(request, response);
+        };
+        m_server.Get(".*", serve);
+        m_server.Post(".*", serve);
+        m_server.Put(".*", serve);
+        m_server.Delete(".*", serve);
+        m_server.set_tcp_nodelay(true);
+        m_port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
+        // A stop before the server runs would be lost.
+        while (!m_server.is_running())
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    ~ScriptedServer()
+    {
+        m_server.stop();
+        m_thread.join();
+    }
+
+    ScriptedServer(const ScriptedServer&) = delete;
+    ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+    int port() const { return m_port; }
+
+    std::vector<httplib::Request> requests()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_requests;
+    }
+
+private:
+    Handler m_handler;
+    httplib::Server m_server;
+    std::mutex m_mutex;
+    std::vector<httplib::Request> m_requests;
+    std::thread m_thread;
+    int m_port { 0 };
+};
+
+/// Breaks the answer off after its head.
+inline void breakAnswer(httplib::Response& response)
+{
+    response.set_content_provider(100, "application/json", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
+
+/// A loopback port that nothing listens on.
+inline int closedPort()
+{
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(socket);
+    return ntohs(address.sin_port);
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/test/StreamAssemblerTest.cpp
@@ -0,0 +1,150 @@
+#include "core/StreamAssembler.h"
+
+#include "core/Guard.h"
+#include "core/Invariant.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+
+namespace {
+
+const AttemptId mine("mine");
+
+AnswerPiece piece(std::uint64_t position, const std::string& data, bool last = false)
+{
+    return { .attempt = mine, .position = position, .data = data, .last = last };
+}
+
+std::string joined(const std::vector<AnswerPiece>& pieces)
+{
+    std::string out;
+    for (const AnswerPiece& each : pieces)
+        out += each.data;
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(StreamAssembler)
+{
+    StreamAssembler assembler { { .attempt = mine, .window = 4 } };
+
+    void teardown() override { disableGuard(GuardId::None); }
+};
+
+TEST(StreamAssembler, piecesInOrderComeOutAtOnce)
+{
+    STRCMP_EQUAL("a", joined(assembler.take(piece(1, "a"))).c_str());
+    STRCMP_EQUAL("b", joined(assembler.take(piece(2, "b"))).c_str());
+    LONGS_EQUAL(2, assembler.lastPosition());
+    CHECK(assembler.state() == AnswerState::Open);
+}
+
+TEST(StreamAssembler, endMarkerMakesTheAnswerWhole)
+{
+    assembler.take(piece(1, "a"));
+    assembler.take(piece(2, "", true));
+    CHECK(assembler.state() == AnswerState::Whole);
+}
+
+TEST(StreamAssembler, endMarkerBehindAGapIsHeldBack)
+{
+    assembler.take(piece(1, "a"));
+    CHECK(assembler.take(piece(3, "", true)).empty());
+    CHECK(assembler.state() == AnswerState::Open);
+    CHECK(assembler.hasGap());
+    assembler.take(piece(2, "b"));
+    CHECK(assembler.state() == AnswerState::Whole);
+}
+
+TEST(StreamAssembler, earlyPieceWaitsForThoseBeforeIt)
+{
+    CHECK(assembler.take(piece(2, "b")).empty());
+    CHECK(assembler.take(piece(3, "c")).empty());
+    STRCMP_EQUAL("abc", joined(assembler.take(piece(1, "a"))).c_str());
+    CHECK_FALSE(assembler.hasGap());
+}
+
+TEST(StreamAssembler, repeatedPieceIsDroppedAndCounted)
+{
+    assembler.take(piece(1, "a"));
+    CHECK(assembler.take(piece(1, "a")).empty());
+    assembler.take(piece(3, "c"));
+    CHECK(assembler.take(piece(3, "c")).empty());
+    LONGS_EQUAL(2, assembler.dropped().repeated);
+}
+
+TEST(StreamAssembler, foreignPieceIsDroppedAndCounted)
+{
+    CHECK(assembler.take({ .attempt = AttemptId("other"), .position = 1, .data = "x" }).empty());
+    LONGS_EQUAL(1, assembler.dropped().foreign);
+    STRCMP_EQUAL("a", joined(assembler.take(piece(1, "a"))).c_str());
+}
+
+TEST(StreamAssembler, pieceBeyondTheWindowIsDropped)
+{
+    CHECK(assembler.take(piece(5, "e")).empty());
+    LONGS_EQUAL(1, assembler.dropped().beyondWindow);
+    assembler.take(piece(4, "d"));
+    LONGS_EQUAL(1, assembler.dropped().beyondWindow);
+}
+
+TEST(StreamAssembler, pieceWithoutAPositionIsMalformed)
+{
+    CHECK(assembler.take(piece(0, "x")).empty());
+    LONGS_EQUAL(1, assembler.dropped().malformed);
+}
+
+TEST(StreamAssembler, differingRepeatBreaksTheAnswer)
+{
+    assembler.take(piece(1, "a"));
+    CHECK(assembler.take(piece(1, "b")).empty());
+    CHECK(assembler.state() == AnswerState::Broken);
+    CHECK(assembler.take(piece(2, "c")).empty());
+}
+
+TEST(StreamAssembler, differingPieceAtAHeldPositionBreaksTheAnswer)
+{
+    assembler.take(piece(2, "b"));
+    assembler.take(piece(2, "x"));
+    CHECK(assembler.state() == AnswerState::Broken);
+    CHECK(assembler.take(piece(1, "a")).empty());
+}
+
+TEST(StreamAssembler, nothingComesOutBehindTheEnd)
+{
+    assembler.take(piece(1, "", true));
+    CHECK(assembler.take(piece(2, "late")).empty());
+    LONGS_EQUAL(1, assembler.dropped().afterEnd);
+    CHECK(assembler.state() == AnswerState::Whole);
+}
+
+#ifdef LIMPETPOND_TEST_HOOKS
+
+TEST(StreamAssembler, withoutTheForeignGuardTheInvariantTrips)
+{
+    disableGuard(GuardId::ForeignPieceDropped);
+    auto before = invariantViolations(InvariantId::WholeAnswer);
+    assembler.take({ .attempt = AttemptId("other"), .position = 1, .data = "x" });
+    LONGS_EQUAL(before + 1, invariantViolations(InvariantId::WholeAnswer));
+}
+
+TEST(StreamAssembler, withoutTheRepeatGuardTheInvariantTrips)
+{
+    disableGuard(GuardId::RepeatedPieceDropped);
+    auto before = invariantViolations(InvariantId::WholeAnswer);
+    assembler.take(piece(1, "a"));
+    assembler.take(piece(1, "a"));
+    LONGS_EQUAL(before + 1, invariantViolations(InvariantId::WholeAnswer));
+}
+
+TEST(StreamAssembler, withoutTheGapGuardTheInvariantTrips)
+{
+    disableGuard(GuardId::GapHeldBack);
+    auto before = invariantViolations(InvariantId::WholeAnswer);
+    assembler.take(piece(2, "b"));
+    LONGS_EQUAL(before + 1, invariantViolations(InvariantId::WholeAnswer));
+}
+
+#endif
