--- /dev/null
+++ b/src/daemon/ControlThread.cpp
@@ -0,0 +1,227 @@
+#include "daemon/ControlThread.h"
+
+#include "base/Hash.h"
+#include "base/Log.h"
+
+namespace limpetpond {
+
+namespace {
+
+constexpr std::size_t kIndexDigits = 8;
+
+std::string_view toText(DispatchEnd end)
+{
+    switch (end) {
+    case DispatchEnd::Completed:
+        return "completed";
+    case DispatchEnd::NotStarted:
+        return "not_started";
+    case DispatchEnd::Cancelled:
+        return "cancelled";
+    case DispatchEnd::Lost:
+        return "lost";
+    case DispatchEnd::TargetError:
+        return "target_error";
+    }
+    return "";
+}
+
+} // namespace
+
+AccountIndex::AccountIndex(const Settings& settings)
+{
+    for (const auto& [id, account] : settings.accounts) {
+        for (const std::string& hash : account.keyHashes)
+            m_entries[hash.substr(0, kIndexDigits)].push_back({ hash, id });
+    }
+}
+
+std::optional<ClientAccountId> AccountIndex::find(std::string_view keyHash) const
+{
+    auto found = m_entries.find(std::string(keyHash.substr(0, kIndexDigits)));
+    if (found == m_entries.end())
+        return std::nullopt;
+    std::optional<ClientAccountId> account;
+    for (const Entry& entry : found->second) {
+        if (constantTimeEquals(entry.keyHash, keyHash))
+            account = entry.account;
+    }
+    return account;
+}
+
+ControlThread::ControlThread(ControlThreadOptions options, ControlCore core, const Clock& clock, std::function<void(const ControlAction&)> carryOut,
+    Timeline& timeline, Metrics& metrics)
+    : m_options(options)
+    , m_core(std::move(core))
+    , m_clock(clock)
+    , m_carryOut(std::move(carryOut))
+    , m_timeline(timeline)
+    , m_metrics(metrics)
+    , m_events(metrics.counter("limpetpond_control_events_total", "Events that the control thread took in."))
+    , m_view(std::make_shared<const PublishedView>())
+{
+}
+
+ControlThread::~ControlThread() { stop(); }
+
+void ControlThread::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void ControlThread::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    m_stopping = true;
+    post(Tick { m_clock.systemNow() });
+    m_thread.join();
+}
+
+void ControlThread::post(ControlEvent event)
+{
+    m_mailbox.post({ .event = std::move(event) });
+}
+
+void ControlThread::arrive(RequestArrived arrival, std::shared_ptr<Ticket> ticket)
+{
+    m_mailbox.post({ .event = std::move(arrival), .ticket = std::move(ticket) });
+}
+
+std::optional<Heartbeat> ControlThread::heartbeat(const Heartbeat& news, std::chrono::milliseconds timeout)
+{
+    auto reply = std::make_shared<HeartbeatReply>();
+    m_mailbox.post({ .event = HeartbeatReceived { news }, .reply = reply });
+    if (!reply->wait(timeout).mail)
+        return std::nullopt;
+    std::vector<Heartbeat> answers = reply->take();
+    if (answers.empty())
+        return std::nullopt;
+    return std::move(answers.front());
+}
+
+void ControlThread::run()
+{
+    SteadyTime nextTick = m_clock.steadyNow();
+    while (!m_stopping) {
+        auto left = std::chrono::ceil<std::chrono::milliseconds>(nextTick - m_clock.steadyNow());
+        m_mailbox.wait(std::max(left, std::chrono::milliseconds(0)));
+        for (const Mail& mail : m_mailbox.take())
+            handle(mail);
+        SteadyTime now = m_clock.steadyNow();
+        if (now >= nextTick) {
+            handle({ .event = Tick { m_clock.systemNow() } });
+            nextTick = now + m_options.tickPeriod;
+        }
+        publish(m_clock.steadyNow());
+    }
+}
+
+void ControlThread::handle(const Mail& mail)
+{
+    m_events.add();
+    if (const auto* arrival = std::get_if<RequestArrived>(&mail.event); arrival && mail.ticket)
+        m_tickets.emplace(arrival->request, mail.ticket);
+    record(mail.event);
+    ControlActions actions;
+    m_core.handle(mail.event, m_clock.steadyNow(), actions);
+    for (const ControlAction& action : actions)
+        carryOut(action, mail);
+}
+
+void ControlThread::carryOut(const ControlAction& action, const Mail& mail)
+{
+    record(action);
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+        toTicket(dispatch->request, *dispatch);
+        return;
+    }
+    if (const auto* cancel = std::get_if<CancelDispatch>(&action)) {
+        toTicket(cancel->request, *cancel);
+        return;
+    }
+    if (const auto* final = std::get_if<FinalAnswer>(&action)) {
+        toTicket(final->request, *final);
+        m_tickets.erase(final->request);
+        return;
+    }
+    if (const auto* answer = std::get_if<AnswerHeartbeat>(&action)) {
+        if (mail.reply)
+            mail.reply->post(answer->news);
+        return;
+    }
+    if (std::holds_alternative<RaiseAlarm>(action))
+        return;
+    m_carryOut(action);
+}
+
+void ControlThread::toTicket(const RequestId& request, TicketMessage message)
+{
+    auto found = m_tickets.find(request);
+    if (found != m_tickets.end())
+        found->second->mailbox.post(std::move(message));
+}
+
+void ControlThread::publish(SteadyTime now)
+{
+    std::shared_ptr<const PublishedView> current = view();
+    std::shared_ptr<const Settings> settings = m_core.settings();
+    bool ready = m_core.isReady(now);
+    bool drained = m_core.isDrained();
+    bool statusIsDue = !m_lastStatusAt || now - *m_lastStatusAt >= m_options.statusPeriod;
+    if (settings == current->settings && ready == current->ready && drained == current->drained && !statusIsDue)
+        return;
+    auto next = std::make_shared<PublishedView>(*current);
+    next->ready = ready;
+    next->drained = drained;
+    if (settings != current->settings) {
+        next->settings = settings;
+        next->accounts = settings ? std::make_shared<const AccountIndex>(*settings) : nullptr;
+        m_timeline.record({ .kind = "settings_in_force", .fields = { { "version", std::to_string(settings ? settings->version.value() : 0) } } });
+        logLine(LogLevel::Info, "settings_in_force", { { "version", settings ? settings->version.value() : 0 } });
+    }
+    if (ready != current->ready)
+        logLine(LogLevel::Info, ready ? "ready" : "not_ready");
+    if (statusIsDue) {
+        next->status = std::make_shared<const ControlStatus>(m_core.status(now));
+        m_lastStatusAt = now;
+    }
+    m_view.store(std::move(next), std::memory_order_release);
+}
+
+void ControlThread::record(const ControlEvent& event)
+{
+    if (const auto* arrival = std::get_if<RequestArrived>(&event)) {
+        m_timeline.record({ .kind = "request_arrived", .request = arrival->request,
+            .fields = { { "account", arrival->account.value() }, { "pool", arrival->pool.value() }, { "tier", std::to_string(arrival->tier.level) } } });
+    } else if (const auto* ended = std::get_if<DispatchEnded>(&event)) {
+        m_timeline.record({ .kind = "dispatch_ended", .request = ended->request, .attempt = ended->attempt, .fields = { { "end", std::string(toText(ended->end)) } } });
+    } else if (const auto* started = std::get_if<AnswerStarted>(&event)) {
+        m_timeline.record({ .kind = "answer_started", .request = started->request, .attempt = started->attempt });
+    } else if (const auto* gone = std::get_if<CallerGone>(&event)) {
+        m_timeline.record({ .kind = "caller_gone", .request = gone->request });
+    } else if (std::holds_alternative<ShutdownRequested>(event)) {
+        m_timeline.record({ .kind = "shutdown_requested" });
+    }
+}
+
+void ControlThread::record(const ControlAction& action)
+{
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+        m_timeline.record({ .kind = "dispatch", .request = dispatch->request, .attempt = dispatch->attempt, .target = dispatch->target });
+    } else if (const auto* cancel = std::get_if<CancelDispatch>(&action)) {
+        m_timeline.record({ .kind = "cancel_dispatch", .request = cancel->request, .attempt = cancel->attempt, .target = cancel->target });
+    } else if (const auto* final = std::get_if<FinalAnswer>(&action)) {
+        m_timeline.record({ .kind = "final_answer", .request = final->request,
+            .fields = { { "outcome", std::string(toString(final->outcome)) }, { "reason", std::string(toString(final->reason)) } } });
+    } else if (const auto* write = std::get_if<WriteClaim>(&action)) {
+        m_timeline.record({ .kind = "claim_write", .request = write->request, .attempt = write->row.attempt });
+    } else if (const auto* alarm = std::get_if<RaiseAlarm>(&action)) {
+        std::string kind(toString(alarm->kind));
+        m_timeline.record({ .kind = "alarm", .fields = { { "alarm", kind }, { "subject", alarm->subject } } });
+        m_metrics.counter("limpetpond_alarms_total", "Alarms that were raised.", { { "kind", kind } }).add();
+        logLine(LogLevel::Error, "alarm", { { "alarm", kind }, { "subject", alarm->subject } });
+    }
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/daemon/ControlThread.h
@@ -0,0 +1,120 @@
+#pragma once
+
+/// The thread that owns the control state: it takes events from a mailbox, hands each to the
+/// decision core, passes the actions on and publishes an immutable view.
+
+#include "base/Metrics.h"
+#include "base/Timeline.h"
+#include "core/ControlStatus.h"
+#include "core/Messages.h"
+#include "daemon/Mailbox.h"
+#include "daemon/Ticket.h"
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetpond {
+
+/// The decision core as the thread sees it; the daemon binds a `Control`.
+struct ControlCore {
+    std::function<void(const ControlEvent&, SteadyTime, ControlActions&)> handle;
+    std::function<std::shared_ptr<const Settings>()> settings;
+    std::function<bool(SteadyTime)> isReady;
+    std::function<bool()> isDrained;
+    std::function<ControlStatus(SteadyTime)> status;
+};
+
+/// Finds the client account of a bearer key. Built once for each settings version.
+class AccountIndex {
+public:
+    AccountIndex() = default;
+    explicit AccountIndex(const Settings&);
+
+    /// The account whose key has this SHA-256 in lower-case hexadecimal; compared in constant time.
+    std::optional<ClientAccountId> find(std::string_view keyHash) const;
+
+private:
+    struct Entry {
+        std::string keyHash;
+        ClientAccountId account;
+    };
+    std::unordered_map<std::string, std::vector<Entry>> m_entries; ///< By the first digits of the hash.
+};
+
+/// What traffic threads read. Never changed after it was published.
+struct PublishedView {
+    std::shared_ptr<const Settings> settings; ///< Null before the first arrived.
+    std::shared_ptr<const AccountIndex> accounts;
+    bool ready { false };
+    bool drained { false };
+    std::shared_ptr<const ControlStatus> status;
+};
+
+struct ControlThreadOptions {
+    std::chrono::milliseconds tickPeriod { 20 };
+    std::chrono::milliseconds statusPeriod { 500 }; ///< Between snapshots for operators.
+};
+
+/// Owns the core. Every public function may be called from any thread.
+///
+///     ControlThread control({ .tickPeriod = 20ms }, core, clock, carryOut, timeline, metrics);
+///     control.start();
+class ControlThread {
+public:
+    /// `carryOut` gets the actions of the I/O threads and must not block.
+    ControlThread(ControlThreadOptions, ControlCore, const Clock&, std::function<void(const ControlAction&)> carryOut, Timeline&, Metrics&);
+    ~ControlThread();
+    ControlThread(const ControlThread&) = delete;
+    ControlThread& operator=(const ControlThread&) = delete;
+
+    void start();
+    void stop();
+
+    /// Hands an event to the core.
+    void post(ControlEvent);
+
+    /// Announces a request; its decisions go to the ticket until the final answer.
+    void arrive(RequestArrived, std::shared_ptr<Ticket>);
+
+    /// Hands a peer's heartbeat to the core and waits for the answer; none when time runs out.
+    std::optional<Heartbeat> heartbeat(const Heartbeat&, std::chrono::milliseconds timeout);
+
+    std::shared_ptr<const PublishedView> view() const { return m_view.load(std::memory_order_acquire); }
+
+private:
+    using HeartbeatReply = Mailbox<Heartbeat>;
+    struct Mail {
+        ControlEvent event;
+        std::shared_ptr<Ticket> ticket; ///< RequestArrived only.
+        std::shared_ptr<HeartbeatReply> reply; ///< HeartbeatReceived only.
+    };
+
+    void run();
+    void handle(const Mail&);
+    void carryOut(const ControlAction&, const Mail&);
+    void toTicket(const RequestId&, TicketMessage);
+    void publish(SteadyTime now);
+    void record(const ControlEvent&);
+    void record(const ControlAction&);
+
+    ControlThreadOptions m_options;
+    ControlCore m_core;
+    const Clock& m_clock;
+    std::function<void(const ControlAction&)> m_carryOut;
+    Timeline& m_timeline;
+    Metrics& m_metrics;
+    Counter& m_events;
+    Mailbox<Mail> m_mailbox;
+    std::unordered_map<RequestId, std::shared_ptr<Ticket>> m_tickets;
+    std::atomic<std::shared_ptr<const PublishedView>> m_view;
+    std::optional<SteadyTime> m_lastStatusAt;
+    std::atomic<bool> m_stopping { false };
+    std::thread m_thread;
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/daemon/Mailbox.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// A lock-free mailbox of many senders and one receiver, which can wait for it by file descriptor.
+
+#include <atomic>
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace limpetpond {
+
+/// What ended a wait.
+struct MailboxWait {
+    bool mail { false }; ///< There may be mail.
+    bool peerClosed { false }; ///< The watched socket was closed by the other side.
+};
+
+/// Messages are received in the order in which they were posted.
+///
+///     Mailbox<int> mailbox;
+///     mailbox.post(1);
+template <typename T>
+class Mailbox {
+public:
+    Mailbox()
+        : m_eventFd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        if (m_eventFd < 0)
+            throw std::system_error(errno, std::generic_category(), "eventfd");
+    }
+
+    ~Mailbox()
+    {
+        take();
+        ::close(m_eventFd);
+    }
+
+    Mailbox(const Mailbox&) = delete;
+    Mailbox& operator=(const Mailbox&) = delete;
+
+    /// Adds a message; any thread, never blocks.
+    void post(T value)
+    {
+        Node* before = m_head.load(std::memory_order_relaxed);
+        Node* node = new Node { std::move(value), before };
+        while (!m_head.compare_exchange_weak(before, node, std::memory_order_release, std::memory_order_relaxed))
+            node->next = before;
+        // Only the first message after a take has to wake the receiver.
+        if (!before)
+            wake();
+    }
+
+    /// Takes all messages, oldest first; the receiver only.
+    std::vector<T> take()
+    {
+        clearWake();
+        std::vector<T> messages;
+        Node* node = reversed(m_head.exchange(nullptr, std::memory_order_acquire));
+        while (node) {
+            messages.push_back(std::move(node->value));
+            Node* next = node->next;
+            delete node;
+            node = next;
+        }
+        return messages;
+    }
+
+    /// Waits for mail, for the end of the time, or for `watchedSocket` (-1 for none) to be closed by its peer.
+    MailboxWait wait(std::chrono::milliseconds timeout, int watchedSocket = -1)
+    {
+        pollfd watched[2] = { { m_eventFd, POLLIN, 0 }, { watchedSocket, POLLRDHUP, 0 } };
+        if (::poll(watched, watchedSocket < 0 ? 1 : 2, static_cast<int>(timeout.count())) <= 0)
+            return {};
+        return { .mail = watched[0].revents != 0, .peerClosed = watched[1].revents != 0 };
+    }
+
+private:
+    struct Node {
+        T value;
+        Node* next;
+    };
+
+    static Node* reversed(Node* node)
+    {
+        Node* previous = nullptr;
+        while (node) {
+            Node* next = node->next;
+            node->next = previous;
+            previous = node;
+            node = next;
+        }
+        return previous;
+    }
+
+    void wake()
+    {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] ssize_t written = ::write(m_eventFd, &one, sizeof one);
+    }
+
+    void clearWake()
+    {
+        std::uint64_t count = 0;
+        [[maybe_unused]] ssize_t length = ::read(m_eventFd, &count, sizeof count);
+    }
+
+    std::atomic<Node*> m_head { nullptr };
+    int m_eventFd;
+};
+
+} // namespace limpetpond
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -25,7 +25,7 @@
 struct PeerServerOptions {
     Endpoint listen; ///< Port 0 takes a free one.
     std::chrono::milliseconds idleTimeout { 60'000 }; ///< A connection without a message for so long is closed.
-    ByteCount maxMessage { 8 * 1024 * 1024 };
+    ByteCount maxMessage { 8LL * 1024 * 1024 };
     int maxConnections { 256 };
 };
 
--- a/src/peer/ThriftConnection.h
+++ b/src/peer/ThriftConnection.h
@@ -22,7 +22,7 @@
 struct ThriftLimits {
     std::chrono::milliseconds connectTimeout { 500 };
     std::chrono::milliseconds callTimeout { 500 }; ///< Between two pieces of a message.
-    ByteCount maxMessage { 8 * 1024 * 1024 };
+    ByteCount maxMessage { 8LL * 1024 * 1024 };
 };
 
 /// Messages and bytes that went over connections, both ways.
