--- /dev/null
+++ b/src/core/Lease.cpp
@@ -0,0 +1,138 @@
+#include "core/Lease.h"
+
+#include "core/Guard.h"
+#include "core/Invariant.h"
+#include <utility>
+
+namespace limpetpond {
+
+static LeaseStep beginRead(LeaseState& lease, const LeaseOptions& options, SteadyTime now)
+{
+    lease.outstanding = LeaseOperation::Read;
+    lease.operationStartedAt = now;
+    lease.nextReadAt = now + options.readPeriod;
+    return { .operation = LeaseOperation::Read };
+}
+
+static LeaseStep beginWrite(LeaseState& lease, LeaseRow row, SteadyTime now)
+{
+    bool isRepetition = lease.mayHaveWritten && lease.written == row;
+    if (!isRepetition)
+        lease.writtenSince = now;
+    lease.written = std::move(row);
+    lease.mayHaveWritten = true;
+    lease.outstanding = LeaseOperation::Write;
+    lease.operationStartedAt = now;
+    return { LeaseOperation::Write, lease.seen, lease.written };
+}
+
+static LeaseRow makeTakingRow(const LeaseState& lease)
+{
+    std::uint64_t last = lease.seen ? lease.seen->number.value() : 0;
+    bool isRaised = !isGuardDisabled(GuardId::FencingNumberRaised) || !last;
+    return { lease.target, lease.self, FencingNumber { last + isRaised }, 0 };
+}
+
+static LeaseRow makeRenewingRow(const LeaseState& lease)
+{
+    LeaseRow row = *lease.seen;
+    ++row.renewals;
+    return row;
+}
+
+/// Ends an operation whose answer is overdue as unanswered.
+static void expireOperation(LeaseState& lease, const LeaseOptions& options, SteadyTime now)
+{
+    bool isOverdue = now - lease.operationStartedAt >= options.operationTimeout;
+    if (lease.outstanding != LeaseOperation::None && isOverdue)
+        handleLeaseAnswered(lease, lease.outstanding, LeaseAnswer::NoAnswer, std::nullopt, now);
+}
+
+static bool isTakeable(const LeaseState& lease, const LeaseOptions& options, SteadyTime now)
+{
+    return !lease.seen || now - lease.unchangedSince >= options.term;
+}
+
+/// Takes in what stands in the table service.
+static void adoptRow(LeaseState& lease, const std::optional<LeaseRow>& row, SteadyTime now)
+{
+    bool isOurWrite = lease.mayHaveWritten && row && *row == lease.written;
+    if (lease.seen != row)
+        lease.unchangedSince = now;
+    lease.isRowKnown = true;
+    if (isOurWrite) {
+        lease.mayHaveWritten = false;
+        lease.renewedAt = lease.writtenSince;
+        lease.heldSince = lease.heldSince.value_or(now);
+    } else if (lease.seen != row) {
+        lease.heldSince.reset();
+    }
+    lease.seen = row;
+}
+
+static SteadyTime orderEnd(const LeaseState& lease, const LeaseOptions& options)
+{
+    return lease.renewedAt + options.term - options.safetyMargin;
+}
+
+LeaseState makeLease(TargetId target, InstanceId self, SteadyTime now)
+{
+    LeaseState lease;
+    lease.target = std::move(target);
+    lease.self = std::move(self);
+    lease.nextReadAt = now;
+    return lease;
+}
+
+LeaseStep nextLeaseStep(LeaseState& lease, const LeaseOptions& options, bool isWanted, SteadyTime now)
+{
+    expireOperation(lease, options, now);
+    if (lease.outstanding != LeaseOperation::None || !isWanted)
+        return {};
+    if (lease.isRowKnown && lease.heldSince) {
+        if (now - lease.renewedAt >= options.renewAfter)
+            return beginWrite(lease, makeRenewingRow(lease), now);
+        return {};
+    }
+    if (lease.isRowKnown && isTakeable(lease, options, now))
+        return beginWrite(lease, makeTakingRow(lease), now);
+    if (now >= lease.nextReadAt)
+        return beginRead(lease, options, now);
+    return {};
+}
+
+void handleLeaseAnswered(LeaseState& lease, LeaseOperation operation, LeaseAnswer answer, const std::optional<LeaseRow>& row, SteadyTime now)
+{
+    if (operation == LeaseOperation::None || lease.outstanding != operation)
+        return;
+    lease.outstanding = LeaseOperation::None;
+    if (answer == LeaseAnswer::NoAnswer) {
+        lease.isRowKnown = false;
+        return;
+    }
+    bool isOwnWrite = operation == LeaseOperation::Write && answer == LeaseAnswer::Done;
+    adoptRow(lease, isOwnWrite ? std::optional(lease.written) : row, now);
+}
+
+bool mayOrder(const LeaseState& lease, const LeaseOptions& options, bool checksFencing, SteadyTime now)
+{
+    if (!lease.heldSince)
+        return false;
+    if (now >= orderEnd(lease, options) && !isGuardDisabled(GuardId::HolderStopsEarly))
+        return false;
+    bool isWaitedOut = now - *lease.heldSince >= options.longestOrder;
+    return checksFencing || isWaitedOut || isGuardDisabled(GuardId::LongestOrderWaitedOut);
+}
+
+EngineOrder stampOrder(const LeaseState& lease, const LeaseOptions& options, EngineOrder order)
+{
+    checkInvariant(lease.heldSince.has_value(), InvariantId::OneOrderingHolder);
+    order.target = lease.target;
+    order.number = lease.seen ? lease.seen->number : FencingNumber {};
+    order.notAfter = orderEnd(lease, options);
+    if (isGuardDisabled(GuardId::HolderStopsEarly))
+        order.notAfter = SteadyTime::max();
+    return order;
+}
+
+} // namespace limpetpond
--- a/src/core/Lease.h
+++ b/src/core/Lease.h
@@ -20,8 +20,8 @@
 /// The lease of one engine's orders, as it stands in the table service.
 struct LeaseRow {
     TargetId target;
-    InstanceId holder; ///< Empty when released.
-    FencingNumber number; ///< Raised by each new holder, and after a release.
+    InstanceId holder;
+    FencingNumber number; ///< Raised by each new holder.
     std::uint64_t renewals { 0 }; ///< Raised by each renewal: shows watchers that the holder lives.
     bool operator==(const LeaseRow&) const = default;
 };
@@ -66,7 +66,9 @@
     SteadyTime renewedAt; ///< The start of the last successful write.
     LeaseOperation outstanding { LeaseOperation::None };
     SteadyTime operationStartedAt;
-    LeaseRow written; ///< The row of the outstanding write.
+    LeaseRow written; ///< The row of the last write.
+    SteadyTime writtenSince; ///< The start of the first write of `written`.
+    bool mayHaveWritten { false }; ///< `written` may have taken effect, or may yet do so.
     SteadyTime nextReadAt;
 };
 
--- /dev/null
+++ b/src/core/Membership.cpp
@@ -0,0 +1,290 @@
+#include "core/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetpond {
+
+// Upper bounds of the encoded sizes, in bytes.
+constexpr std::size_t heartbeatBaseSize = 64;
+constexpr std::size_t poolNewsBaseSize = 32;
+constexpr std::size_t countSize = 10;
+constexpr std::size_t targetNewsBaseSize = 32;
+constexpr std::size_t memberNewsBaseSize = 24;
+
+static bool probesAll(const Membership& membership)
+{
+    return std::cmp_less_equal(membership.members.size(), membership.options.probeAllUpTo);
+}
+
+static void setState(Membership& membership, Member& member, MemberState state, SteadyTime now)
+{
+    if (member.state == state)
+        return;
+    member.state = state;
+    member.stateSince = now;
+    member.newsLeft = membership.options.newsRepeats;
+}
+
+static Member& findOrAddMember(Membership& membership, const InstanceId& instance, SteadyTime now)
+{
+    auto [found, isNew] = membership.members.try_emplace(instance);
+    if (isNew) {
+        found->second.instance = instance;
+        found->second.stateSince = now;
+    }
+    return found->second;
+}
+
+/// Whether the sign of life is newer than all that is known of the member.
+static bool isNewer(const Member& member, Incarnation incarnation, std::uint64_t sequence)
+{
+    return std::pair(incarnation, sequence) > std::pair(member.incarnation, member.sequence);
+}
+
+static void noteAlive(Membership& membership, Member& member, Incarnation incarnation, std::uint64_t sequence, SteadyTime now)
+{
+    member.incarnation = incarnation;
+    member.sequence = sequence;
+    member.lastHeardAt = now;
+    member.probesLost = 0;
+    setState(membership, member, MemberState::Live, now);
+}
+
+static void takeNewsOf(Membership& membership, const MemberNews& news, SteadyTime now)
+{
+    auto found = membership.members.find(news.instance);
+    if (found == membership.members.end() || news.incarnation < found->second.incarnation)
+        return;
+    Member& member = found->second;
+    if (news.state == MemberState::Live && isNewer(member, news.incarnation, news.sequence)) {
+        noteAlive(membership, member, news.incarnation, news.sequence, now);
+        return;
+    }
+    bool isCurrentSuspicion = news.state == MemberState::Suspected && news.sequence >= member.sequence;
+    if (isCurrentSuspicion && member.state == MemberState::Live && !probesAll(membership))
+        setState(membership, member, MemberState::Suspected, now);
+}
+
+static bool takeHeartbeat(Membership& membership, const Heartbeat& news, SteadyTime now)
+{
+    if (news.instance == membership.options.self)
+        return false;
+    Member& member = findOrAddMember(membership, news.instance, now);
+    if (news.incarnation < member.incarnation)
+        return false;
+    ++membership.counters.heartbeatsReceived;
+    if (isNewer(member, news.incarnation, news.sequence)) {
+        noteAlive(membership, member, news.incarnation, news.sequence, now);
+        member.settingsVersion = news.settingsVersion;
+        member.isLeaving = news.leaving;
+    }
+    for (const MemberNews& entry : news.members)
+        takeNewsOf(membership, entry, now);
+    return true;
+}
+
+Membership makeMembership(MembershipOptions options, SteadyTime now)
+{
+    Membership membership;
+    membership.options = std::move(options);
+    membership.nextProbeAt = now;
+    membership.random.seed(membership.options.seed);
+    return membership;
+}
+
+void readInstanceList(Membership& membership, const InstanceListRead& list, SteadyTime now)
+{
+    membership.listReadAt = now;
+    for (auto& [instance, member] : membership.members)
+        member.isOnList = false;
+    for (const ListedInstance& entry : list.instances) {
+        if (entry.instance == membership.options.self)
+            continue;
+        Member& member = findOrAddMember(membership, entry.instance, now);
+        member.host = entry.host;
+        member.port = entry.port;
+        member.failureDomain = entry.failureDomain;
+        member.isOnList = true;
+        member.isLeaving = member.isLeaving || entry.leaving;
+        member.lastListedAt = now;
+        if (member.state == MemberState::Departed)
+            setState(membership, member, MemberState::Suspected, now);
+    }
+}
+
+void hearHeartbeat(Membership& membership, const Heartbeat& news, SteadyTime now)
+{
+    takeHeartbeat(membership, news, now);
+}
+
+void hearHeartbeatAnswer(Membership& membership, const Heartbeat& news, SteadyTime sentAt, SteadyTime now)
+{
+    if (!takeHeartbeat(membership, news, now))
+        return;
+    Member& member = membership.members.at(news.instance);
+    member.probesLost = 0;
+    if (!member.lastAnsweredAt || *member.lastAnsweredAt < sentAt)
+        member.lastAnsweredAt = sentAt;
+}
+
+void loseHeartbeat(Membership& membership, const HeartbeatLost& lost)
+{
+    auto found = membership.members.find(lost.instance);
+    if (found != membership.members.end())
+        ++found->second.probesLost;
+}
+
+static bool isSilent(const Membership& membership, const Member& member, const SiteSettings& site, SteadyTime now)
+{
+    if (!probesAll(membership))
+        return member.state != MemberState::Live || member.probesLost >= membership.options.probesLostToSuspect;
+    return !member.lastHeardAt || now - *member.lastHeardAt >= site.suspectAfter;
+}
+
+static bool isOffList(const Membership& membership, const Member& member, SteadyTime now)
+{
+    if (member.isOnList)
+        return false;
+    if (member.isLeaving || !member.lastListedAt)
+        return true;
+    return now - *member.lastListedAt >= membership.options.listLag;
+}
+
+static MemberState judge(const Membership& membership, const Member& member, const SiteSettings& site, SteadyTime now)
+{
+    if (!isSilent(membership, member, site, now))
+        return MemberState::Live;
+    return isOffList(membership, member, now) ? MemberState::Departed : MemberState::Suspected;
+}
+
+std::vector<InstanceId> updateMembership(Membership& membership, const SiteSettings& site, SteadyTime now)
+{
+    std::vector<InstanceId> changed;
+    for (auto& [instance, member] : membership.members) {
+        MemberState state = judge(membership, member, site, now);
+        if (state == member.state)
+            continue;
+        setState(membership, member, state, now);
+        changed.push_back(instance);
+    }
+    std::erase_if(membership.members, [&](const auto& entry) {
+        const Member& member = entry.second;
+        return member.state == MemberState::Departed && now - member.stateSince >= membership.options.forgetAfter;
+    });
+    return changed;
+}
+
+static bool isProbed(const Member& member)
+{
+    return member.state != MemberState::Departed && member.isOnList;
+}
+
+/// Members whose silence has to be confirmed come first, then random ones.
+static std::vector<InstanceId> chooseSome(Membership& membership, const std::vector<InstanceId>& candidates)
+{
+    std::vector<InstanceId> chosen;
+    std::size_t limit = std::min<std::size_t>(membership.options.probesPerPeriod, candidates.size());
+    for (const InstanceId& candidate : candidates) {
+        const Member& member = membership.members.at(candidate);
+        bool isInDoubt = member.probesLost && member.state == MemberState::Live;
+        if (isInDoubt && chosen.size() < limit)
+            chosen.push_back(candidate);
+    }
+    while (chosen.size() < limit) {
+        const InstanceId& candidate = candidates[membership.random(static_cast<std::uint32_t>(candidates.size()))];
+        if (std::find(chosen.begin(), chosen.end(), candidate) == chosen.end())
+            chosen.push_back(candidate);
+    }
+    return chosen;
+}
+
+std::vector<InstanceId> chooseProbes(Membership& membership, const SiteSettings& site, SteadyTime now)
+{
+    if (now < membership.nextProbeAt)
+        return {};
+    membership.nextProbeAt = now + site.heartbeatPeriod;
+    std::vector<InstanceId> candidates;
+    for (const auto& [instance, member] : membership.members) {
+        if (isProbed(member))
+            candidates.push_back(instance);
+    }
+    if (probesAll(membership))
+        return candidates;
+    return chooseSome(membership, candidates);
+}
+
+void fillHeartbeat(Membership& membership, Heartbeat& heartbeat)
+{
+    heartbeat.instance = membership.options.self;
+    heartbeat.incarnation = membership.options.incarnation;
+    heartbeat.sequence = ++membership.sequence;
+    heartbeat.members.clear();
+    for (auto& [instance, member] : membership.members) {
+        if (std::cmp_greater_equal(heartbeat.members.size(), membership.options.newsPerHeartbeat))
+            return;
+        if (!member.newsLeft)
+            continue;
+        --member.newsLeft;
+        heartbeat.members.push_back({ instance, member.incarnation, member.state, member.sequence });
+    }
+}
+
+void countSent(Membership& membership, const Heartbeat& heartbeat)
+{
+    ++membership.counters.heartbeatsSent;
+    membership.counters.bytesSent += static_cast<std::uint64_t>(heartbeatSize(heartbeat).count());
+}
+
+ByteCount heartbeatSize(const Heartbeat& heartbeat)
+{
+    std::size_t size = heartbeatBaseSize + heartbeat.instance.value().size();
+    for (const PoolNews& pool : heartbeat.pools)
+        size += poolNewsBaseSize + pool.pool.value().size() + countSize * pool.waitingTokensByTier.size();
+    for (const TargetNews& target : heartbeat.targets)
+        size += targetNewsBaseSize + target.target.value().size();
+    for (const MemberNews& member : heartbeat.members)
+        size += memberNewsBaseSize + member.instance.value().size();
+    return ByteCount { static_cast<std::int64_t>(size) };
+}
+
+bool isCounted(const Membership& membership, const Member& member, SteadyTime now)
+{
+    if (member.state == MemberState::Departed)
+        return false;
+    bool wasListedLately = member.lastListedAt && now - *member.lastListedAt < membership.options.listLag;
+    return member.isOnList || wasListedLately || member.state == MemberState::Live;
+}
+
+int countedInstances(const Membership& membership, SteadyTime now)
+{
+    int counted = 1;
+    for (const auto& [instance, member] : membership.members)
+        counted += isCounted(membership, member, now);
+    return counted;
+}
+
+int majorityOf(int counted)
+{
+    return counted / 2 + 1;
+}
+
+bool hasHeardMajoritySince(const Membership& membership, SteadyTime since, SteadyTime now)
+{
+    int answered = 1;
+    for (const auto& [instance, member] : membership.members)
+        answered += isCounted(membership, member, now) && member.lastAnsweredAt && *member.lastAnsweredAt >= since;
+    return answered >= majorityOf(countedInstances(membership, now));
+}
+
+std::vector<InstanceId> liveMembers(const Membership& membership)
+{
+    std::vector<InstanceId> live;
+    for (const auto& [instance, member] : membership.members) {
+        if (member.state == MemberState::Live)
+            live.push_back(instance);
+    }
+    return live;
+}
+
+} // namespace limpetpond
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -6,13 +6,15 @@
 /// answer for `SiteSettings::suspectAfter` is suspected; one that is off the list and silent, or that was
 /// replaced by a later start of the same id, has departed. See docs/design/membership.md.
 ///
-/// Up to `probeAllUpTo` peers are all probed in each period; past that, a few chosen at random are, and news
-/// of the others rides along. The choice is drawn from a seeded generator, so that a run can be replayed.
+/// Up to `probeAllUpTo` peers are all probed in each period, and silence alone makes one suspected. Past that,
+/// a few chosen at random are probed, lost probes make one suspected, and news of that rides along with the
+/// heartbeats. The choice is drawn from a seeded generator, so that a run can be replayed.
 
 #include "core/Messages.h"
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <pcg_random.hpp>
 #include <vector>
 
 namespace limpetpond {
@@ -26,6 +28,7 @@
     int probesPerPeriod { 2 }; ///< Peers probed in each period past that.
     int newsPerHeartbeat { 8 }; ///< Members told of in one heartbeat.
     int newsRepeats { 6 }; ///< How often one piece of news is passed on.
+    int probesLostToSuspect { 2 }; ///< Consecutive lost probes that make a member suspected, where not all are probed.
     Duration listLag { std::chrono::seconds(60) }; ///< How long an instance counts as listed after it left the list.
     Duration forgetAfter { std::chrono::minutes(10) }; ///< After which a departed member is forgotten.
 };
@@ -42,7 +45,8 @@
     bool isOnList { false };
     bool isLeaving { false };
     std::optional<SteadyTime> lastListedAt;
-    std::optional<SteadyTime> lastHeardAt; ///< A heartbeat of it, direct or told of by a peer.
+    std::optional<SteadyTime> lastHeardAt; ///< A heartbeat of it came, or a peer told of a newer one.
+    int probesLost { 0 }; ///< Consecutive heartbeats of ours that it did not answer.
     std::optional<SteadyTime> lastAnsweredAt; ///< The sending time of our last heartbeat that it answered.
     SettingsVersion settingsVersion; ///< As of its last direct heartbeat.
     SteadyTime stateSince;
@@ -62,7 +66,7 @@
     std::optional<SteadyTime> listReadAt;
     SteadyTime nextProbeAt;
     std::uint64_t sequence { 0 };
-    std::uint64_t randomState { 0 };
+    pcg32 random;
     MembershipCounters counters;
 };
 
@@ -80,7 +84,7 @@
 /// Takes in a peer's answer to a heartbeat that we sent at `sentAt`.
 void hearHeartbeatAnswer(Membership&, const Heartbeat&, SteadyTime sentAt, SteadyTime now);
 
-/// Takes in that a heartbeat of ours was not answered. States change by time alone, in `updateMembership`.
+/// Takes in that a heartbeat of ours was not answered; `updateMembership` draws the conclusion.
 void loseHeartbeat(Membership&, const HeartbeatLost&);
 
 /// Moves members to suspected and departed, and forgets old ones; returns the members whose state changed.
