--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -44,6 +44,7 @@
     void listMany(int count)
     {
         std::vector<std::string> names;
+        names.reserve(count);
         for (int i = 0; i < count; ++i)
             names.push_back("n" + std::to_string(100 + i));
         list(names);
