--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -9,82 +9,82 @@
 
 namespace {
 
-namespace json = boost::json;
+    namespace json = boost::json;
 
-constexpr std::string_view kServicesPrefix = "/services/";
-constexpr std::string_view kOwnPrefix = "limpetpond-";
-constexpr int kClientClosedRequest = 499; ///< As nginx has it; seen in logs only.
-constexpr int kTooManyRequests = 429;
-constexpr int kInternalError = 500;
+    constexpr std::string_view kServicesPrefix = "/services/";
+    constexpr std::string_view kOwnPrefix = "limpetpond-";
+    constexpr int kClientClosedRequest = 499; ///< As nginx has it; seen in logs only.
+    constexpr int kTooManyRequests = 429;
+    constexpr int kInternalError = 500;
 
-std::string lowered(std::string_view text)
-{
-    std::string out(text);
-    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
+    std::string lowered(std::string_view text)
+    {
+        std::string out(text);
+        std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return out;
+    }
 
-template <std::size_t N>
-std::vector<HttpHeader> withoutNames(const std::vector<HttpHeader>& headers, const std::array<std::string_view, N>& dropped)
-{
-    // Headers that `Connection` names belong to the connection as well.
-    std::string connection = "," + lowered(headerValue(headers, "Connection")) + ",";
-    std::erase(connection, ' ');
-    std::vector<HttpHeader> kept;
-    for (const HttpHeader& header : headers) {
-        std::string name = lowered(header.name);
-        bool isDropped = std::find(dropped.begin(), dropped.end(), name) != dropped.end();
-        if (!isDropped && !name.starts_with(kOwnPrefix) && connection.find("," + name + ",") == std::string::npos)
-            kept.push_back(header);
+    template <std::size_t N>
+    std::vector<HttpHeader> withoutNames(const std::vector<HttpHeader>& headers, const std::array<std::string_view, N>& dropped)
+    {
+        // Headers that `Connection` names belong to the connection as well.
+        std::string connection = "," + lowered(headerValue(headers, "Connection")) + ",";
+        std::erase(connection, ' ');
+        std::vector<HttpHeader> kept;
+        for (const HttpHeader& header : headers) {
+            std::string name = lowered(header.name);
+            bool isDropped = std::find(dropped.begin(), dropped.end(), name) != dropped.end();
+            if (!isDropped && !name.starts_with(kOwnPrefix) && connection.find("," + name + ",") == std::string::npos)
+                kept.push_back(header);
+        }
+        return kept;
     }
-    return kept;
-}
 
-RoutedCall routeService(std::string_view decodedPath, std::string_view target)
-{
-    RoutedCall call { .route = CallRoute::Service };
-    std::string_view decoded = decodedPath.substr(kServicesPrefix.size());
-    std::string_view raw = target.substr(std::min(target.size(), kServicesPrefix.size()));
-    std::size_t nameEnd = std::min(decoded.find('/'), decoded.size());
-    call.service = decoded.substr(0, nameEnd);
-    call.decodedServicePath = decoded.substr(nameEnd);
-    if (call.decodedServicePath.empty())
-        call.decodedServicePath = "/";
-    call.servicePath = raw.substr(std::min(raw.find_first_of("/?"), raw.size()));
-    if (!call.servicePath.starts_with('/'))
-        call.servicePath.insert(0, "/");
-    return call;
-}
+    RoutedCall routeService(std::string_view decodedPath, std::string_view target)
+    {
+        RoutedCall call { .route = CallRoute::Service };
+        std::string_view decoded = decodedPath.substr(kServicesPrefix.size());
+        std::string_view raw = target.substr(std::min(target.size(), kServicesPrefix.size()));
+        std::size_t nameEnd = std::min(decoded.find('/'), decoded.size());
+        call.service = decoded.substr(0, nameEnd);
+        call.decodedServicePath = decoded.substr(nameEnd);
+        if (call.decodedServicePath.empty())
+            call.decodedServicePath = "/";
+        call.servicePath = raw.substr(std::min(raw.find_first_of("/?"), raw.size()));
+        if (!call.servicePath.starts_with('/'))
+            call.servicePath.insert(0, "/");
+        return call;
+    }
 
-const char* errorType(int status)
-{
-    if (status == 401)
-        return "authentication_error";
-    if (status == kTooManyRequests)
-        return "rate_limit_error";
-    return status < kInternalError ? "invalid_request_error" : "server_error";
-}
+    const char* errorType(int status)
+    {
+        if (status == 401)
+            return "authentication_error";
+        if (status == kTooManyRequests)
+            return "rate_limit_error";
+        return status < kInternalError ? "invalid_request_error" : "server_error";
+    }
 
-std::string base64(std::string_view bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
+    std::string base64(std::string_view bytes)
+    {
+        std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+        int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<std::size_t>(length));
+        return text;
+    }
 
-std::optional<std::string> fromBase64(std::string_view text)
-{
-    std::string bytes(text.size() / 4 * 3 + 1, '\0');
-    int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (length < 0)
-        return std::nullopt;
-    // The library counts the padding as bytes.
-    std::size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1
-                                                                          : 0;
-    bytes.resize(static_cast<std::size_t>(length) - padding);
-    return bytes;
-}
+    std::optional<std::string> fromBase64(std::string_view text)
+    {
+        std::string bytes(text.size() / 4 * 3 + 1, '\0');
+        int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+        if (length < 0)
+            return std::nullopt;
+        // The library counts the padding as bytes.
+        std::size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1
+                                                                             : 0;
+        bytes.resize(static_cast<std::size_t>(length) - padding);
+        return bytes;
+    }
 
 } // namespace
 
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -16,237 +16,238 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-using SteadyClock = std::chrono::steady_clock;
-
-constexpr int kListenBacklog = 1024;
-constexpr int kRefusalThreads = 8; ///< Serve the connections beyond the limit.
-constexpr milliseconds kIdlePollPeriod { 200 };
-constexpr milliseconds kCrowdedKeepAlive { 200 }; ///< Idle connections are closed sooner when few threads are left.
-constexpr int kBodyReadTimeouts = 8; ///< A whole body may take this many read timeouts.
-constexpr std::size_t kReadBuffer = 16'384;
-constexpr std::int64_t kChunkOverhead = 8; ///< The most bytes on the wire for one of a chunked body that is accepted.
-constexpr std::int64_t kBodySlack = 65'536;
-constexpr int kHeaderFieldsTooLarge = 431;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kBadRequest = 400;
-
-/// The socket of one connection with bounds on bytes and time.
-class BoundedStream final : public httplib::Stream {
-public:
-    BoundedStream(int socket, const CallerServerOptions& options)
-        : m_socket(socket)
-        , m_options(options)
-        , m_buffer(kReadBuffer)
-    {
-    }
+    using std::chrono::milliseconds;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr int kListenBacklog = 1024;
+    constexpr int kRefusalThreads = 8; ///< Serve the connections beyond the limit.
+    constexpr milliseconds kIdlePollPeriod { 200 };
+    constexpr milliseconds kCrowdedKeepAlive { 200 }; ///< Idle connections are closed sooner when few threads are left.
+    constexpr int kBodyReadTimeouts = 8; ///< A whole body may take this many read timeouts.
+    constexpr std::size_t kReadBuffer = 16'384;
+    constexpr std::int64_t kChunkOverhead = 8; ///< The most bytes on the wire for one of a chunked body that is accepted.
+    constexpr std::int64_t kBodySlack = 65'536;
+    constexpr int kHeaderFieldsTooLarge = 431;
+    constexpr int kRequestTimeout = 408;
+    constexpr int kPayloadTooLarge = 413;
+    constexpr int kBadRequest = 400;
+
+    /// The socket of one connection with bounds on bytes and time.
+    class BoundedStream final : public httplib::Stream {
+    public:
+        BoundedStream(int socket, const CallerServerOptions& options)
+            : m_socket(socket)
+            , m_options(options)
+            , m_buffer(kReadBuffer)
+        {
+        }
 
-    /// Starts the bounds of a request's headers.
-    void beginRequest()
-    {
-        m_budget = m_options.maxHeaders.count();
-        m_isHeader = true;
-        m_deadline = SteadyClock::now() + m_options.readTimeout;
-        m_refusedStatus = 0;
-        m_hasWritten = false;
-    }
+        /// Starts the bounds of a request's headers.
+        void beginRequest()
+        {
+            m_budget = m_options.maxHeaders.count();
+            m_isHeader = true;
+            m_deadline = SteadyClock::now() + m_options.readTimeout;
+            m_refusedStatus = 0;
+            m_hasWritten = false;
+        }
 
-    /// Starts the bounds of its body.
-    void beginBody(std::int64_t budget)
-    {
-        m_budget = budget;
-        m_isHeader = false;
-        m_deadline = SteadyClock::now() + kBodyReadTimeouts * m_options.readTimeout;
-    }
+        /// Starts the bounds of its body.
+        void beginBody(std::int64_t budget)
+        {
+            m_budget = budget;
+            m_isHeader = false;
+            m_deadline = SteadyClock::now() + kBodyReadTimeouts * m_options.readTimeout;
+        }
 
-    /// The status for the bound that was broken; 0 for none.
-    int refusedStatus() const { return m_refusedStatus; }
-    bool hasWritten() const { return m_hasWritten; }
-    bool hasBuffered() const { return m_position < m_filled; }
+        /// The status for the bound that was broken; 0 for none.
+        int refusedStatus() const { return m_refusedStatus; }
+        bool hasWritten() const { return m_hasWritten; }
+        bool hasBuffered() const { return m_position < m_filled; }
 
-    bool is_readable() const override { return hasBuffered() || waitFor(POLLIN, milliseconds(0)); }
-    bool is_writable() const override { return waitFor(POLLOUT, m_options.writeTimeout); }
+        bool is_readable() const override { return hasBuffered() || waitFor(POLLIN, milliseconds(0)); }
+        bool is_writable() const override { return waitFor(POLLOUT, m_options.writeTimeout); }
 
-    ssize_t read(char* out, std::size_t size) override
-    {
-        if (!hasBuffered() && !fill())
-            return m_ended ? 0 : -1;
-        auto available = static_cast<std::int64_t>(std::min(size, m_filled - m_position));
-        auto count = std::min(available, m_budget);
-        if (count <= 0)
-            return refuse(m_isHeader ? kHeaderFieldsTooLarge : kPayloadTooLarge);
-        std::copy_n(m_buffer.data() + m_position, count, out);
-        m_position += static_cast<std::size_t>(count);
-        m_budget -= count;
-        return count;
-    }
+        ssize_t read(char* out, std::size_t size) override
+        {
+            if (!hasBuffered() && !fill())
+                return m_ended ? 0 : -1;
+            auto available = static_cast<std::int64_t>(std::min(size, m_filled - m_position));
+            auto count = std::min(available, m_budget);
+            if (count <= 0)
+                return refuse(m_isHeader ? kHeaderFieldsTooLarge : kPayloadTooLarge);
+            std::copy_n(m_buffer.data() + m_position, count, out);
+            m_position += static_cast<std::size_t>(count);
+            m_budget -= count;
+            return count;
+        }
 
-    ssize_t write(const char* data, std::size_t size) override
-    {
-        std::size_t sent = 0;
-        m_hasWritten = true;
-        while (sent < size) {
-            ssize_t count = ::send(m_socket, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
-            if (count > 0)
-                sent += static_cast<std::size_t>(count);
-            else if (count < 0 && errno == EINTR)
-                continue;
-            else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-                if (!waitFor(POLLOUT, m_options.writeTimeout))
+        ssize_t write(const char* data, std::size_t size) override
+        {
+            std::size_t sent = 0;
+            m_hasWritten = true;
+            while (sent < size) {
+                ssize_t count = ::send(m_socket, data + sent, size - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+                if (count > 0)
+                    sent += static_cast<std::size_t>(count);
+                else if (count < 0 && errno == EINTR)
+                    continue;
+                else if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                    if (!waitFor(POLLOUT, m_options.writeTimeout))
+                        return -1;
+                } else
                     return -1;
-            } else
-                return -1;
+            }
+            return static_cast<ssize_t>(size);
         }
-        return static_cast<ssize_t>(size);
-    }
 
-    void get_remote_ip_and_port(std::string& ip, int& port) const override { addressOf(::getpeername, ip, port); }
-    void get_local_ip_and_port(std::string& ip, int& port) const override { addressOf(::getsockname, ip, port); }
-    socket_t socket() const override { return m_socket; }
+        void get_remote_ip_and_port(std::string& ip, int& port) const override { addressOf(::getpeername, ip, port); }
+        void get_local_ip_and_port(std::string& ip, int& port) const override { addressOf(::getsockname, ip, port); }
+        socket_t socket() const override { return m_socket; }
 
-private:
-    bool waitFor(short events, milliseconds timeout) const
-    {
-        pollfd watched { m_socket, events, 0 };
-        return ::poll(&watched, 1, static_cast<int>(timeout.count())) > 0;
-    }
-
-    bool fill()
-    {
-        auto left = std::chrono::ceil<milliseconds>(m_deadline - SteadyClock::now());
-        if (left.count() <= 0 || !waitFor(POLLIN, std::min(left, m_options.readTimeout))) {
-            refuse(kRequestTimeout);
-            return false;
+    private:
+        bool waitFor(short events, milliseconds timeout) const
+        {
+            pollfd watched { m_socket, events, 0 };
+            return ::poll(&watched, 1, static_cast<int>(timeout.count())) > 0;
         }
-        ssize_t count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
-        m_ended = count == 0;
-        if (count <= 0)
-            return false;
-        m_position = 0;
-        m_filled = static_cast<std::size_t>(count);
-        return true;
-    }
 
-    ssize_t refuse(int status)
-    {
-        if (!m_refusedStatus)
-            m_refusedStatus = status;
-        return -1;
-    }
-
-    template <typename Lookup>
-    void addressOf(Lookup lookup, std::string& ip, int& port) const
-    {
-        sockaddr_storage address {};
-        socklen_t length = sizeof address;
-        if (lookup(m_socket, reinterpret_cast<sockaddr*>(&address), &length))
-            return;
-        std::array<char, INET6_ADDRSTRLEN> text {};
-        if (address.ss_family == AF_INET) {
-            const auto& v4 = reinterpret_cast<const sockaddr_in&>(address);
-            inet_ntop(AF_INET, &v4.sin_addr, text.data(), text.size());
-            port = ntohs(v4.sin_port);
-        } else {
-            const auto& v6 = reinterpret_cast<const sockaddr_in6&>(address);
-            inet_ntop(AF_INET6, &v6.sin6_addr, text.data(), text.size());
-            port = ntohs(v6.sin6_port);
+        bool fill()
+        {
+            auto left = std::chrono::ceil<milliseconds>(m_deadline - SteadyClock::now());
+            if (left.count() <= 0 || !waitFor(POLLIN, std::min(left, m_options.readTimeout))) {
+                refuse(kRequestTimeout);
+                return false;
+            }
+            ssize_t count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+            m_ended = count == 0;
+            if (count <= 0)
+                return false;
+            m_position = 0;
+            m_filled = static_cast<std::size_t>(count);
+            return true;
         }
-        ip = text.data();
-    }
 
-    int m_socket;
-    const CallerServerOptions& m_options;
-    std::vector<char> m_buffer;
-    std::size_t m_position { 0 };
-    std::size_t m_filled { 0 };
-    std::int64_t m_budget { 0 };
-    bool m_isHeader { true };
-    bool m_ended { false };
-    bool m_hasWritten { false };
-    SteadyClock::time_point m_deadline;
-    int m_refusedStatus { 0 };
-};
+        ssize_t refuse(int status)
+        {
+            if (!m_refusedStatus)
+                m_refusedStatus = status;
+            return -1;
+        }
 
-/// Makes a thread for each waiting connection up to a limit and keeps it.
-class GrowingThreads final : public httplib::TaskQueue {
-public:
-    explicit GrowingThreads(std::size_t maxThreads)
-        : m_maxThreads(maxThreads)
-    {
-    }
+        template <typename Lookup>
+        void addressOf(Lookup lookup, std::string& ip, int& port) const
+        {
+            sockaddr_storage address {};
+            socklen_t length = sizeof address;
+            if (lookup(m_socket, reinterpret_cast<sockaddr*>(&address), &length))
+                return;
+            std::array<char, INET6_ADDRSTRLEN> text {};
+            if (address.ss_family == AF_INET) {
+                const auto& v4 = reinterpret_cast<const sockaddr_in&>(address);
+                inet_ntop(AF_INET, &v4.sin_addr, text.data(), text.size());
+                port = ntohs(v4.sin_port);
+            } else {
+                const auto& v6 = reinterpret_cast<const sockaddr_in6&>(address);
+                inet_ntop(AF_INET6, &v6.sin6_addr, text.data(), text.size());
+                port = ntohs(v6.sin6_port);
+            }
+            ip = text.data();
+        }
 
-    void enqueue(std::function<void()> job) override
-    {
-        std::lock_guard lock(m_mutex);
-        m_jobs.push_back(std::move(job));
-        if (m_jobs.size() > m_idle && m_threads.size() < m_maxThreads)
-            m_threads.emplace_back([this] { run(); });
-        m_wake.notify_one();
-    }
+        int m_socket;
+        const CallerServerOptions& m_options;
+        std::vector<char> m_buffer;
+        std::size_t m_position { 0 };
+        std::size_t m_filled { 0 };
+        std::int64_t m_budget { 0 };
+        bool m_isHeader { true };
+        bool m_ended { false };
+        bool m_hasWritten { false };
+        SteadyClock::time_point m_deadline;
+        int m_refusedStatus { 0 };
+    };
+
+    /// Makes a thread for each waiting connection up to a limit and keeps it.
+    class GrowingThreads final : public httplib::TaskQueue {
+    public:
+        explicit GrowingThreads(std::size_t maxThreads)
+            : m_maxThreads(maxThreads)
+        {
+        }
 
-    void shutdown() override
-    {
+        void enqueue(std::function<void()> job) override
         {
             std::lock_guard lock(m_mutex);
-            m_stopping = true;
+            m_jobs.push_back(std::move(job));
+            if (m_jobs.size() > m_idle && m_threads.size() < m_maxThreads)
+                m_threads.emplace_back([this] { run(); });
+            m_wake.notify_one();
         }
-        m_wake.notify_all();
-        for (std::thread& thread : m_threads)
-            thread.join();
-    }
 
-private:
-    void run()
-    {
-        std::unique_lock lock(m_mutex);
-        for (;;) {
-            ++m_idle;
-            m_wake.wait(lock, [this] { return m_stopping || !m_jobs.empty(); });
-            --m_idle;
-            if (m_jobs.empty())
-                return;
-            std::function<void()> job = std::move(m_jobs.front());
-            m_jobs.pop_front();
-            lock.unlock();
-            job();
-            lock.lock();
+        void shutdown() override
+        {
+            {
+                std::lock_guard lock(m_mutex);
+                m_stopping = true;
+            }
+            m_wake.notify_all();
+            for (std::thread& thread : m_threads)
+                thread.join();
         }
-    }
 
-    std::size_t m_maxThreads;
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::list<std::function<void()>> m_jobs;
-    std::vector<std::thread> m_threads;
-    std::size_t m_idle { 0 };
-    bool m_stopping { false };
-};
+    private:
+        void run()
+        {
+            std::unique_lock lock(m_mutex);
+            for (;;) {
+                ++m_idle;
+                m_wake.wait(lock, [this] { return m_stopping || !m_jobs.empty(); });
+                --m_idle;
+                if (m_jobs.empty())
+                    return;
+                std::function<void()> job = std::move(m_jobs.front());
+                m_jobs.pop_front();
+                lock.unlock();
+                job();
+                lock.lock();
+            }
+        }
 
-bool expectsBody(const std::string& method)
-{
-    return method == "POST" || method == "PUT" || method == "PATCH" || method == "PRI" || method == "DELETE";
-}
+        std::size_t m_maxThreads;
+        std::mutex m_mutex;
+        std::condition_variable m_wake;
+        std::list<std::function<void()>> m_jobs;
+        std::vector<std::thread> m_threads;
+        std::size_t m_idle { 0 };
+        bool m_stopping { false };
+    };
 
-bool isWholeNumber(const std::string& text)
-{
-    constexpr std::size_t mostDigits = 18;
-    return !text.empty() && text.size() <= mostDigits && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c); });
-}
+    bool expectsBody(const std::string& method)
+    {
+        return method == "POST" || method == "PUT" || method == "PATCH" || method == "PRI" || method == "DELETE";
+    }
 
-/// Whether the body's length is stated once, in a form that every proxy reads alike.
-bool hasClearLength(const httplib::Request& request)
-{
-    std::size_t lengths = request.get_header_value_count("Content-Length");
-    std::size_t encodings = request.get_header_value_count("Transfer-Encoding");
-    if (lengths + encodings > 1)
-        return false;
-    if (encodings)
-        return request.get_header_value("Transfer-Encoding") == "chunked";
-    return !lengths || isWholeNumber(request.get_header_value("Content-Length"));
-}
+    bool isWholeNumber(const std::string& text)
+    {
+        constexpr std::size_t mostDigits = 18;
+        return !text.empty() && text.size() <= mostDigits && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c); });
+    }
 
-thread_local CallerConnection* currentConnection = nullptr;
+    /// Whether the body's length is stated once, in a form that every proxy reads alike.
+    bool hasClearLength(const httplib::Request& request)
+    {
+        std::size_t lengths = request.get_header_value_count("Content-Length");
+        std::size_t encodings = request.get_header_value_count("Transfer-Encoding");
+        if (lengths + encodings > 1)
+            return false;
+        if (encodings)
+            return request.get_header_value("Transfer-Encoding") == "chunked";
+        return !lengths || isWholeNumber(request.get_header_value("Content-Length"));
+    }
+
+    thread_local CallerConnection* currentConnection = nullptr;
+thread_local BoundedStream* currentStream = nullptr;
 
 } // namespace
 
@@ -322,7 +323,7 @@
         if (response.has_header("Limpetpond-Outcome"))
             return HandlerResponse::Unhandled;
         connection.mustClose = true;
-        if (int status = m_stream->refusedStatus())
+        if (int status = currentStream->refusedStatus())
             response.status = status;
         response.set_header("Connection", "close");
         m_refused(request, response, connection);
@@ -359,7 +360,7 @@
     void serveConnection(socket_t socket, bool isOverLimit)
     {
         BoundedStream stream(socket, m_options);
-        m_stream = &stream;
+        currentStream = &stream;
         while (waitForRequest(stream)) {
             CallerConnection connection { .socket = socket, .isOverLimit = isOverLimit };
             currentConnection = &connection;
@@ -373,7 +374,7 @@
             if (!served || closed || connection.mustClose || isOverLimit)
                 break;
         }
-        m_stream = nullptr;
+        currentStream = nullptr;
         drainInput(socket);
     }
 
@@ -388,7 +389,7 @@
         m_refused(request, response, connection);
         std::string text = "HTTP/1.1 " + std::to_string(response.status) + " Refused\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\n";
         for (const auto& [name, value] : response.headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         text += "\r\n" + response.body;
         stream.write(text.data(), text.size());
     }
@@ -426,11 +427,8 @@
     CallerServer::Handler m_refused;
     std::atomic<bool> m_stopping { false };
     std::atomic<int> m_open { 0 };
-    static thread_local BoundedStream* m_stream;
 };
 
-thread_local BoundedStream* CallerServer::Listener::m_stream = nullptr;
-
 CallerServer::CallerServer(CallerServerOptions options, Handler handler, Handler refused)
     : m_options(std::move(options))
     , m_listener(std::make_unique<Listener>(m_options, std::move(handler), std::move(refused)))
--- a/src/caller/CompletionAssembler.cpp
+++ b/src/caller/CompletionAssembler.cpp
@@ -8,56 +8,56 @@
 
 namespace {
 
-namespace json = boost::json;
+    namespace json = boost::json;
 
-std::int64_t indexOf(const json::object& object)
-{
-    const json::value* index = object.if_contains("index");
-    return index && index->is_int64() ? index->get_int64() : 0;
-}
+    std::int64_t indexOf(const json::object& object)
+    {
+        const json::value* index = object.if_contains("index");
+        return index && index->is_int64() ? index->get_int64() : 0;
+    }
 
-/// Fields that name a thing stand once; all other texts of a delta are parts to be joined.
-bool isName(std::string_view key)
-{
-    constexpr std::array<std::string_view, 4> names { "role", "id", "type", "name" };
-    return std::find(names.begin(), names.end(), key) != names.end();
-}
+    /// Fields that name a thing stand once; all other texts of a delta are parts to be joined.
+    bool isName(std::string_view key)
+    {
+        constexpr std::array<std::string_view, 4> names { "role", "id", "type", "name" };
+        return std::find(names.begin(), names.end(), key) != names.end();
+    }
 
-void mergeDelta(json::object& into, const json::object& delta);
+    void mergeDelta(json::object& into, const json::object& delta);
 
-void mergeList(json::array& into, const json::array& delta)
-{
-    for (const json::value& item : delta) {
-        if (!item.is_object()) {
-            into.push_back(item);
-            continue;
+    void mergeList(json::array& into, const json::array& delta)
+    {
+        for (const json::value& item : delta) {
+            if (!item.is_object()) {
+                into.push_back(item);
+                continue;
+            }
+            auto sameIndex = [&](const json::value& other) { return other.is_object() && indexOf(other.get_object()) == indexOf(item.get_object()); };
+            auto found = std::find_if(into.begin(), into.end(), sameIndex);
+            if (found == into.end())
+                into.push_back(item);
+            else
+                mergeDelta(found->get_object(), item.get_object());
         }
-        auto sameIndex = [&](const json::value& other) { return other.is_object() && indexOf(other.get_object()) == indexOf(item.get_object()); };
-        auto found = std::find_if(into.begin(), into.end(), sameIndex);
-        if (found == into.end())
-            into.push_back(item);
-        else
-            mergeDelta(found->get_object(), item.get_object());
     }
-}
 
-void mergeDelta(json::object& into, const json::object& delta)
-{
-    for (const auto& [key, value] : delta) {
-        json::value* present = into.if_contains(key);
-        std::string_view name(key.data(), key.size());
-        if (!present || present->is_null())
-            into[key] = value;
-        else if (present->is_string() && value.is_string() && !isName(name))
-            present->get_string().append(value.get_string());
-        else if (present->is_object() && value.is_object())
-            mergeDelta(present->get_object(), value.get_object());
-        else if (present->is_array() && value.is_array())
-            mergeList(present->get_array(), value.get_array());
-        else if (!value.is_null() && name != "index")
-            *present = value;
+    void mergeDelta(json::object& into, const json::object& delta)
+    {
+        for (const auto& [key, value] : delta) {
+            json::value* present = into.if_contains(key);
+            std::string_view name(key.data(), key.size());
+            if (!present || present->is_null())
+                into[key] = value;
+            else if (present->is_string() && value.is_string() && !isName(name))
+                present->get_string().append(value.get_string());
+            else if (present->is_object() && value.is_object())
+                mergeDelta(present->get_object(), value.get_object());
+            else if (present->is_array() && value.is_array())
+                mergeList(present->get_array(), value.get_array());
+            else if (!value.is_null() && name != "index")
+                *present = value;
+        }
     }
-}
 
 } // namespace
 
--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -7,24 +7,24 @@
 
 namespace {
 
-constexpr std::size_t kIndexDigits = 8;
-
-std::string_view toText(DispatchEnd end)
-{
-    switch (end) {
-    case DispatchEnd::Completed:
-        return "completed";
-    case DispatchEnd::NotStarted:
-        return "not_started";
-    case DispatchEnd::Cancelled:
-        return "cancelled";
-    case DispatchEnd::Lost:
-        return "lost";
-    case DispatchEnd::TargetError:
-        return "target_error";
+    constexpr std::size_t kIndexDigits = 8;
+
+    std::string_view toText(DispatchEnd end)
+    {
+        switch (end) {
+        case DispatchEnd::Completed:
+            return "completed";
+        case DispatchEnd::NotStarted:
+            return "not_started";
+        case DispatchEnd::Cancelled:
+            return "cancelled";
+        case DispatchEnd::Lost:
+            return "lost";
+        case DispatchEnd::TargetError:
+            return "target_error";
+        }
+        return "";
     }
-    return "";
-}
 
 } // namespace
 
@@ -192,8 +192,7 @@
 void ControlThread::record(const ControlEvent& event)
 {
     if (const auto* arrival = std::get_if<RequestArrived>(&event)) {
-        m_timeline.record({ .kind = "request_arrived", .request = arrival->request,
-            .fields = { { "account", arrival->account.value() }, { "pool", arrival->pool.value() }, { "tier", std::to_string(arrival->tier.level) } } });
+        m_timeline.record({ .kind = "request_arrived", .request = arrival->request, .fields = { { "account", arrival->account.value() }, { "pool", arrival->pool.value() }, { "tier", std::to_string(arrival->tier.level) } } });
     } else if (const auto* ended = std::get_if<DispatchEnded>(&event)) {
         m_timeline.record({ .kind = "dispatch_ended", .request = ended->request, .attempt = ended->attempt, .fields = { { "end", std::string(toText(ended->end)) } } });
     } else if (const auto* started = std::get_if<AnswerStarted>(&event)) {
@@ -212,8 +211,7 @@
     } else if (const auto* cancel = std::get_if<CancelDispatch>(&action)) {
         m_timeline.record({ .kind = "cancel_dispatch", .request = cancel->request, .attempt = cancel->attempt, .target = cancel->target });
     } else if (const auto* final = std::get_if<FinalAnswer>(&action)) {
-        m_timeline.record({ .kind = "final_answer", .request = final->request,
-            .fields = { { "outcome", std::string(toString(final->outcome)) }, { "reason", std::string(toString(final->reason)) } } });
+        m_timeline.record({ .kind = "final_answer", .request = final->request, .fields = { { "outcome", std::string(toString(final->outcome)) }, { "reason", std::string(toString(final->reason)) } } });
     } else if (const auto* write = std::get_if<WriteClaim>(&action)) {
         m_timeline.record({ .kind = "claim_write", .request = write->request, .attempt = write->row.attempt });
     } else if (const auto* alarm = std::get_if<RaiseAlarm>(&action)) {
--- a/src/daemon/Traffic.cpp
+++ b/src/daemon/Traffic.cpp
@@ -14,90 +14,90 @@
 
 namespace {
 
-namespace json = boost::json;
-using std::chrono::milliseconds;
+    namespace json = boost::json;
+    using std::chrono::milliseconds;
 
-constexpr milliseconds kWaitSlice { 500 }; ///< How often a waiting thread looks for an abort.
-constexpr milliseconds kBackpressureSlice { 2 };
-constexpr TokenCount kDefaultAnswerTokens { 256 };
-constexpr std::size_t kMaxKeyLength = 255;
-constexpr std::chrono::seconds kRetryAfterCrowd { 2 };
-constexpr const char* kJson = "application/json";
+    constexpr milliseconds kWaitSlice { 500 }; ///< How often a waiting thread looks for an abort.
+    constexpr milliseconds kBackpressureSlice { 2 };
+    constexpr TokenCount kDefaultAnswerTokens { 256 };
+    constexpr std::size_t kMaxKeyLength = 255;
+    constexpr std::chrono::seconds kRetryAfterCrowd { 2 };
+    constexpr const char* kJson = "application/json";
 
-std::vector<HttpHeader> toHeaders(const httplib::Headers& headers)
-{
-    std::vector<HttpHeader> list;
-    for (const auto& [name, value] : headers)
-        list.push_back({ name, value });
-    return list;
-}
-
-std::string headerOf(const CallerConnection& connection, const char* name)
-{
-    auto found = connection.headers.find(name);
-    return found == connection.headers.end() ? std::string() : found->second;
-}
-
-double secondsBetween(SteadyTime from, SteadyTime to) { return std::chrono::duration<double>(to - from).count(); }
+    std::vector<HttpHeader> toHeaders(const httplib::Headers& headers)
+    {
+        std::vector<HttpHeader> list;
+        for (const auto& [name, value] : headers)
+            list.push_back({ name, value });
+        return list;
+    }
 
-bool wantsUsage(std::string_view body)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(json::string_view(body.data(), body.size()), error);
-    const json::object* object = error ? nullptr : value.if_object();
-    const json::value* options = object ? object->if_contains("stream_options") : nullptr;
-    const json::value* wanted = options && options->is_object() ? options->get_object().if_contains("include_usage") : nullptr;
-    return wanted && wanted->is_bool() && wanted->get_bool();
-}
+    std::string headerOf(const CallerConnection& connection, const char* name)
+    {
+        auto found = connection.headers.find(name);
+        return found == connection.headers.end() ? std::string() : found->second;
+    }
 
-/// The chunk that engines send only because every stream is asked for with its usage.
-bool isUsageOnly(const EngineChunk& chunk)
-{
-    return chunk.promptTokens && chunk.text.empty() && chunk.finishReason.empty() && chunk.data.find("\"choices\":[]") != std::string::npos;
-}
+    double secondsBetween(SteadyTime from, SteadyTime to) { return std::chrono::duration<double>(to - from).count(); }
 
-bool isPrintable(std::string_view text)
-{
-    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
-}
+    bool wantsUsage(std::string_view body)
+    {
+        boost::system::error_code error;
+        json::value value = json::parse(json::string_view(body.data(), body.size()), error);
+        const json::object* object = error ? nullptr : value.if_object();
+        const json::value* options = object ? object->if_contains("stream_options") : nullptr;
+        const json::value* wanted = options && options->is_object() ? options->get_object().if_contains("include_usage") : nullptr;
+        return wanted && wanted->is_bool() && wanted->get_bool();
+    }
 
-std::optional<std::uint64_t> parseToken(const std::string& text)
-{
-    constexpr std::size_t mostDigits = 18;
-    if (text.empty() || text.size() > mostDigits || !std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c); }))
-        return std::nullopt;
-    return std::stoull(text);
-}
+    /// The chunk that engines send only because every stream is asked for with its usage.
+    bool isUsageOnly(const EngineChunk& chunk)
+    {
+        return chunk.promptTokens && chunk.text.empty() && chunk.finishReason.empty() && chunk.data.find("\"choices\":[]") != std::string::npos;
+    }
 
-template <typename... Handlers>
-struct Overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
-/// Counts one thing for as long as it lives.
-class Counted {
-public:
-    explicit Counted(std::atomic<int>& count)
-        : m_count(&count)
+    bool isPrintable(std::string_view text)
     {
-        m_count->fetch_add(1);
+        return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
     }
-    ~Counted() { release(); }
-    Counted(const Counted&) = delete;
-    Counted& operator=(const Counted&) = delete;
 
-    void release()
+    std::optional<std::uint64_t> parseToken(const std::string& text)
     {
-        if (m_count)
-            m_count->fetch_sub(1);
-        m_count = nullptr;
+        constexpr std::size_t mostDigits = 18;
+        if (text.empty() || text.size() > mostDigits || !std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c); }))
+            return std::nullopt;
+        return std::stoull(text);
     }
 
-private:
-    std::atomic<int>* m_count;
-};
+    template <typename... Handlers>
+    struct Overloaded : Handlers... {
+        using Handlers::operator()...;
+    };
+    template <typename... Handlers>
+    Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+    /// Counts one thing for as long as it lives.
+    class Counted {
+    public:
+        explicit Counted(std::atomic<int>& count)
+            : m_count(&count)
+        {
+            m_count->fetch_add(1);
+        }
+        ~Counted() { release(); }
+        Counted(const Counted&) = delete;
+        Counted& operator=(const Counted&) = delete;
+
+        void release()
+        {
+            if (m_count)
+                m_count->fetch_sub(1);
+            m_count = nullptr;
+        }
+
+    private:
+        std::atomic<int>* m_count;
+    };
 
 } // namespace
 
@@ -321,8 +321,7 @@
 
         ApiError finalError() const
         {
-            ApiError error { .status = statusOf(m_final->outcome, m_final->reason), .outcome = m_final->outcome, .reason = m_final->reason,
-                .retryAfter = m_final->retryAfter, .retryToken = m_final->retryToken };
+            ApiError error { .status = statusOf(m_final->outcome, m_final->reason), .outcome = m_final->outcome, .reason = m_final->reason, .retryAfter = m_final->retryAfter, .retryToken = m_final->retryToken };
             if (m_targetAnswer)
                 error.message = "The target ended the stream with an error.";
             return error;
@@ -359,8 +358,7 @@
         int fillNotKept(httplib::Response& response)
         {
             constexpr int gone = 410;
-            ApiError error { .status = gone, .outcome = Outcome::Completed, .reason = Reason::None,
-                .message = "The call was completed earlier; its answer is not kept." };
+            ApiError error { .status = gone, .outcome = Outcome::Completed, .reason = Reason::None, .message = "The call was completed earlier; its answer is not kept." };
             response.status = gone;
             response.set_content(errorBody(error, id()), kJson);
             return gone;
@@ -421,11 +419,7 @@
             if (m_final->outcome == Outcome::NotRun && m_final->reason == Reason::Overloaded)
                 metrics.counter("limpetpond_shed_total", "Requests given up on under overload.", tierLabel()).add();
             metrics.seconds("limpetpond_request_seconds", "From the arrival of a request to its final answer.", tierLabel()).record(secondsBetween(m_arrivedAt, now));
-            logLine(LogLevel::Info, "request_ended", { { "request", id().value() }, { "attempt", m_lastAttempt.value() }, { "target", m_target.value() },
-                                                        { "account", m_call->arrival.account.value() }, { "pool", m_call->arrival.pool.value() },
-                                                        { "tier", m_call->arrival.tier.level }, { "outcome", toString(m_final->outcome) },
-                                                        { "reason", toString(m_final->reason) }, { "status", m_status }, { "caller_gone", m_callerGone },
-                                                        { "seconds", secondsBetween(m_arrivedAt, now) } });
+            logLine(LogLevel::Info, "request_ended", { { "request", id().value() }, { "attempt", m_lastAttempt.value() }, { "target", m_target.value() }, { "account", m_call->arrival.account.value() }, { "pool", m_call->arrival.pool.value() }, { "tier", m_call->arrival.tier.level }, { "outcome", toString(m_final->outcome) }, { "reason", toString(m_final->reason) }, { "status", m_status }, { "caller_gone", m_callerGone }, { "seconds", secondsBetween(m_arrivedAt, now) } });
             m_open.release();
         }
 
@@ -455,140 +449,139 @@
 
 namespace {
 
-using detail::Conversation;
-using detail::ParsedCall;
+    using detail::Conversation;
+    using detail::ParsedCall;
 
-auto refuse(Reason reason, bool hasKey, std::string message = {}, std::string param = {})
-{
-    Outcome outcome = refusalOutcome(reason, hasKey);
-    // The status says what is wrong with this request; the outcome says what is known of the call.
-    ApiError error { .status = statusOf(Outcome::NotRun, reason), .outcome = outcome, .reason = reason, .message = std::move(message), .param = std::move(param) };
-    if (error.status == 503)
-        error.retryAfter = kRetryAfterCrowd;
-    return boost::leaf::new_error(std::move(error));
-}
+    auto refuse(Reason reason, bool hasKey, std::string message = {}, std::string param = {})
+    {
+        Outcome outcome = refusalOutcome(reason, hasKey);
+        // The status says what is wrong with this request; the outcome says what is known of the call.
+        ApiError error { .status = statusOf(Outcome::NotRun, reason), .outcome = outcome, .reason = reason, .message = std::move(message), .param = std::move(param) };
+        if (error.status == 503)
+            error.retryAfter = kRetryAfterCrowd;
+        return boost::leaf::new_error(std::move(error));
+    }
 
-std::string bearerKey(const CallerConnection& connection)
-{
-    constexpr std::string_view scheme = "bearer ";
-    std::string value = headerOf(connection, "Authorization");
-    std::string start = value.substr(0, scheme.size());
-    std::transform(start.begin(), start.end(), start.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return start == scheme ? value.substr(scheme.size()) : std::string();
-}
+    std::string bearerKey(const CallerConnection& connection)
+    {
+        constexpr std::string_view scheme = "bearer ";
+        std::string value = headerOf(connection, "Authorization");
+        std::string start = value.substr(0, scheme.size());
+        std::transform(start.begin(), start.end(), start.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        return start == scheme ? value.substr(scheme.size()) : std::string();
+    }
 
-Result<ClientAccountSettings> authenticate(const PublishedView& view, const CallerConnection& connection, bool hasKey)
-{
-    if (!view.settings || !view.accounts)
-        return refuse(Reason::NotReady, hasKey);
-    std::string key = bearerKey(connection);
-    std::optional<ClientAccountId> account = key.empty() ? std::nullopt : view.accounts->find(sha256Hex(key));
-    if (!account)
-        return refuse(Reason::Unauthorized, hasKey);
-    return view.settings->accounts.at(*account);
-}
+    Result<ClientAccountSettings> authenticate(const PublishedView& view, const CallerConnection& connection, bool hasKey)
+    {
+        if (!view.settings || !view.accounts)
+            return refuse(Reason::NotReady, hasKey);
+        std::string key = bearerKey(connection);
+        std::optional<ClientAccountId> account = key.empty() ? std::nullopt : view.accounts->find(sha256Hex(key));
+        if (!account)
+            return refuse(Reason::Unauthorized, hasKey);
+        return view.settings->accounts.at(*account);
+    }
 
-Result<std::optional<SteadyTime>> callerDeadline(const CallerConnection& connection, SteadyTime now, bool hasKey)
-{
-    std::string text = headerOf(connection, kTimeoutHeader);
-    if (text.empty())
-        return std::optional<SteadyTime>();
-    std::optional<milliseconds> timeout = parseDuration(text);
-    constexpr milliseconds most = std::chrono::hours(1);
-    if (!timeout || *timeout <= milliseconds::zero() || *timeout > most)
-        return refuse(Reason::BadRequest, hasKey, "Limpetpond-Timeout must be a time with unit (ms, s, m, h) from 1ms to 1h.", kTimeoutHeader);
-    return std::optional(now + *timeout);
-}
+    Result<std::optional<SteadyTime>> callerDeadline(const CallerConnection& connection, SteadyTime now, bool hasKey)
+    {
+        std::string text = headerOf(connection, kTimeoutHeader);
+        if (text.empty())
+            return std::optional<SteadyTime>();
+        std::optional<milliseconds> timeout = parseDuration(text);
+        constexpr milliseconds most = std::chrono::hours(1);
+        if (!timeout || *timeout <= milliseconds::zero() || *timeout > most)
+            return refuse(Reason::BadRequest, hasKey, "Limpetpond-Timeout must be a time with unit (ms, s, m, h) from 1ms to 1h.", kTimeoutHeader);
+        return std::optional(now + *timeout);
+    }
 
-Result<void> parseModelCall(ParsedCall& call, const Settings& settings, const httplib::Request& request)
-{
-    if (call.routed.route == CallRoute::ChatCompletions && request.body.find("\"messages\"") == std::string::npos)
-        return refuse(Reason::BadRequest, false, "The field messages must be given.", "messages");
-    ApiError refusal;
-    PromptRequest prompt = boost::leaf::try_handle_all(
-        [&]() -> Result<PromptRequest> { return parsePrompt(request.body); },
-        [&](const InvalidSetting& invalid) {
-            refusal = { .status = 400, .reason = Reason::BadRequest, .message = "The field " + invalid.name + " must be " + invalid.allowed + ".", .param = invalid.name };
-            return PromptRequest {};
-        },
-        [&] {
-            refusal = { .status = 400, .reason = Reason::BadRequest };
-            return PromptRequest {};
-        });
-    if (!refusal.message.empty() || refusal.status == 400)
-        return boost::leaf::new_error(std::move(refusal));
-    const PoolSettings* pool = findModelPool(settings, prompt.model);
-    if (!pool)
-        return refuse(Reason::NotFound, false, "There is no such model.", "model");
-    call.pool = *pool;
-    call.stream = prompt.stream;
-    call.passUsage = !prompt.stream || wantsUsage(request.body);
-    call.body = request.body;
-    call.arrival.promptTokens = estimateTokens(prompt.prompt);
-    call.arrival.answerTokens = prompt.maxAnswerTokens.count() ? prompt.maxAnswerTokens : kDefaultAnswerTokens;
-    call.arrival.prefixBlocks = prefixBlocks(prompt.prompt);
-    return {};
-}
+    Result<void> parseModelCall(ParsedCall& call, const Settings& settings, const httplib::Request& request)
+    {
+        if (call.routed.route == CallRoute::ChatCompletions && request.body.find("\"messages\"") == std::string::npos)
+            return refuse(Reason::BadRequest, false, "The field messages must be given.", "messages");
+        ApiError refusal;
+        PromptRequest prompt = boost::leaf::try_handle_all(
+            [&]() -> Result<PromptRequest> { return parsePrompt(request.body); },
+            [&](const InvalidSetting& invalid) {
+                refusal = { .status = 400, .reason = Reason::BadRequest, .message = "The field " + invalid.name + " must be " + invalid.allowed + ".", .param = invalid.name };
+                return PromptRequest {};
+            },
+            [&] {
+                refusal = { .status = 400, .reason = Reason::BadRequest };
+                return PromptRequest {};
+            });
+        if (!refusal.message.empty() || refusal.status == 400)
+            return boost::leaf::new_error(std::move(refusal));
+        const PoolSettings* pool = findModelPool(settings, prompt.model);
+        if (!pool)
+            return refuse(Reason::NotFound, false, "There is no such model.", "model");
+        call.pool = *pool;
+        call.stream = prompt.stream;
+        call.passUsage = !prompt.stream || wantsUsage(request.body);
+        call.body = request.body;
+        call.arrival.promptTokens = estimateTokens(prompt.prompt);
+        call.arrival.answerTokens = prompt.maxAnswerTokens.count() ? prompt.maxAnswerTokens : kDefaultAnswerTokens;
+        call.arrival.prefixBlocks = prefixBlocks(prompt.prompt);
+        return {};
+    }
 
-Result<void> checkKey(const ParsedCall& call, const CallerConnection& connection)
-{
-    const std::string& key = call.arrival.key.value();
-    if (key.empty() && !call.arrival.idempotent)
-        return refuse(Reason::KeyRequired, false, {}, kIdempotencyKeyHeader);
-    if (key.size() > kMaxKeyLength || !isPrintable(key))
-        return refuse(Reason::BadRequest, false, "Idempotency-Key must be 1 to 255 printable characters without spaces.", kIdempotencyKeyHeader);
-    if (connection.headers.count(kIdempotencyKeyHeader) > 1)
-        return refuse(Reason::BadRequest, false, "Idempotency-Key must be given once.", kIdempotencyKeyHeader);
-    return {};
-}
+    Result<void> checkKey(const ParsedCall& call, const CallerConnection& connection)
+    {
+        const std::string& key = call.arrival.key.value();
+        if (key.empty() && !call.arrival.idempotent)
+            return refuse(Reason::KeyRequired, false, {}, kIdempotencyKeyHeader);
+        if (key.size() > kMaxKeyLength || !isPrintable(key))
+            return refuse(Reason::BadRequest, false, "Idempotency-Key must be 1 to 255 printable characters without spaces.", kIdempotencyKeyHeader);
+        if (connection.headers.count(kIdempotencyKeyHeader) > 1)
+            return refuse(Reason::BadRequest, false, "Idempotency-Key must be given once.", kIdempotencyKeyHeader);
+        return {};
+    }
 
-Result<void> parseServiceCall(ParsedCall& call, const Settings& settings, const httplib::Request& request, const CallerConnection& connection)
-{
-    bool hasKey = !call.arrival.key.isEmpty();
-    const PoolSettings* pool = findServicePool(settings, call.routed.service);
-    if (!pool)
-        return refuse(Reason::NotFound, hasKey, "There is no such service.");
-    if (!pool->nonIdempotentMethods.empty() && !isPlainPath(call.routed.decodedServicePath, call.routed.servicePath))
-        return refuse(Reason::BadRequest, hasKey, "The path must not hold empty, dot or encoded segments.");
-    call.pool = *pool;
-    call.arrival.idempotent = !runsAtMostOnce(*pool, request.method, call.routed.decodedServicePath);
-    BOOST_LEAF_CHECK(checkKey(call, connection));
-    call.arrival.bodyHash = hashBody(request.method + ' ' + call.routed.servicePath + '\n' + request.body);
-    std::string token = headerOf(connection, kRetryTokenHeader);
-    if (!token.empty()) {
-        std::optional<std::uint64_t> parsed = parseToken(token);
-        if (!parsed)
-            return refuse(Reason::BadRequest, false, "Limpetpond-Retry-Token must be the number that an earlier answer gave.", kRetryTokenHeader);
-        call.arrival.retryToken = *parsed;
+    Result<void> parseServiceCall(ParsedCall& call, const Settings& settings, const httplib::Request& request, const CallerConnection& connection)
+    {
+        bool hasKey = !call.arrival.key.isEmpty();
+        const PoolSettings* pool = findServicePool(settings, call.routed.service);
+        if (!pool)
+            return refuse(Reason::NotFound, hasKey, "There is no such service.");
+        if (!pool->nonIdempotentMethods.empty() && !isPlainPath(call.routed.decodedServicePath, call.routed.servicePath))
+            return refuse(Reason::BadRequest, hasKey, "The path must not hold empty, dot or encoded segments.");
+        call.pool = *pool;
+        call.arrival.idempotent = !runsAtMostOnce(*pool, request.method, call.routed.decodedServicePath);
+        BOOST_LEAF_CHECK(checkKey(call, connection));
+        call.arrival.bodyHash = hashBody(request.method + ' ' + call.routed.servicePath + '\n' + request.body);
+        std::string token = headerOf(connection, kRetryTokenHeader);
+        if (!token.empty()) {
+            std::optional<std::uint64_t> parsed = parseToken(token);
+            if (!parsed)
+                return refuse(Reason::BadRequest, false, "Limpetpond-Retry-Token must be the number that an earlier answer gave.", kRetryTokenHeader);
+            call.arrival.retryToken = *parsed;
+        }
+        call.serviceRequest = { .method = request.method, .path = call.routed.servicePath, .headers = headersForService(toHeaders(connection.headers)), .contentType = headerOf(connection, "Content-Type"), .body = request.body };
+        return {};
     }
-    call.serviceRequest = { .method = request.method, .path = call.routed.servicePath, .headers = headersForService(toHeaders(connection.headers)),
-        .contentType = headerOf(connection, "Content-Type"), .body = request.body };
-    return {};
-}
 
-Result<std::shared_ptr<const ParsedCall>> parseCall(RoutedCall routed, const PublishedView& view, const httplib::Request& request,
-    const CallerConnection& connection, RequestId id, SteadyTime now)
-{
-    bool isService = routed.route == CallRoute::Service;
-    std::string key = isService ? headerOf(connection, kIdempotencyKeyHeader) : std::string();
-    BOOST_LEAF_AUTO(account, authenticate(view, connection, !key.empty()));
-    auto call = std::make_shared<ParsedCall>();
-    call->routed = std::move(routed);
-    call->arrival.request = std::move(id);
-    call->arrival.account = account.id;
-    call->arrival.tier = account.tier;
-    call->arrival.key = IdempotencyKey { key };
-    BOOST_LEAF_ASSIGN(call->arrival.deadline, callerDeadline(connection, now, !key.empty()));
-    if (static_cast<std::int64_t>(request.body.size()) > view.settings->site.maxBody.count())
-        return refuse(Reason::TooLarge, !key.empty());
-    if (isService) {
-        BOOST_LEAF_CHECK(parseServiceCall(*call, *view.settings, request, connection));
-    } else {
-        BOOST_LEAF_CHECK(parseModelCall(*call, *view.settings, request));
+    Result<std::shared_ptr<const ParsedCall>> parseCall(RoutedCall routed, const PublishedView& view, const httplib::Request& request,
+        const CallerConnection& connection, RequestId id, SteadyTime now)
+    {
+        bool isService = routed.route == CallRoute::Service;
+        std::string key = isService ? headerOf(connection, kIdempotencyKeyHeader) : std::string();
+        BOOST_LEAF_AUTO(account, authenticate(view, connection, !key.empty()));
+        auto call = std::make_shared<ParsedCall>();
+        call->routed = std::move(routed);
+        call->arrival.request = std::move(id);
+        call->arrival.account = account.id;
+        call->arrival.tier = account.tier;
+        call->arrival.key = IdempotencyKey { key };
+        BOOST_LEAF_ASSIGN(call->arrival.deadline, callerDeadline(connection, now, !key.empty()));
+        if (static_cast<std::int64_t>(request.body.size()) > view.settings->site.maxBody.count())
+            return refuse(Reason::TooLarge, !key.empty());
+        if (isService) {
+            BOOST_LEAF_CHECK(parseServiceCall(*call, *view.settings, request, connection));
+        } else {
+            BOOST_LEAF_CHECK(parseModelCall(*call, *view.settings, request));
+        }
+        call->arrival.pool = call->pool.id;
+        return std::shared_ptr<const ParsedCall>(std::move(call));
     }
-    call->arrival.pool = call->pool.id;
-    return std::shared_ptr<const ParsedCall>(std::move(call));
-}
 
 } // namespace
 
@@ -703,7 +696,7 @@
         [&] { Conversation::fillError(response, { .status = 500, .outcome = Outcome::Unknown, .reason = Reason::AnswerLost }, id); });
 }
 
-void Traffic::startAttempt(std::shared_ptr<detail::Attempt> attempt)
+void Traffic::startAttempt(const std::shared_ptr<detail::Attempt>& attempt)
 {
     m_dispatching.fetch_add(1);
     bool isTaken = m_workers.submit([this, attempt] {
@@ -720,63 +713,63 @@
 
 namespace {
 
-/// What an attempt tells the control thread and the conversation at its end.
-struct AttemptResult {
-    AttemptEnded forTicket;
-    DispatchEnded forControl;
-};
+    /// What an attempt tells the control thread and the conversation at its end.
+    struct AttemptResult {
+        AttemptEnded forTicket;
+        DispatchEnded forControl;
+    };
 
-AttemptResult notStarted(const Dispatch& dispatch, std::string detail)
-{
-    return { .forTicket = { .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted, .detail = std::move(detail) },
-        .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted } };
-}
+    AttemptResult notStarted(const Dispatch& dispatch, std::string detail)
+    {
+        return { .forTicket = { .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted, .detail = std::move(detail) },
+            .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted } };
+    }
 
-AttemptResult runEngineAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls, ControlThread& control)
-{
-    const Dispatch& dispatch = attempt.dispatch;
-    const ParsedCall& parsed = *attempt.call;
-    EngineCall call { .attempt = dispatch.attempt,
-        .path = parsed.routed.route == CallRoute::ChatCompletions ? "/v1/chat/completions" : "/v1/completions",
-        .body = parsed.body,
-        .timeout = parsed.pool.callTimeout,
-        .connectTimeout = options.connectTimeout };
-    bool started = false;
-    std::int64_t answerBytes = 0;
-    EngineCallHandlers handlers;
-    handlers.started = [&](std::optional<TokenCount> cached) {
-        started = true;
-        control.post(AnswerStarted { dispatch.request, dispatch.attempt, cached });
-    };
-    handlers.chunk = [&](const EngineChunk& chunk) {
-        auto bytes = static_cast<std::int64_t>(chunk.data.size());
-        answerBytes += bytes;
-        if (answerBytes > options.maxAnswer.count())
-            return false;
-        attempt.ticket->heldBytes += bytes;
-        attempt.ticket->mailbox.post(StreamedChunk { dispatch.attempt, chunk });
-        while (attempt.ticket->heldBytes > options.maxStreamBuffer.count() && !attempt.stop.isRequested() && !attempt.isAbandoned)
-            std::this_thread::sleep_for(kBackpressureSlice);
-        return true;
-    };
-    EngineCallEnd end = calls.engine({ target.id, { target.host, target.port } }, call, handlers, attempt.stop);
-    return { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .answer = std::move(end.error), .promptTokens = end.promptTokens, .cachedPromptTokens = end.cachedPromptTokens, .started = started, .detail = std::move(end.detail) },
-        .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end, .answerTokens = end.answerTokens, .answerPassedOn = end.answerPassedOn } };
-}
+    AttemptResult runEngineAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls, ControlThread& control)
+    {
+        const Dispatch& dispatch = attempt.dispatch;
+        const ParsedCall& parsed = *attempt.call;
+        EngineCall call { .attempt = dispatch.attempt,
+            .path = parsed.routed.route == CallRoute::ChatCompletions ? "/v1/chat/completions" : "/v1/completions",
+            .body = parsed.body,
+            .timeout = parsed.pool.callTimeout,
+            .connectTimeout = options.connectTimeout };
+        bool started = false;
+        std::int64_t answerBytes = 0;
+        EngineCallHandlers handlers;
+        handlers.started = [&](std::optional<TokenCount> cached) {
+            started = true;
+            control.post(AnswerStarted { dispatch.request, dispatch.attempt, cached });
+        };
+        handlers.chunk = [&](const EngineChunk& chunk) {
+            auto bytes = static_cast<std::int64_t>(chunk.data.size());
+            answerBytes += bytes;
+            if (answerBytes > options.maxAnswer.count())
+                return false;
+            attempt.ticket->heldBytes += bytes;
+            attempt.ticket->mailbox.post(StreamedChunk { dispatch.attempt, chunk });
+            while (attempt.ticket->heldBytes > options.maxStreamBuffer.count() && !attempt.stop.isRequested() && !attempt.isAbandoned)
+                std::this_thread::sleep_for(kBackpressureSlice);
+            return true;
+        };
+        EngineCallEnd end = calls.engine({ target.id, { target.host, target.port } }, call, handlers, attempt.stop);
+        return { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .answer = std::move(end.error), .promptTokens = end.promptTokens, .cachedPromptTokens = end.cachedPromptTokens, .started = started, .detail = std::move(end.detail) },
+            .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end, .answerTokens = end.answerTokens, .answerPassedOn = end.answerPassedOn } };
+    }
 
-AttemptResult runServiceAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls)
-{
-    const Dispatch& dispatch = attempt.dispatch;
-    const ParsedCall& parsed = *attempt.call;
-    ServiceCall call { .endpoint = { target.host, target.port }, .attempt = dispatch.attempt, .key = parsed.arrival.key, .request = parsed.serviceRequest, .connectTimeout = options.connectTimeout, .timeout = parsed.pool.callTimeout, .maxAnswer = options.maxAnswer };
-    ServiceCallEnd end = calls.service(call, attempt.stop);
-    AttemptResult result { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .detail = std::move(end.detail) },
-        .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end } };
-    if (end.answer && !parsed.arrival.idempotent)
-        result.forControl.storedAnswer = encodeStoredAnswer(*end.answer);
-    result.forTicket.answer = std::move(end.answer);
-    return result;
-}
+    AttemptResult runServiceAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls)
+    {
+        const Dispatch& dispatch = attempt.dispatch;
+        const ParsedCall& parsed = *attempt.call;
+        ServiceCall call { .endpoint = { target.host, target.port }, .attempt = dispatch.attempt, .key = parsed.arrival.key, .request = parsed.serviceRequest, .connectTimeout = options.connectTimeout, .timeout = parsed.pool.callTimeout, .maxAnswer = options.maxAnswer };
+        ServiceCallEnd end = calls.service(call, attempt.stop);
+        AttemptResult result { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .detail = std::move(end.detail) },
+            .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end } };
+        if (end.answer && !parsed.arrival.idempotent)
+            result.forControl.storedAnswer = encodeStoredAnswer(*end.answer);
+        result.forTicket.answer = std::move(end.answer);
+        return result;
+    }
 
 } // namespace
 
@@ -796,8 +789,7 @@
     else
         result = runServiceAttempt(attempt, target->second, m_options, m_calls);
     if (result.forTicket.end != DispatchEnd::Completed) {
-        logLine(LogLevel::Warning, "dispatch_failed", { { "request", dispatch.request.value() }, { "attempt", dispatch.attempt.value() },
-                                                          { "target", dispatch.target.value() }, { "detail", result.forTicket.detail } });
+        logLine(LogLevel::Warning, "dispatch_failed", { { "request", dispatch.request.value() }, { "attempt", dispatch.attempt.value() }, { "target", dispatch.target.value() }, { "detail", result.forTicket.detail } });
     }
     // The ticket comes first, so that the final answer finds all pieces before it.
     attempt.ticket->mailbox.post(std::move(result.forTicket));
--- a/src/daemon/Traffic.h
+++ b/src/daemon/Traffic.h
@@ -77,7 +77,7 @@
 
     void serve(const httplib::Request&, httplib::Response&, CallerConnection&);
     void serveAdmin(const httplib::Request&, httplib::Response&);
-    void startAttempt(std::shared_ptr<detail::Attempt>);
+    void startAttempt(const std::shared_ptr<detail::Attempt>&);
     void runAttempt(detail::Attempt&);
     RequestId makeRequestId();
 
--- a/test/AllTests.cpp
+++ b/test/AllTests.cpp
@@ -1,9 +1,29 @@
+#include <httplib.h>
+#include <thread>
+
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 
+namespace {
+
+// The library keeps tables from its first request on, which would count as a leak of the test that makes it.
+void warmHttpLibrary()
+{
+    httplib::Server server;
+    server.Get("/", [](const httplib::Request&, httplib::Response& response) { response.set_content("", "text/plain"); });
+    int port = server.bind_to_any_port("127.0.0.1");
+    std::thread thread([&] { server.listen_after_bind(); });
+    httplib::Client("127.0.0.1", port).Get("/");
+    server.stop();
+    thread.join();
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     // Some tests run servers, whose threads allocate as well.
     MemoryLeakWarningPlugin::turnOnThreadSafeNewDeleteOverloads();
+    warmHttpLibrary();
     return CommandLineTestRunner::RunAllTests(argc, argv);
 }
--- /dev/null
+++ b/test/TrafficTest.cpp
@@ -0,0 +1,441 @@
+#include "daemon/Traffic.h"
+#include "base/Hash.h"
+#include "caller/CallerApi.h"
+#include "test/RawConnection.h"
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TargetId kEngine { "engine-1" };
+const TargetId kService { "fees-1" };
+
+std::shared_ptr<const Settings> makeSettings()
+{
+    auto settings = std::make_shared<Settings>();
+    settings->version = SettingsVersion { 1 };
+    settings->accounts[ClientAccountId { "acme" }] = { .id = ClientAccountId { "acme" }, .tier = TierLevel { 2 }, .keyHashes = { sha256Hex("key-1") } };
+    settings->pools[PoolId { "drafts" }] = { .id = PoolId { "drafts" }, .models = { ModelId { "small" } }, .targets = { kEngine } };
+    settings->pools[PoolId { "fees" }] = { .id = PoolId { "fees" }, .kind = TargetKind::PlainService, .service = "fees", .nonIdempotentMethods = { "POST" }, .targets = { kService } };
+    settings->targets[kEngine] = { .id = kEngine, .pool = PoolId { "drafts" }, .host = "127.0.0.1", .port = 1 };
+    settings->targets[kService] = { .id = kService, .pool = PoolId { "fees" }, .kind = TargetKind::PlainService, .host = "127.0.0.1", .port = 1 };
+    return settings;
+}
+
+/// A decision core that a test scripts; `events` is read after the control thread has stopped, or under the lock.
+struct ScriptedCore {
+    std::mutex mutex;
+    std::vector<std::string> events;
+    std::vector<RequestArrived> arrivals;
+    std::shared_ptr<const Settings> settings { makeSettings() };
+    std::function<void(const RequestArrived&, SteadyTime, ControlActions&)> onArrival;
+    std::function<void(const DispatchEnded&, ControlActions&)> onEnded;
+    std::function<void(const CallerGone&, ControlActions&)> onGone;
+
+    void handle(const ControlEvent& event, SteadyTime now, ControlActions& out)
+    {
+        std::lock_guard lock(mutex);
+        if (const auto* arrival = std::get_if<RequestArrived>(&event)) {
+            arrivals.push_back(*arrival);
+            if (onArrival)
+                onArrival(*arrival, now, out);
+        } else if (const auto* ended = std::get_if<DispatchEnded>(&event)) {
+            events.push_back("ended " + std::to_string(static_cast<int>(ended->end)));
+            if (onEnded)
+                onEnded(*ended, out);
+        } else if (const auto* gone = std::get_if<CallerGone>(&event)) {
+            events.push_back("gone");
+            if (onGone)
+                onGone(*gone, out);
+        } else if (std::holds_alternative<AnswerStarted>(event)) {
+            events.push_back("started");
+        }
+    }
+
+    bool hasEvent(const std::string& event)
+    {
+        std::lock_guard lock(mutex);
+        return std::find(events.begin(), events.end(), event) != events.end();
+    }
+
+    bool waitForEvent(const std::string& event)
+    {
+        for (int i = 0; i < 500 && !hasEvent(event); ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return hasEvent(event);
+    }
+};
+
+EngineChunk chunkOf(const std::string& text)
+{
+    return { .data = R"({"id":"c","choices":[{"index":0,"delta":{"content":")" + text + R"("}}]})", .text = text };
+}
+
+} // namespace
+
+TEST_GROUP(Traffic)
+{
+    SystemClock clock;
+    Metrics metrics;
+    Timeline timeline { {}, clock };
+    ScriptedCore core;
+    TargetCalls calls;
+    std::atomic<int> dispatches { 0 };
+    std::unique_ptr<ControlThread> control;
+    std::unique_ptr<Traffic> traffic;
+    std::unique_ptr<CallerServer> server;
+    int port { 0 };
+    TrafficOptions options { .instanceId = "i1", .maxOpenStreams = 8 };
+
+    void setup() override
+    {
+        core.onArrival = [](const RequestArrived& arrival, SteadyTime now, ControlActions& out) {
+            out.push_back(Dispatch { arrival.request, AttemptId { arrival.request.value() + "-a" }, arrival.pool == PoolId { "fees" } ? kService : kEngine, now + seconds(5) });
+        };
+        core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
+            bool isWhole = ended.end == DispatchEnd::Completed || ended.end == DispatchEnd::TargetError;
+            out.push_back(FinalAnswer { .request = ended.request, .outcome = isWhole ? Outcome::Completed : Outcome::Unknown, .reason = isWhole ? Reason::None : Reason::AnswerLost });
+        };
+        calls.engine = [this](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
+            ++dispatches;
+            handlers.started(std::nullopt);
+            handlers.chunk(chunkOf("He"));
+            handlers.chunk(chunkOf("llo"));
+            return EngineCallEnd { .end = DispatchEnd::Completed, .answerPassedOn = true };
+        };
+        calls.service = [this](const ServiceCall& call, CallStop&) {
+            ++dispatches;
+            return ServiceCallEnd { .end = DispatchEnd::Completed, .answer = HttpResponse { .status = 201, .headers = { { "Content-Type", "text/x" }, { "X-Path", call.request.path } }, .body = call.request.method + " " + call.request.body } };
+        };
+    }
+
+    void start()
+    {
+        ControlCore functions { .handle = [this](const ControlEvent& event, SteadyTime now, ControlActions& out) { core.handle(event, now, out); },
+            .settings = [this] { return core.settings; },
+            .isReady = [](SteadyTime) { return true; },
+            .isDrained = [] { return true; },
+            .status = [](SteadyTime) { return ControlStatus {}; } };
+        control = std::make_unique<ControlThread>(
+            ControlThreadOptions { .tickPeriod = milliseconds(5) }, functions, clock, [](const ControlAction&) {}, timeline, metrics);
+        control->start();
+        while (!control->view()->ready)
+            std::this_thread::sleep_for(milliseconds(1));
+        traffic = std::make_unique<Traffic>(options, *control, clock, metrics, timeline, calls);
+        server = std::make_unique<CallerServer>(CallerServerOptions { .listen = { "127.0.0.1", 0 }, .maxConnections = 16 }, traffic->handler(), traffic->refusalHandler());
+        port = *server->start();
+    }
+
+    void teardown() override
+    {
+        if (!server)
+            return;
+        server->stop();
+        traffic.reset();
+        control->stop();
+    }
+
+    static std::string request(const std::string& method, const std::string& path, const std::string& headers, const std::string& body)
+    {
+        return method + " " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static std::string chat(bool stream, const std::string& headers = "")
+    {
+        return request("POST", "/v1/chat/completions", headers, std::string(R"({"model":"small","messages":[{"role":"user","content":"hi"}],"stream":)") + (stream ? "true}" : "false}"));
+    }
+
+    std::string exchange(const std::string& text)
+    {
+        if (!server)
+            start();
+        RawConnection connection(port);
+        connection.send(text);
+        return connection.readAnswer();
+    }
+};
+
+TEST(Traffic, wholeChatIsAssembled)
+{
+    std::string answer = exchange(chat(false));
+    STRCMP_CONTAINS("HTTP/1.1 200 ", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Outcome: completed", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Request-Id: i1-", answer.c_str());
+    STRCMP_CONTAINS(R"("content":"Hello")", answer.c_str());
+    CHECK(core.hasEvent("started"));
+}
+
+TEST(Traffic, streamPassesChunksOnAndEndsWithDone)
+{
+    std::string answer = exchange(chat(true));
+    STRCMP_CONTAINS("text/event-stream", answer.c_str());
+    STRCMP_CONTAINS("data: {\"id\":\"c\"", answer.c_str());
+    STRCMP_CONTAINS("outcome=completed", answer.c_str());
+    STRCMP_CONTAINS("data: [DONE]\n\n", answer.c_str());
+}
+
+TEST(Traffic, usageChunkIsKeptFromCallersThatDidNotAskForIt)
+{
+    calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
+        handlers.chunk(chunkOf("x"));
+        handlers.chunk({ .data = R"({"choices":[],"usage":{"prompt_tokens":1}})", .promptTokens = TokenCount { 1 } });
+        return EngineCallEnd { .end = DispatchEnd::Completed };
+    };
+    CHECK(exchange(chat(true)).find("usage") == std::string::npos);
+    STRCMP_CONTAINS("usage", exchange(chat(false)).c_str());
+}
+
+TEST(Traffic, brokenStreamEndsInAnErrorEventWithoutDone)
+{
+    calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
+        handlers.chunk(chunkOf("He"));
+        return EngineCallEnd { .end = DispatchEnd::Lost, .answerPassedOn = true };
+    };
+    std::string answer = exchange(chat(true));
+    STRCMP_CONTAINS("event: error\ndata: {\"error\":", answer.c_str());
+    STRCMP_CONTAINS("\"outcome\":\"unknown\"", answer.c_str());
+    CHECK(answer.find("[DONE]") == std::string::npos);
+}
+
+TEST(Traffic, shedRequestGetsItsStatusAndRetryAfter)
+{
+    core.onArrival = [](const RequestArrived& arrival, SteadyTime, ControlActions& out) {
+        out.push_back(FinalAnswer { .request = arrival.request, .outcome = Outcome::NotRun, .reason = Reason::Overloaded, .retryAfter = seconds(7) });
+    };
+    std::string answer = exchange(chat(true));
+    STRCMP_CONTAINS("HTTP/1.1 503 ", answer.c_str());
+    STRCMP_CONTAINS("Retry-After: 7", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Outcome: not_run", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Reason: overloaded", answer.c_str());
+}
+
+TEST(Traffic, missingOrWrongKeyGetsA401AndReachesNoTarget)
+{
+    STRCMP_CONTAINS("HTTP/1.1 401 ", exchange("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}").c_str());
+    STRCMP_CONTAINS("HTTP/1.1 401 ", exchange("GET /v1/models HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-2\r\n\r\n").c_str());
+    STRCMP_CONTAINS("HTTP/1.1 401 ", exchange("GET /services/fees/x HTTP/1.1\r\nHost: h\r\nAuthorization: Basic key-1\r\n\r\n").c_str());
+    LONGS_EQUAL(0, dispatches);
+}
+
+TEST(Traffic, malformedModelCallsGetATyped400)
+{
+    for (const char* body : { "", "{", "[]", "{}", R"({"model":"small"})", R"({"model":7,"messages":[]})", R"({"model":"small","messages":[]})", R"({"model":"small","prompt":"x"})",
+             R"({"model":"small","messages":[{"role":"user","content":"x"}],"max_tokens":-1})", R"({"model":"small","messages":[{"role":"user","content":"x"}],"stream":"yes"})" }) {
+        std::string answer = exchange(request("POST", "/v1/chat/completions", "", body));
+        STRCMP_CONTAINS_TEXT("HTTP/1.1 400 ", answer.c_str(), body);
+        STRCMP_CONTAINS_TEXT("\"code\":\"bad_request\"", answer.c_str(), body);
+    }
+    STRCMP_CONTAINS("HTTP/1.1 400 ", exchange(chat(false, "Limpetpond-Timeout: 5\r\n")).c_str());
+    LONGS_EQUAL(0, dispatches);
+}
+
+TEST(Traffic, unknownPathsModelsAndServicesGetA404)
+{
+    STRCMP_CONTAINS("HTTP/1.1 404 ", exchange(request("GET", "/v2/x", "", "")).c_str());
+    STRCMP_CONTAINS("HTTP/1.1 404 ", exchange(request("GET", "/services/none/x", "", "")).c_str());
+    STRCMP_CONTAINS("HTTP/1.1 404 ", exchange(request("POST", "/v1/completions", "", R"({"model":"other","prompt":"x"})")).c_str());
+    STRCMP_CONTAINS("HTTP/1.1 405 ", exchange(request("GET", "/v1/completions", "", "")).c_str());
+}
+
+TEST(Traffic, callThatRunsAtMostOnceNeedsAKey)
+{
+    std::string answer = exchange(request("POST", "/services/fees/pay", "", "x"));
+    STRCMP_CONTAINS("HTTP/1.1 400 ", answer.c_str());
+    STRCMP_CONTAINS("\"code\":\"key_required\"", answer.c_str());
+    LONGS_EQUAL(0, dispatches);
+}
+
+TEST(Traffic, serviceCallPassesMethodBodyAndAnswerThrough)
+{
+    std::string answer = exchange(request("POST", "/services/fees/pay?n=1", "Idempotency-Key: k1\r\nLimpetpond-Retry-Token: 3\r\n", "seven"));
+    STRCMP_CONTAINS("HTTP/1.1 201 ", answer.c_str());
+    STRCMP_CONTAINS("X-Path: /pay?n=1", answer.c_str());
+    STRCMP_CONTAINS("POST seven", answer.c_str());
+    CHECK_FALSE(core.arrivals[0].idempotent);
+    CHECK(core.arrivals[0].key == IdempotencyKey { "k1" } && core.arrivals[0].retryToken == 3 && core.arrivals[0].bodyHash != 0);
+}
+
+TEST(Traffic, pathThatEvadesTheRulesIsRefused)
+{
+    STRCMP_CONTAINS("HTTP/1.1 400 ", exchange(request("GET", "/services/fees/a/../pay", "", "")).c_str());
+    LONGS_EQUAL(0, dispatches);
+}
+
+TEST(Traffic, secondArrivalGetsTheStoredAnswer)
+{
+    std::string stored = encodeStoredAnswer({ .status = 202, .headers = { { "X-First", "1" } }, .body = "first" });
+    core.onArrival = [stored](const RequestArrived& arrival, SteadyTime, ControlActions& out) {
+        out.push_back(FinalAnswer { .request = arrival.request, .outcome = Outcome::Completed, .storedAnswer = stored });
+    };
+    std::string answer = exchange(request("POST", "/services/fees/pay", "Idempotency-Key: k1\r\n", "x"));
+    STRCMP_CONTAINS("HTTP/1.1 202 ", answer.c_str());
+    STRCMP_CONTAINS("X-First: 1", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Stored-Answer: true", answer.c_str());
+    STRCMP_CONTAINS("\r\n\r\nfirst", answer.c_str());
+}
+
+TEST(Traffic, notRunKeyedCallGetsItsRetryToken)
+{
+    core.onArrival = [](const RequestArrived& arrival, SteadyTime, ControlActions& out) {
+        out.push_back(FinalAnswer { .request = arrival.request, .outcome = Outcome::NotRun, .reason = Reason::Overloaded, .retryAfter = seconds(1), .retryToken = 2 });
+    };
+    STRCMP_CONTAINS("Limpetpond-Retry-Token: 2", exchange(request("POST", "/services/fees/pay", "Idempotency-Key: k1\r\n", "x")).c_str());
+}
+
+TEST(Traffic, lateDispatchIsNotStarted)
+{
+    core.onArrival = [](const RequestArrived& arrival, SteadyTime now, ControlActions& out) {
+        out.push_back(Dispatch { arrival.request, AttemptId { "late" }, kEngine, now - milliseconds(1) });
+    };
+    core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
+        out.push_back(FinalAnswer { .request = ended.request, .outcome = Outcome::NotRun, .reason = Reason::TargetFailed });
+    };
+    STRCMP_CONTAINS("HTTP/1.1 503 ", exchange(chat(false)).c_str());
+    LONGS_EQUAL(0, dispatches);
+    CHECK(core.hasEvent("ended 1"));
+}
+
+TEST(Traffic, secondDispatchAfterOneThatDidNotStart)
+{
+    std::atomic<int> calledTimes { 0 };
+    calls.engine = [&](const EngineAddress&, const EngineCall& call, const EngineCallHandlers& handlers, CallStop&) {
+        if (++calledTimes == 1)
+            return EngineCallEnd { .end = DispatchEnd::NotStarted };
+        handlers.chunk(chunkOf(call.attempt.value()));
+        return EngineCallEnd { .end = DispatchEnd::Completed };
+    };
+    core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
+        if (ended.end == DispatchEnd::NotStarted)
+            out.push_back(Dispatch { ended.request, AttemptId { "second" }, kEngine, SteadyTime::max() });
+        else
+            out.push_back(FinalAnswer { .request = ended.request, .outcome = Outcome::Completed });
+    };
+    STRCMP_CONTAINS(R"("content":"second")", exchange(chat(false)).c_str());
+}
+
+TEST(Traffic, callerThatGoesAwayIsReportedAndItsDispatchCancelled)
+{
+    calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop& stop) {
+        handlers.chunk(chunkOf("He"));
+        for (int i = 0; i < 500 && !stop.isRequested(); ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return EngineCallEnd { .end = stop.isRequested() ? DispatchEnd::Cancelled : DispatchEnd::Completed };
+    };
+    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { gone.request.value() + "-a" }, kEngine }); };
+    start();
+    RawConnection connection(port);
+    connection.send(chat(true));
+    connection.readUntil("He");
+    auto closedAt = std::chrono::steady_clock::now();
+    connection.close();
+    CHECK(core.waitForEvent("ended 2"));
+    CHECK(std::chrono::steady_clock::now() - closedAt < seconds(1));
+}
+
+TEST(Traffic, waitingCallerThatGoesAwayIsReported)
+{
+    core.onArrival = nullptr;
+    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(FinalAnswer { .request = gone.request, .outcome = Outcome::NotRun, .reason = Reason::CallerGone }); };
+    start();
+    RawConnection connection(port);
+    connection.send(chat(false));
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.close();
+    CHECK(core.waitForEvent("gone"));
+}
+
+TEST(Traffic, claimedCallRunsToItsEndAfterItsCallerWentAway)
+{
+    std::atomic<bool> mayEnd { false };
+    calls.service = [&](const ServiceCall&, CallStop& stop) {
+        for (int i = 0; i < 500 && !mayEnd; ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return ServiceCallEnd { .end = stop.isRequested() ? DispatchEnd::Lost : DispatchEnd::Completed, .answer = HttpResponse { .status = 200, .body = "done" } };
+    };
+    std::string stored;
+    core.onEnded = [&](const DispatchEnded& ended, ControlActions& out) {
+        stored = ended.storedAnswer;
+        out.push_back(FinalAnswer { .request = ended.request, .outcome = Outcome::Completed });
+    };
+    start();
+    RawConnection connection(port);
+    connection.send(request("POST", "/services/fees/pay", "Idempotency-Key: k1\r\n", "x"));
+    std::this_thread::sleep_for(milliseconds(50));
+    connection.close();
+    CHECK(core.waitForEvent("gone"));
+    mayEnd = true;
+    CHECK(core.waitForEvent("ended 0"));
+    CHECK(decodeStoredAnswer(stored)->body == "done");
+}
+
+TEST(Traffic, requestsBeyondTheLimitAreRefusedAtOnce)
+{
+    core.onArrival = nullptr;
+    start();
+    std::vector<std::unique_ptr<RawConnection>> waiting;
+    for (int i = 0; i < options.maxOpenStreams; ++i) {
+        waiting.push_back(std::make_unique<RawConnection>(port));
+        waiting.back()->send(chat(false));
+    }
+    while (traffic->openRequests() < options.maxOpenStreams)
+        std::this_thread::sleep_for(milliseconds(1));
+    std::string answer = exchange(chat(false));
+    STRCMP_CONTAINS("HTTP/1.1 503 ", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Outcome: not_run", answer.c_str());
+    STRCMP_CONTAINS("Retry-After: ", answer.c_str());
+    STRCMP_CONTAINS("Limpetpond-Outcome: unknown", exchange(request("POST", "/services/fees/pay", "Idempotency-Key: k1\r\n", "x")).c_str());
+    traffic->abortAll();
+    for (auto& connection : waiting)
+        STRCMP_CONTAINS("shutting_down", connection->readAnswer().c_str());
+}
+
+TEST(Traffic, healthReadinessAndMetricsNeedNoKey)
+{
+    start();
+    STRCMP_CONTAINS("HTTP/1.1 200 ", exchange("GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+    STRCMP_CONTAINS("HTTP/1.1 200 ", exchange("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+    exchange(chat(false));
+    STRCMP_CONTAINS("limpetpond_goodput_total{tier=\"2\"} 1\n", exchange("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+    traffic->beginDrain();
+    STRCMP_CONTAINS("HTTP/1.1 503 ", exchange("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+}
+
+TEST(Traffic, modelsAreListed)
+{
+    STRCMP_CONTAINS("\"id\":\"small\"", exchange(request("GET", "/v1/models", "", "")).c_str());
+}
+
+TEST(Traffic, engineErrorIsPassedOn)
+{
+    calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers&, CallStop&) {
+        return EngineCallEnd { .end = DispatchEnd::TargetError, .error = HttpResponse { .status = 422, .headers = { { "Content-Type", "application/json" } }, .body = "{\"error\":1}" } };
+    };
+    std::string answer = exchange(chat(true));
+    STRCMP_CONTAINS("HTTP/1.1 422 ", answer.c_str());
+    STRCMP_CONTAINS("{\"error\":1}", answer.c_str());
+}
+
+TEST(Traffic, slowCallerHoldsItsEngineBack)
+{
+    options.maxStreamBuffer = ByteCount { 64 * 1024 };
+    std::atomic<int> given { 0 };
+    constexpr int chunks = 2000;
+    calls.engine = [&](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
+        const EngineChunk large = chunkOf(std::string(4096, 'x'));
+        for (int i = 0; i < chunks; ++i, ++given)
+            handlers.chunk(large);
+        return EngineCallEnd { .end = DispatchEnd::Completed };
+    };
+    start();
+    RawConnection connection(port);
+    connection.send(chat(true));
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(given > 0 && given < chunks);
+    connection.readUntil("[DONE]");
+    LONGS_EQUAL(chunks, given);
+}
