--- /dev/null
+++ b/bench/DecisionBench.cpp
@@ -0,0 +1,131 @@
+#include "bench/DecisionBench.h"
+
+#include "bench/AllocationCounter.h"
+#include "core/Scheduler.h"
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <pcg_random.hpp>
+#include <vector>
+
+namespace limpetpond::bench {
+
+namespace {
+
+    constexpr int targetCount = 100;
+    constexpr int waitingTarget = 1'000;
+    constexpr int accountCount = 5;
+    constexpr int documentCount = 200;
+    constexpr int warmUp = 20'000;
+    constexpr int samples = 200'000;
+    constexpr double boundMicroseconds = 20;
+
+    struct DecisionRun {
+        PoolScheduler pool = makePoolScheduler(PoolId("drafts"), InstanceId("a"), 1);
+        SteadyTime now { std::chrono::hours(1) };
+        pcg32 random { 7 };
+        std::uint64_t made { 0 };
+        std::vector<RequestId> running;
+        std::vector<SchedulerDecision> decisions;
+    };
+
+    Settings makeSettings()
+    {
+        Settings settings;
+        PoolSettings pool { .id = PoolId("drafts"), .maxWaiting = 2 * waitingTarget };
+        settings.pools[pool.id] = pool;
+        for (std::uint32_t tier = 0; tier < 3; ++tier)
+            settings.tiers.push_back({ .name = "tier-" + std::to_string(tier), .level = { tier } });
+        for (int i = 0; i < targetCount; ++i) {
+            TargetId id("engine-" + std::to_string(i));
+            settings.targets[id] = { .id = id, .pool = pool.id, .maxTokensInProgress = TokenCount(20'000) };
+        }
+        for (int i = 0; i < accountCount; ++i) {
+            ClientAccountId id("account-" + std::to_string(i));
+            settings.accounts[id] = { .id = id, .maxWaiting = 2 * waitingTarget };
+        }
+        return settings;
+    }
+
+    QueuedRequest makeRequest(DecisionRun& run)
+    {
+        run.made += 1;
+        QueuedRequest request { .request = RequestId("request-" + std::to_string(run.made)),
+            .account = ClientAccountId("account-" + std::to_string(run.random(accountCount))),
+            .tier = { run.random(3) },
+            .promptTokens = TokenCount(200 + run.random(2'000)),
+            .answerTokens = TokenCount(50 + run.random(400)),
+            .arrivedAt = run.now };
+        std::uint64_t document = run.random(documentCount);
+        auto blocks = static_cast<std::uint64_t>(request.promptTokens.count() / 64);
+        for (std::uint64_t i = 0; i < blocks; ++i)
+            request.prefixBlocks.push_back(i < 16 ? document * 1'000 + i : (run.made << 20) + i);
+        return request;
+    }
+
+    void fill(DecisionRun& run)
+    {
+        while (run.pool.waitingCount < waitingTarget)
+            enqueue(run.pool, makeRequest(run), run.now);
+    }
+
+    void endOne(DecisionRun& run)
+    {
+        if (run.running.empty())
+            return;
+        std::size_t index = run.random(static_cast<std::uint32_t>(run.running.size()));
+        answerStarted(run.pool, run.running[index], std::nullopt, run.now);
+        dispatchEnded(run.pool, run.running[index], DispatchEnd::Completed, TokenCount(100), run.now);
+        run.running[index] = run.running.back();
+        run.running.pop_back();
+    }
+
+    void noteDispatches(DecisionRun& run)
+    {
+        for (const SchedulerDecision& decision : run.decisions) {
+            if (const auto* dispatch = std::get_if<DispatchDecision>(&decision))
+                run.running.push_back(dispatch->request);
+        }
+    }
+
+    double quantileOf(std::vector<double>& values, double share)
+    {
+        std::sort(values.begin(), values.end());
+        return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+    }
+
+} // namespace
+
+int runDecisionBench()
+{
+    DecisionRun run;
+    applySettings(run.pool, makeSettings(), run.now);
+    std::vector<double> microseconds;
+    std::uint64_t allocated = 0;
+    std::uint64_t dispatched = 0;
+    for (int i = 0; i < warmUp + samples; ++i) {
+        run.now += std::chrono::microseconds(500);
+        fill(run);
+        endOne(run);
+        run.decisions.clear();
+        std::uint64_t allocatedBefore = allocationsSoFar();
+        auto start = std::chrono::steady_clock::now();
+        decide(run.pool, run.now, run.decisions);
+        std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - start;
+        if (i >= warmUp) {
+            microseconds.push_back(elapsed.count());
+            allocated += allocationsSoFar() - allocatedBefore;
+            dispatched += run.decisions.size();
+        }
+        noteDispatches(run);
+    }
+    double p50 = quantileOf(microseconds, 0.5);
+    double p99 = quantileOf(microseconds, 0.99);
+    bool isMet = p99 < boundMicroseconds;
+    std::printf("decide, %d targets, %d waiting: p50 %.2f us, p99 %.2f us, most %.2f us; %.3f allocations and %.3f decisions a call\n",
+        targetCount, waitingTarget, p50, p99, microseconds.back(), static_cast<double>(allocated) / samples, static_cast<double>(dispatched) / samples);
+    std::printf("%s  p99 of decide, bound < %.0f us\n", isMet ? "PASS" : "FAIL", boundMicroseconds);
+    return isMet ? 0 : 1;
+}
+
+} // namespace limpetpond::bench
