--- a/src/core/CleaningSchedule.h
+++ b/src/core/CleaningSchedule.h
@@ -11,7 +11,9 @@
 #include <chrono>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace limpetpond {
@@ -38,6 +40,9 @@
 ///     Result<TimeZone> zone = parseTimeZone("Europe/Sofia");
 Result<TimeZone> parseTimeZone(std::string_view);
 
+/// The IANA names that `parseTimeZone` knows; every other zone is given by its rule.
+std::span<const std::string_view> namedTimeZones();
+
 /// Local time minus UTC at an instant.
 std::chrono::seconds offsetAt(const TimeZone&, SystemTime);
 
--- a/src/core/SettingsTree.h
+++ b/src/core/SettingsTree.h
@@ -6,6 +6,7 @@
 /// and `window/NAME`. A target inherits from its pool and then from the site, a pool and a
 /// client account from the site. Every function is pure.
 
+#include "core/SettingsSchema.h"
 #include "limpetpond/Errors.h"
 #include "limpetpond/Ids.h"
 #include "limpetpond/Settings.h"
@@ -13,64 +14,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace limpetpond {
 
-enum class BranchKind {
-    Site,
-    Tier,
-    Pool,
-    Account,
-    Target,
-    Window,
-};
-
-/// How the value of a field is written in JSON.
-enum class FieldType {
-    Text, ///< "north"
-    Name, ///< "drafts": letters, digits, dots, underscores and hyphens.
-    NameList, ///< ["small", "large"]
-    TextList, ///< ["POST"]
-    Choice, ///< One of the words of `choices`.
-    Flag, ///< true or false
-    Count, ///< 64
-    Share, ///< 0.25
-    Duration, ///< "500ms", "3s", "20m", "48h"
-    Bytes, ///< "512B", "256KiB", "4MiB"
-    Tokens, ///< "64000 tokens", "64k tokens"
-    Rate, ///< "8000 tokens/s"
-    TimeOfDay, ///< "02:30"
-};
-
-/// One row of the schema; `settableAt` runs from narrow to broad.
-struct FieldSchema {
-    std::string_view name;
-    std::span<const BranchKind> settableAt;
-    FieldType type { FieldType::Text };
-    std::string_view range; ///< As the documentation shows it; empty when the type says all.
-    double least { 0 }; ///< In the unit of the type: milliseconds, bytes, tokens, tokens a second.
-    double most { 0 };
-    std::string_view defaultValue; ///< JSON; empty for a field that must be set.
-    std::span<const std::string_view> choices;
-    std::string_view doc;
-};
-
-/// The whole schema, sorted by kind and name.
-///
-///     for (const FieldSchema& field : settingsSchema())
-///         print(field.name);
-std::span<const FieldSchema> settingsSchema();
-
-/// The word in a branch's path, such as `pool`.
-std::string_view toString(BranchKind);
-
-/// The schema as a Markdown page, docs/SETTINGS.md.
-std::string schemaAsMarkdown();
-
 /// One value of a branch and the change that set it.
 struct StoredValue {
     boost::json::value value; ///< In canonical form.
@@ -130,13 +79,17 @@
 ///     Result<SettingsTree> next = applyChange(tree, { .version = SettingsVersion { 8 }, .edits = edits });
 Result<SettingsTree> applyChange(const SettingsTree&, const AcceptedChange&);
 
+/// The tree after a change that was accepted elsewhere. No rule is checked again, and fields that
+/// this program doesn't know are kept, so that old and new programs hold equal trees.
+SettingsTree replayChange(const SettingsTree&, const AcceptedChange&);
+
 /// Checks the rules that span branches, such as that a target's pool exists. Errors: InvalidSetting.
 Result<void> checkTree(const SettingsTree&);
 
-/// The settings that the tree stands for. Errors: InvalidSetting.
+/// The settings that the tree stands for. Values that this program can't read count as not set.
 ///
-///     Result<Settings> settings = resolve(tree);
-Result<Settings> resolve(const SettingsTree&);
+///     Settings settings = resolve(tree);
+Settings resolve(const SettingsTree&);
 
 /// Every value that counts at a branch; all branches for an empty path. Errors: InvalidSetting for an unknown path.
 Result<std::vector<ExplainedField>> explain(const SettingsTree&, const std::string& path);
@@ -147,8 +100,14 @@
 /// The branches at and below a path as plain JSON without versions; all for an empty path.
 std::string exportBranches(const SettingsTree&, const std::string& path);
 
-/// The edits that turn a tree into what `exportBranches` wrote. Errors: InvalidSetting.
-Result<std::vector<SettingsEdit>> importEdits(const SettingsTree&, std::string_view json);
+/// Which branches an import touches.
+enum class ImportScope {
+    ListedBranches, ///< Those that the text names.
+    WholeTree, ///< All: a branch that the text doesn't name is removed.
+};
+
+/// The edits that bring a tree to what `exportBranches` wrote. Errors: InvalidSetting.
+Result<std::vector<SettingsEdit>> importEdits(const SettingsTree&, std::string_view json, ImportScope);
 
 /// The whole tree as canonical JSON: equal trees give equal bytes.
 ///
