--- a/include/limpetpond/Settings.h
+++ b/include/limpetpond/Settings.h
@@ -98,8 +98,8 @@
     std::chrono::milliseconds suspectAfter { 2'000 }; ///< Without an answer for so long, a peer counts as gone.
     std::chrono::milliseconds headReadPeriod { 1'000 }; ///< Between reads of the version row.
     std::chrono::hours claimRetention { 48 };
-    ByteCount maxBody { 4 * 1024 * 1024 };
-    ByteCount maxStoredAnswer { 256 * 1024 };
+    ByteCount maxBody { 4L * 1024 * 1024 };
+    ByteCount maxStoredAnswer { 256L * 1024 };
 };
 
 /// All settings in force at one version.
--- a/src/core/CleaningSchedule.h
+++ b/src/core/CleaningSchedule.h
@@ -6,50 +6,17 @@
 /// the step, so the table service accepts each step once. See docs/design/leaving.md.
 
 #include "core/Messages.h"
+#include "core/TimeZone.h"
 #include "limpetpond/Clock.h"
-#include "limpetpond/Errors.h"
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
-#include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace limpetpond {
 
-/// One change between standard and daylight-saving time, as in `M3.5.0/3`.
-struct TimeZoneChange {
-    std::chrono::month month { std::chrono::January };
-    unsigned week { 1 }; ///< 1 to 5; 5 is the last one of the month.
-    std::chrono::weekday day { std::chrono::Sunday };
-    std::chrono::seconds timeOfDay { std::chrono::hours(2) }; ///< Local time in force before the change.
-};
-
-/// A time zone with at most one daylight-saving period a year.
-struct TimeZone {
-    std::chrono::seconds standardOffset { 0 }; ///< Local time minus UTC.
-    std::chrono::seconds daylightOffset { 0 };
-    bool hasDaylightSaving { false };
-    TimeZoneChange daylightStart;
-    TimeZoneChange daylightEnd;
-};
-
-/// Reads a POSIX TZ rule (`EET-2EEST,M3.5.0/3,M10.5.0/4`) or one of a few IANA names. Errors: InvalidSetting.
-///
-///     Result<TimeZone> zone = parseTimeZone("Europe/Sofia");
-Result<TimeZone> parseTimeZone(std::string_view);
-
-/// The IANA names that `parseTimeZone` knows; every other zone is given by its rule.
-std::span<const std::string_view> namedTimeZones();
-
-/// Local time minus UTC at an instant.
-std::chrono::seconds offsetAt(const TimeZone&, SystemTime);
-
-/// The instant of a local time. A time that daylight saving skips moves on by the hour skipped;
-/// of a time that comes twice the first counts.
-SystemTime instantOf(const TimeZone&, std::chrono::local_seconds);
-
 struct TimeRange {
     SystemTime begin;
     SystemTime end;
@@ -70,7 +37,15 @@
     bool fits { true }; ///< False when the window is too short for all targets of the pool.
 };
 
-/// The slots of one pool's targets in the windows that are open at `now` or come next, by begin of drain.
+/// The time between the mark and the begin of cleaning: the longest call, and the spread of the mark.
+std::chrono::seconds drainLead(const Settings&, const PoolSettings&);
+
+/// How many of the pool's targets may be out at once.
+std::size_t leavingLimit(const PoolSettings&);
+
+/// The slots of one pool's targets in the windows that are open at `now` or come next.
+///
+/// The targets of a window take turns: those of one turn are marked when those of the turn before return.
 std::vector<CleaningSlot> planSlots(const Settings&, const PoolId&, SystemTime now);
 
 /// What an instance remembers between calls of `advanceCleaning`.
@@ -78,6 +53,7 @@
     std::set<ChangeId> settled; ///< Steps that need no further proposal.
     std::map<ChangeId, SteadyTime> proposedAt;
     std::set<std::string> alarmed; ///< Alarms already raised.
+    std::optional<SteadyTime> checkedAt;
 };
 
 /// What `advanceCleaning` decides on.
@@ -89,6 +65,8 @@
 };
 
 /// The marks to propose (MarkTarget) and the alarms to raise now; to be called at every Tick.
+///
+///     for (ControlAction& action : advanceCleaning(state, settings, input)) out.push_back(std::move(action));
 ControlActions advanceCleaning(CleaningState&, const Settings&, const CleaningInput&);
 
 /// Takes in how a proposed mark went.
--- /dev/null
+++ b/src/core/Drain.cpp
@@ -0,0 +1,209 @@
+#include "core/Drain.h"
+
+#include "core/Guard.h"
+#include <algorithm>
+
+namespace limpetpond {
+
+namespace detail {
+
+    namespace {
+
+        constexpr std::chrono::minutes forgetAfter { 10 };
+
+        const TargetNews* newsOf(const InstanceWork& work, const TargetId& target)
+        {
+            auto news = work.targets.find(target);
+            return news == work.targets.end() ? nullptr : &news->second;
+        }
+
+        /// A mark in force with nothing in progress is a lasting proof: its holder sends nothing there any more.
+        bool hasConfirmed(const InstanceWork& work, const TargetId& target, SettingsVersion mark)
+        {
+            const TargetNews* news = newsOf(work, target);
+            return news && news->leavingMarkVersion >= mark && !news->requestsInProgress;
+        }
+
+        bool holdsMark(const InstanceWork& work, const TargetId& target, SettingsVersion mark)
+        {
+            const TargetNews* news = newsOf(work, target);
+            return news && news->leavingMarkVersion >= mark;
+        }
+
+        bool majorityHoldsMark(const DrainTracker& tracker, const TargetId& target, SettingsVersion mark)
+        {
+            int listed = 0;
+            int holding = 0;
+            for (const auto& [instance, work] : tracker.instances) {
+                listed += work.listed ? 1 : 0;
+                holding += work.listed && holdsMark(work, target, mark) ? 1 : 0;
+            }
+            return listed && holding >= listed / 2 + 1;
+        }
+
+        std::optional<SteadyTime> markHeldSince(const DrainTracker& tracker, const TargetSettings& target)
+        {
+            auto since = tracker.majorityConfirmedAt.find(target.id);
+            if (since == tracker.majorityConfirmedAt.end() || since->second.mark != target.markVersion)
+                return std::nullopt;
+            return since->second.since;
+        }
+
+        Duration callTimeoutOf(const Settings& settings, const TargetSettings& target)
+        {
+            auto pool = settings.pools.find(target.pool);
+            return pool == settings.pools.end() ? PoolSettings().callTimeout : pool->second.callTimeout;
+        }
+
+        /// Until when an instance that is no longer heard may have work at the target; none when it has none for sure.
+        std::optional<SteadyTime> unheardUntil(const DrainTracker& tracker, const Settings& settings, const TargetSettings& target, const InstanceWork& work, SteadyTime heldSince, SteadyTime now)
+        {
+            SteadyTime dispatchesUntil = std::max(work.lastHeard, heldSince) + std::max<Duration>(tracker.longestViewAge, settings.site.viewAgeLimit);
+            auto report = tracker.reports.find(target.id);
+            bool isReported = report != tracker.reports.end() && report->second.measuredAt > dispatchesUntil;
+            if (isReported && report->second.idle)
+                return std::nullopt;
+            SteadyTime worksUntil = dispatchesUntil + callTimeoutOf(settings, target);
+            if (isReported)
+                return std::max(worksUntil, now);
+            if (now > worksUntil)
+                return std::nullopt;
+            return worksUntil;
+        }
+
+        void addWork(DrainStatus& status, const InstanceWork& work, const TargetId& target)
+        {
+            const TargetNews* news = newsOf(work, target);
+            if (!news)
+                return;
+            status.requestsInProgress += news->requestsInProgress;
+            status.tokensInProgress += news->tokensInProgress;
+        }
+
+        void replaceNews(InstanceWork& work, const std::vector<TargetNews>& targets)
+        {
+            work.targets.clear();
+            for (const TargetNews& news : targets)
+                work.targets.emplace(news.target, news);
+        }
+
+    } // namespace
+
+} // namespace detail
+
+std::string_view toString(DrainState state)
+{
+    switch (state) {
+    case DrainState::Serving:
+        return "serving";
+    case DrainState::Leaving:
+        return "leaving";
+    case DrainState::Empty:
+        return "empty";
+    }
+    return "serving";
+}
+
+void noteWork(DrainTracker& tracker, const Heartbeat& news, SteadyTime now)
+{
+    if (news.instance == tracker.self)
+        return;
+    auto [entry, isNew] = tracker.instances.try_emplace(news.instance);
+    InstanceWork& work = entry->second;
+    bool isOlder = news.incarnation < work.incarnation || (news.incarnation == work.incarnation && news.sequence < work.sequence);
+    if (!isNew && isOlder)
+        return;
+    work.incarnation = news.incarnation;
+    work.sequence = news.sequence;
+    work.state = MemberState::Live;
+    work.lastHeard = now;
+    detail::replaceNews(work, news.targets);
+}
+
+void noteOwnWork(DrainTracker& tracker, Incarnation incarnation, const std::vector<TargetNews>& targets, SteadyTime now)
+{
+    InstanceWork& work = tracker.instances[tracker.self];
+    work.incarnation = incarnation;
+    work.state = MemberState::Live;
+    work.lastHeard = now;
+    detail::replaceNews(work, targets);
+}
+
+void noteMemberState(DrainTracker& tracker, const InstanceId& instance, MemberState state)
+{
+    auto entry = tracker.instances.find(instance);
+    if (entry != tracker.instances.end() && instance != tracker.self)
+        entry->second.state = state;
+}
+
+void noteListed(DrainTracker& tracker, const InstanceListRead& read, SteadyTime now)
+{
+    for (auto& [instance, work] : tracker.instances)
+        work.listed = false;
+    for (const ListedInstance& listed : read.instances) {
+        auto [entry, isNew] = tracker.instances.try_emplace(listed.instance);
+        entry->second.listed = true;
+        if (isNew)
+            entry->second.lastHeard = now;
+    }
+}
+
+void noteTargetReport(DrainTracker& tracker, const TargetReported& report)
+{
+    if (report.failed)
+        return;
+    TargetOwnReport& own = tracker.reports[report.target];
+    if (report.measuredAt < own.measuredAt)
+        return;
+    own = { .measuredAt = report.measuredAt, .idle = !report.runningRequests && !report.waitingRequests };
+}
+
+void updateDrains(DrainTracker& tracker, const Settings& settings, SteadyTime now)
+{
+    tracker.longestViewAge = std::max<Duration>(tracker.longestViewAge, settings.site.viewAgeLimit);
+    std::erase_if(tracker.reports, [&](const auto& report) { return !settings.targets.contains(report.first); });
+    std::erase_if(tracker.majorityConfirmedAt, [&](const auto& held) {
+        auto target = settings.targets.find(held.first);
+        return target == settings.targets.end() || target->second.mark == TargetMark::Serving;
+    });
+    for (const auto& [id, target] : settings.targets) {
+        if (target.mark == TargetMark::Serving || detail::markHeldSince(tracker, target))
+            continue;
+        if (detail::majorityHoldsMark(tracker, id, target.markVersion))
+            tracker.majorityConfirmedAt[id] = { target.markVersion, now };
+    }
+    std::erase_if(tracker.instances, [&](const auto& entry) {
+        const InstanceWork& work = entry.second;
+        return !work.listed && work.state == MemberState::Departed && now - work.lastHeard > detail::forgetAfter;
+    });
+}
+
+DrainStatus drainStatus(const DrainTracker& tracker, const Settings& settings, const TargetId& id, SteadyTime now)
+{
+    DrainStatus status;
+    for (const auto& [instance, work] : tracker.instances)
+        detail::addWork(status, work, id);
+    auto found = settings.targets.find(id);
+    if (found == settings.targets.end() || found->second.mark == TargetMark::Serving)
+        return status;
+    const TargetSettings& target = found->second;
+    std::optional<SteadyTime> heldSince = detail::markHeldSince(tracker, target);
+    status.state = DrainState::Leaving;
+    for (const auto& [instance, work] : tracker.instances) {
+        if (detail::hasConfirmed(work, id, target.markVersion))
+            continue;
+        if (work.state == MemberState::Live || !heldSince) {
+            status.notConfirmed.push_back(instance);
+            continue;
+        }
+        std::optional<SteadyTime> until = detail::unheardUntil(tracker, settings, target, work, *heldSince, now);
+        if (until)
+            status.departedUntil = std::max(status.departedUntil.value_or(*until), *until);
+    }
+    bool isProved = heldSince && status.notConfirmed.empty() && !status.departedUntil;
+    if (isProved || isGuardDisabled(GuardId::EmptyIsProved))
+        status.state = DrainState::Empty;
+    return status;
+}
+
+} // namespace limpetpond
--- a/src/core/Drain.h
+++ b/src/core/Drain.h
@@ -10,7 +10,7 @@
 #include "limpetpond/Clock.h"
 #include <map>
 #include <optional>
-#include <set>
+#include <string_view>
 #include <vector>
 
 namespace limpetpond {
@@ -31,12 +31,19 @@
     bool idle { false };
 };
 
+/// Since when a majority of the listed instances has held a leaving mark.
+struct MarkHeld {
+    SettingsVersion mark;
+    SteadyTime since;
+};
+
 /// What one instance knows of the work at leaving targets.
 struct DrainTracker {
     InstanceId self;
     std::map<InstanceId, InstanceWork> instances; ///< This one included.
     std::map<TargetId, TargetOwnReport> reports;
-    std::map<TargetId, std::pair<SettingsVersion, SteadyTime>> majorityConfirmedAt; ///< By mark version.
+    std::map<TargetId, MarkHeld> majorityConfirmedAt;
+    Duration longestViewAge { 0 }; ///< The largest view age limit seen; a silent instance may still hold it.
 };
 
 enum class DrainState {
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -153,7 +153,7 @@
 /// How a MarkTarget went.
 struct MarkAnswered {
     ChangeId change;
-    bool settled { false }; ///< Accepted, now or earlier, or refused because the target's branch was edited since.
+    bool settled { false }; ///< Accepted, now or earlier; the step needs no further proposal.
 };
 
 // ---- Other instances ----
--- /dev/null
+++ b/src/core/SettingsReplica.cpp
@@ -0,0 +1,361 @@
+#include "core/SettingsReplica.h"
+
+#include "core/Guard.h"
+#include "core/Invariant.h"
+#include <algorithm>
+#include <functional>
+
+namespace limpetpond {
+
+namespace detail {
+
+    namespace {
+
+        constexpr std::chrono::seconds lostReadAfter { 10 };
+        constexpr std::chrono::seconds lostFetchAfter { 10 };
+        constexpr std::chrono::milliseconds fetchRetryPeriod { 200 };
+
+        const SiteSettings defaultSite {};
+
+        const SiteSettings& siteOf(const SettingsReplica& replica)
+        {
+            return replica.settings ? replica.settings->site : defaultSite;
+        }
+
+        bool isListed(const SettingsReplica& replica, const InstanceId& instance, SteadyTime now)
+        {
+            auto entry = replica.listed.find(instance);
+            return entry != replica.listed.end() && (entry->second == replica.listReadAt || now - entry->second <= replica.listLag);
+        }
+
+        std::size_t countListed(const SettingsReplica& replica, SteadyTime now)
+        {
+            return std::ranges::count_if(replica.listed, [&](const auto& entry) { return isListed(replica, entry.first, now); });
+        }
+
+        std::size_t majorityOfListed(const SettingsReplica& replica, SteadyTime now)
+        {
+            return countListed(replica, now) / 2 + 1;
+        }
+
+        /// When the listed peers that may count were asked, newest first.
+        template <typename Counts>
+        std::vector<SteadyTime> askedTimes(const SettingsReplica& replica, SteadyTime now, Counts counts)
+        {
+            std::vector<SteadyTime> times;
+            for (const auto& [instance, peer] : replica.peers) {
+                if (peer.askedAt && isListed(replica, instance, now) && counts(peer))
+                    times.push_back(*peer.askedAt);
+            }
+            std::ranges::sort(times, std::greater());
+            return times;
+        }
+
+        /// Since when `others` of the peers have been known to agree; none when fewer do.
+        std::optional<SteadyTime> agreedSince(const std::vector<SteadyTime>& times, std::size_t others, SteadyTime now)
+        {
+            if (!others)
+                return now;
+            if (times.size() < others)
+                return std::nullopt;
+            return times[others - 1];
+        }
+
+        std::size_t othersNeeded(const SettingsReplica& replica, bool countsItself, SteadyTime now)
+        {
+            bool isCounted = countsItself && isListed(replica, replica.self, now);
+            return majorityOfListed(replica, now) - (isCounted ? 1 : 0);
+        }
+
+        void confirmByQuorum(SettingsReplica& replica, SteadyTime now)
+        {
+            if (!replica.settings || replica.listed.empty())
+                return;
+            // A restarted instance has forgotten what it held, so it doesn't count itself.
+            std::size_t others = othersNeeded(replica, replica.established, now);
+            if (isGuardDisabled(GuardId::MajorityAsked))
+                others = 0;
+            std::vector<SteadyTime> times = askedTimes(replica, now, [&](const PeerSettings& peer) { return !peer.version.isNone() && peer.version <= versionInForce(replica); });
+            std::optional<SteadyTime> since = agreedSince(times, others, now);
+            if (since && (!replica.quorumConfirmedAt || *since > *replica.quorumConfirmedAt))
+                replica.quorumConfirmedAt = since;
+        }
+
+        bool haveAskedPeers(const SettingsReplica& replica, SteadyTime now)
+        {
+            if (now - replica.startedAt >= siteOf(replica).suspectAfter)
+                return true;
+            if (replica.listed.empty())
+                return false;
+            return std::ranges::all_of(replica.listed, [&](const auto& entry) {
+                auto peer = replica.peers.find(entry.first);
+                return entry.first == replica.self || (peer != replica.peers.end() && peer->second.askedOnce);
+            });
+        }
+
+        /// An instance counts as established once its version was confirmed; a confirmation by the
+        /// store alone waits for the peers, which may know a higher version than a restored store.
+        void establish(SettingsReplica& replica, SteadyTime now)
+        {
+            if (replica.established || !replica.settings)
+                return;
+            bool isNewest = replica.highestKnown == versionInForce(replica);
+            bool byStore = replica.storeConfirmedAt && isNewest && haveAskedPeers(replica, now);
+            replica.established = byStore || replica.quorumConfirmedAt.has_value();
+        }
+
+        void update(SettingsReplica& replica, SteadyTime now)
+        {
+            confirmByQuorum(replica, now);
+            establish(replica, now);
+        }
+
+        void confirmByStore(SettingsReplica& replica, SteadyTime readStartedAt)
+        {
+            if (!replica.storeConfirmedAt || readStartedAt > *replica.storeConfirmedAt)
+                replica.storeConfirmedAt = readStartedAt;
+        }
+
+        void raise(ControlActions& out, AlarmKind kind, std::string subject)
+        {
+            out.push_back(RaiseAlarm { .kind = kind, .subject = std::move(subject) });
+        }
+
+        std::uint64_t stableHash(const std::string& text)
+        {
+            std::uint64_t hash = 0xcbf29ce484222325;
+            for (unsigned char c : text)
+                hash = (hash ^ c) * 0x100000001b3;
+            return hash;
+        }
+
+        /// The peer to fetch from; empty for the table service. Each failure moves on to the next source.
+        InstanceId fetchSource(const SettingsReplica& replica)
+        {
+            std::vector<InstanceId> sources;
+            for (const auto& [instance, peer] : replica.peers) {
+                if (!peer.version.isNone() && peer.version >= replica.highestKnown)
+                    sources.push_back(instance);
+            }
+            sources.emplace_back();
+            std::size_t first = sources.size() > 1 ? stableHash(replica.self.value()) % (sources.size() - 1) : 0;
+            return sources[(first + replica.fetchesFailed) % sources.size()];
+        }
+
+        void readHeadWhenDue(SettingsReplica& replica, SteadyTime now, ControlActions& out)
+        {
+            bool isUnderWay = replica.headReadSentAt && now - *replica.headReadSentAt < lostReadAfter;
+            bool isDue = !replica.lastHeadReadAt || now - *replica.lastHeadReadAt >= siteOf(replica).headReadPeriod;
+            if (isUnderWay || !isDue)
+                return;
+            replica.headReadSentAt = now;
+            replica.lastHeadReadAt = now;
+            out.push_back(ReadSettingsHead {});
+        }
+
+        void fetchWhenDue(SettingsReplica& replica, SteadyTime now, ControlActions& out)
+        {
+            bool isBehind = replica.highestKnown > versionInForce(replica);
+            bool isEmpty = !replica.settings && (replica.storeReachable || !replica.highestKnown.isNone());
+            bool isUnderWay = replica.fetchSentAt && now - *replica.fetchSentAt < lostFetchAfter;
+            bool isTooSoon = replica.fetchFailedAt && now - *replica.fetchFailedAt < fetchRetryPeriod;
+            if ((!isBehind && !isEmpty) || isUnderWay || isTooSoon)
+                return;
+            replica.fetchSentAt = now;
+            out.push_back(FetchSettings { .version = replica.highestKnown, .peer = fetchSource(replica) });
+        }
+
+        void alarmWhenStoreIsSilent(SettingsReplica& replica, SteadyTime now, ControlActions& out)
+        {
+            SteadyTime heardAt = replica.storeAnsweredAt.value_or(replica.startedAt);
+            bool isSilent = now - heardAt > siteOf(replica).viewAgeLimit;
+            if (isSilent && !replica.storeAlarmed)
+                raise(out, AlarmKind::StoreUnavailable, "settings");
+            replica.storeAlarmed = isSilent;
+        }
+
+        void alarmWhenCutOff(SettingsReplica& replica, SteadyTime now, ControlActions& out)
+        {
+            bool isCutOff = replica.established && !mayDispatch(replica, now);
+            if (isCutOff && !replica.cutOffAlarmed)
+                raise(out, AlarmKind::CutOff, "settings/" + std::to_string(versionInForce(replica).value()));
+            replica.cutOffAlarmed = isCutOff;
+        }
+
+    } // namespace
+
+} // namespace detail
+
+SettingsReplica makeSettingsReplica(InstanceId self, SteadyTime now)
+{
+    return { .self = std::move(self), .startedAt = now };
+}
+
+SettingsVersion versionInForce(const SettingsReplica& replica)
+{
+    return replica.settings ? replica.settings->version : SettingsVersion();
+}
+
+SettingsVersion versionToReport(const SettingsReplica& replica)
+{
+    return replica.established ? versionInForce(replica) : SettingsVersion();
+}
+
+std::optional<Duration> storeConfirmedAge(const SettingsReplica& replica, SteadyTime now)
+{
+    if (!replica.storeConfirmedAt || replica.highestKnown > versionInForce(replica))
+        return std::nullopt;
+    return now - *replica.storeConfirmedAt;
+}
+
+std::optional<SteadyTime> confirmedUntil(const SettingsReplica& replica)
+{
+    if (!replica.established)
+        return std::nullopt;
+    std::optional<SteadyTime> confirmedAt = std::max(replica.storeConfirmedAt, replica.quorumConfirmedAt);
+    if (!confirmedAt)
+        return std::nullopt;
+    return *confirmedAt + detail::siteOf(replica).viewAgeLimit;
+}
+
+bool mayDispatch(const SettingsReplica& replica, SteadyTime now)
+{
+    if (isGuardDisabled(GuardId::ViewAgeChecked))
+        return replica.settings != nullptr;
+    std::optional<SteadyTime> until = confirmedUntil(replica);
+    return until && now < *until;
+}
+
+bool hearsMajority(const SettingsReplica& replica, SteadyTime now)
+{
+    if (replica.listed.empty())
+        return false;
+    std::size_t others = detail::othersNeeded(replica, true, now);
+    std::vector<SteadyTime> times = detail::askedTimes(replica, now, [](const PeerSettings&) { return true; });
+    std::optional<SteadyTime> since = detail::agreedSince(times, others, now);
+    return since && now - *since <= detail::siteOf(replica).viewAgeLimit;
+}
+
+bool majorityHolds(const SettingsReplica& replica, SettingsVersion version, SteadyTime now)
+{
+    if (versionToReport(replica) < version)
+        return false;
+    if (isGuardDisabled(GuardId::AcceptWaitsForMajority))
+        return true;
+    if (replica.listed.empty())
+        return false;
+    std::size_t others = detail::othersNeeded(replica, true, now);
+    return detail::askedTimes(replica, now, [&](const PeerSettings& peer) { return peer.version >= version; }).size() >= others;
+}
+
+ControlActions headRead(SettingsReplica& replica, const SettingsHeadRead& read, SteadyTime now)
+{
+    ControlActions out;
+    replica.headReadSentAt.reset();
+    replica.storeReachable = read.answered;
+    if (!read.answered) {
+        detail::update(replica, now);
+        return out;
+    }
+    replica.storeAnsweredAt = now;
+    replica.highestKnown = std::max(replica.highestKnown, read.version);
+    // A read that started before the version in force arrived may rightly show an older one.
+    bool wentBack = replica.settings && read.version < versionInForce(replica) && read.readStartedAt >= replica.adoptedAt;
+    if (wentBack && !replica.storeWentBack)
+        detail::raise(out, AlarmKind::SettingsWentBack, "version " + std::to_string(read.version.value()) + " below " + std::to_string(versionInForce(replica).value()));
+    replica.storeWentBack = wentBack;
+    if (replica.settings && !wentBack && replica.highestKnown == versionInForce(replica))
+        detail::confirmByStore(replica, read.readStartedAt);
+    detail::update(replica, now);
+    detail::fetchWhenDue(replica, now, out);
+    return out;
+}
+
+ControlActions settingsArrived(SettingsReplica& replica, const SettingsArrived& arrived, SteadyTime now)
+{
+    ControlActions out;
+    replica.fetchSentAt.reset();
+    if (!arrived.settings) {
+        replica.fetchFailedAt = now;
+        ++replica.fetchesFailed;
+        return out;
+    }
+    SettingsVersion version = arrived.settings->version;
+    replica.highestKnown = std::max(replica.highestKnown, version);
+    bool isLower = replica.settings && version <= versionInForce(replica);
+    if (isLower && !isGuardDisabled(GuardId::LowerVersionRefused)) {
+        // A source that does not have what was asked for counts as failed.
+        replica.fetchFailedAt = now;
+        ++replica.fetchesFailed;
+        return out;
+    }
+    checkInvariant(version >= versionInForce(replica), InvariantId::SettingsNeverGoBack);
+    replica.settings = arrived.settings;
+    replica.adoptedAt = now;
+    replica.fetchesFailed = 0;
+    replica.fetchFailedAt.reset();
+    detail::update(replica, now);
+    detail::fetchWhenDue(replica, now, out);
+    return out;
+}
+
+ControlActions heartbeatAnswered(SettingsReplica& replica, const HeartbeatAnswered& answer, SteadyTime now)
+{
+    ControlActions out;
+    const Heartbeat& news = answer.news;
+    PeerSettings& peer = replica.peers[news.instance];
+    peer.askedOnce = true;
+    if (peer.askedAt && answer.sentAt < *peer.askedAt)
+        return out;
+    peer.askedAt = answer.sentAt;
+    peer.version = news.settingsVersion;
+    replica.highestKnown = std::max(replica.highestKnown, news.settingsVersion);
+    bool isSameVersion = replica.settings && !news.settingsVersion.isNone() && news.settingsVersion == versionInForce(replica);
+    if (isSameVersion && replica.highestKnown == news.settingsVersion && news.storeConfirmedAge)
+        detail::confirmByStore(replica, answer.sentAt - *news.storeConfirmedAge);
+    detail::update(replica, now);
+    detail::fetchWhenDue(replica, now, out);
+    return out;
+}
+
+ControlActions heartbeatReceived(SettingsReplica& replica, const HeartbeatReceived& received, SteadyTime now)
+{
+    ControlActions out;
+    replica.highestKnown = std::max(replica.highestKnown, received.news.settingsVersion);
+    PeerSettings& peer = replica.peers[received.news.instance];
+    // Serves the choice of a source; only answers, which are bound to a time, confirm.
+    if (!peer.askedAt)
+        peer.version = received.news.settingsVersion;
+    detail::fetchWhenDue(replica, now, out);
+    return out;
+}
+
+void heartbeatLost(SettingsReplica& replica, const HeartbeatLost& lost)
+{
+    replica.peers[lost.instance].askedOnce = true;
+}
+
+void instanceListRead(SettingsReplica& replica, const InstanceListRead& read, SteadyTime now)
+{
+    replica.listReadAt = now;
+    for (const ListedInstance& entry : read.instances)
+        replica.listed[entry.instance] = now;
+    std::erase_if(replica.listed, [&](const auto& entry) { return !detail::isListed(replica, entry.first, now); });
+    std::erase_if(replica.peers, [&](const auto& entry) {
+        return !replica.listed.contains(entry.first) && (!entry.second.askedAt || now - *entry.second.askedAt > replica.listLag);
+    });
+    detail::update(replica, now);
+}
+
+ControlActions tick(SettingsReplica& replica, SteadyTime now)
+{
+    ControlActions out;
+    detail::update(replica, now);
+    detail::readHeadWhenDue(replica, now, out);
+    detail::fetchWhenDue(replica, now, out);
+    detail::alarmWhenStoreIsSilent(replica, now, out);
+    detail::alarmWhenCutOff(replica, now, out);
+    return out;
+}
+
+} // namespace limpetpond
--- a/src/core/SettingsReplica.h
+++ b/src/core/SettingsReplica.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace limpetpond {
 
@@ -22,24 +21,35 @@
     bool askedOnce { false }; ///< It answered or failed to answer since our start.
 };
 
+/// Makes the replica of an instance that holds no settings yet.
+///
+///     SettingsReplica replica = makeSettingsReplica(InstanceId { "a" }, clock.steadyNow());
+struct SettingsReplica makeSettingsReplica(InstanceId self, SteadyTime now);
+
 /// What one instance knows of the settings. Fields are read freely and changed by the functions below.
 struct SettingsReplica {
     InstanceId self;
     SteadyTime startedAt;
+    Duration listLag { std::chrono::seconds(15) }; ///< How long an instance counts as listed after it left the list.
     std::shared_ptr<const Settings> settings; ///< In force; null before the first arrived.
+    SteadyTime adoptedAt; ///< When the version in force arrived.
     SettingsVersion highestKnown; ///< The highest version that anyone has shown.
     bool established { false }; ///< The version was confirmed at least once since the start.
     std::optional<SteadyTime> storeConfirmedAt; ///< Start of the newest read, here or at a peer, that confirmed the version.
     std::optional<SteadyTime> quorumConfirmedAt; ///< When the oldest answer of the newest majority was asked for.
-    std::set<InstanceId> listed; ///< The platform's instance list.
+    std::map<InstanceId, SteadyTime> listed; ///< When each was last on the platform's instance list.
+    std::optional<SteadyTime> listReadAt;
     std::map<InstanceId, PeerSettings> peers;
     bool storeReachable { false }; ///< The last read of the version row was answered.
+    std::optional<SteadyTime> storeAnsweredAt;
     bool storeWentBack { false }; ///< The store's last answer was lower than the version in force.
     std::optional<SteadyTime> headReadSentAt; ///< A read is on its way.
     std::optional<SteadyTime> lastHeadReadAt;
     std::optional<SteadyTime> fetchSentAt; ///< A fetch is on its way.
+    std::optional<SteadyTime> fetchFailedAt;
     int fetchesFailed { 0 }; ///< In a row; chooses the next source.
     bool cutOffAlarmed { false };
+    bool storeAlarmed { false };
 };
 
 /// The version in force; none before the first settings arrived.
@@ -66,7 +76,7 @@
 bool hearsMajority(const SettingsReplica&, SteadyTime now);
 
 /// Whether a majority of the listed instances, itself included, holds `version` or a later one.
-bool majorityHolds(const SettingsReplica&, SettingsVersion version);
+bool majorityHolds(const SettingsReplica&, SettingsVersion version, SteadyTime now);
 
 /// Takes in a read of the version row.
 ControlActions headRead(SettingsReplica&, const SettingsHeadRead&, SteadyTime now);
@@ -84,7 +94,7 @@
 void heartbeatLost(SettingsReplica&, const HeartbeatLost&);
 
 /// Takes in the platform's instance list.
-void instanceListRead(SettingsReplica&, const InstanceListRead&);
+void instanceListRead(SettingsReplica&, const InstanceListRead&, SteadyTime now);
 
 /// Asks for reads and fetches that are due; to be called at every Tick.
 ControlActions tick(SettingsReplica&, SteadyTime now);
