--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -451,7 +451,7 @@
 void Control::take(const InstanceListRead& list, SteadyTime now, ControlActions&)
 {
     readInstanceList(m_membership, list, now);
-    instanceListRead(m_replica, list);
+    instanceListRead(m_replica, list, now);
     noteListed(m_drains, list, now);
     followMembership(now);
 }
--- a/src/core/SettingsTree.cpp
+++ b/src/core/SettingsTree.cpp
@@ -228,7 +228,9 @@
             Branch branch { .version = SettingsVersion(unsignedOr0(*object, "version")) };
             for (const auto& member : fields->get_object()) {
                 std::string name(member.key());
-                BOOST_LEAF_AUTO(stored, storedFromJson(path + " " + name, member.value()));
+                std::string label = path;
+                label.append(" ").append(name);
+                BOOST_LEAF_AUTO(stored, storedFromJson(label, member.value()));
                 branch.fields.emplace(name, std::move(stored));
             }
             return branch;
