--- a/src/daemon/Traffic.cpp
+++ b/src/daemon/Traffic.cpp
@@ -154,10 +154,12 @@
         void answer(httplib::Response& response, const std::shared_ptr<Conversation>& self)
         {
             m_traffic.m_control.arrive(m_call->arrival, m_ticket);
-            while (!m_final && !(m_call->stream && !m_held.empty()))
+            while (!m_final && m_held.empty())
                 step();
             response.set_header(kRequestIdHeader, id().value());
-            if (!m_final) {
+            // Pieces and the final answer may have come together.
+            bool isEmptyStream = m_call->stream && m_final && m_final->outcome == Outcome::Completed && !m_targetAnswer;
+            if (!m_held.empty() || isEmptyStream) {
                 response.status = 200;
                 response.set_header("Cache-Control", "no-store");
                 // Marks the head as ours; the outcome of a stream is told at its end.
