Run the control tests in a cluster of three

Cause: an instance alone on the list is its own majority, so its view never grows stale; two tests expected otherwise, rightly for three instances. Ruled out: a fault in the quorum rule: with one listed instance nobody else can accept a change. Change: the fixture lists three instances, whose two peers answer once. Conclusion: staleness needs peers that are listed and silent.

--- a/test/ControlTest.cpp
+++ b/test/ControlTest.cpp
@@ -31,6 +31,7 @@
     ManualClock clock;
     Control control { ControlOptions { .instance = InstanceId("a"), .incarnation = Incarnation(1) }, clock.steadyNow() };
     ControlActions actions;
+    std::uint64_t sequence { 0 };
 
     void send(const ControlEvent& event)
     {
@@ -42,11 +43,24 @@
 
     void start()
     {
-        send(InstanceListRead { { { .instance = InstanceId("a"), .host = "127.0.0.1", .port = 9 } } });
+        InstanceListRead list;
+        for (const char* name : { "a", "b", "c" })
+            list.instances.push_back({ .instance = InstanceId(name), .host = "127.0.0.1", .port = 9 });
+        send(list);
         send(SettingsArrived { makeSettings(1) });
+        hearFrom("b");
+        hearFrom("c");
         confirm(1);
     }
 
+    /// An answer of a peer that serves nothing and has not confirmed a version itself.
+    void hearFrom(const char* peer)
+    {
+        Heartbeat news { .instance = InstanceId(peer), .incarnation = Incarnation(1), .sequence = ++sequence };
+        news.pools = { { .pool = drafts }, { .pool = registry } };
+        send(HeartbeatAnswered { .news = news, .sentAt = clock.steadyNow() });
+    }
+
     template <typename Action>
     std::vector<Action> all() const
     {
