--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -247,7 +247,7 @@
     }
 
     thread_local CallerConnection* currentConnection = nullptr;
-thread_local BoundedStream* currentStream = nullptr;
+    thread_local BoundedStream* currentStream = nullptr;
 
 } // namespace
 
