Give engines orders under the lease of their pool

Cause: leases existed, but nothing gave orders with them. Ruled out: a lease for each engine, which can't bound how many engines fetch from the rate-limited weight store at once; remembering reached states in the table service, since a repeated order changes nothing. Lease.h's EngineOrder shared its name with EngineClient.h's. Before: no orders. Conclusion: the daemon's adapter has to carry out AccessLease and GiveOrder.

--- a/include/limpetpond/Ids.h
+++ b/include/limpetpond/Ids.h
@@ -63,6 +63,7 @@
 using FailureDomainId = StringId<struct FailureDomainIdTag>;
 using ModelId = StringId<struct ModelIdTag>;
 using ChangeId = StringId<struct ChangeIdTag>;
+using LeaseId = StringId<struct LeaseIdTag>;
 using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
 
 /// A request as the caller sees it; unique over all instances.
--- a/include/limpetpond/Settings.h
+++ b/include/limpetpond/Settings.h
@@ -35,6 +35,15 @@
     std::chrono::minutes length { 60 };
 };
 
+/// The state that an order asks an engine to reach; a repetition changes nothing.
+struct EngineDesiredState {
+    ModelId model;
+    std::string version;
+    std::vector<std::string> adapters;
+    std::string role; ///< `prefill`, `decode` or `both`.
+    bool operator==(const EngineDesiredState&) const = default;
+};
+
 /// One back end: a model engine or a plain service.
 struct TargetSettings {
     TargetId id;
@@ -54,6 +63,7 @@
     TokenCount cacheCapacity { 200'000 }; ///< Tokens of prefix cache.
     bool checksFencing { false }; ///< Refuses orders with an old fencing number.
     bool checksKeys { false }; ///< Refuses a second run of an idempotency key itself.
+    std::optional<EngineDesiredState> desired; ///< None: the engine gets no orders.
     std::optional<CleaningWindow> cleaningWindow;
     std::chrono::minutes cleaningTime { 30 }; ///< What the cleaning takes once the target is empty.
 };
--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -416,6 +416,10 @@
     }
     for (auto& [id, pool] : m_schedulers)
         applySettings(pool, *m_replica.settings, now);
+    for (const auto& [id, pool] : m_replica.settings->pools) {
+        const auto orders = m_orders.try_emplace(id, makePoolOrders(id, m_options.instance, now)).first;
+        applySettings(orders->second, *m_replica.settings, now);
+    }
 }
 
 void Control::take(const MarkAnswered& answered, SteadyTime, ControlActions&)
@@ -423,6 +427,24 @@
     markAnswered(m_cleaning, answered);
 }
 
+// ---- Orders to engines ----
+
+void Control::take(const OrderAnswered& answered, SteadyTime now, ControlActions&)
+{
+    for (auto& [id, orders] : m_orders) {
+        if (orders.engines.contains(answered.target))
+            orderAnswered(orders, answered, now);
+    }
+}
+
+void Control::take(const LeaseAnswered& answered, SteadyTime now, ControlActions&)
+{
+    for (auto& [id, orders] : m_orders) {
+        if (orders.lease.id == answered.lease)
+            leaseAnswered(orders, answered, now);
+    }
+}
+
 // ---- Other instances ----
 
 void Control::take(const HeartbeatReceived& received, SteadyTime now, ControlActions& out)
@@ -580,7 +602,7 @@
         followClaim(active, tickClaim(*active.claim, m_options.claims, now, out), now, out);
         forgetIfEnded(request);
     }
-    advanceDrains(tick, now, out);
+    advanceTargets(tick, now, out);
 }
 
 std::set<TargetId> Control::emptyTargets(SteadyTime now) const
@@ -601,7 +623,7 @@
     return static_cast<std::size_t>(std::ranges::count_if(live, [this](const InstanceId& id) { return id < m_options.instance; }));
 }
 
-void Control::advanceDrains(const Tick& tick, SteadyTime now, ControlActions& out)
+void Control::advanceTargets(const Tick& tick, SteadyTime now, ControlActions& out)
 {
     if (!m_replica.settings)
         return;
@@ -611,6 +633,8 @@
     input.emptyTargets = emptyTargets(now);
     input.proposerRank = rankAmongLive();
     std::ranges::move(advanceCleaning(m_cleaning, *m_replica.settings, input), std::back_inserter(out));
+    for (auto& [id, orders] : m_orders)
+        advanceOrders(orders, *m_replica.settings, m_options.orders, input.proposerRank, now, out);
 }
 
 void Control::take(const ShutdownRequested&, SteadyTime now, ControlActions& out)
--- a/src/core/Control.h
+++ b/src/core/Control.h
@@ -12,6 +12,7 @@
 #include "core/Drain.h"
 #include "core/Membership.h"
 #include "core/Messages.h"
+#include "core/Orders.h"
 #include "core/Scheduler.h"
 #include "core/SettingsReplica.h"
 #include <map>
@@ -27,6 +28,7 @@
     Incarnation incarnation;
     std::uint64_t seed { 1 }; ///< Feeds every random choice of the core.
     ClaimOptions claims;
+    OrderOptions orders;
     Duration staleGrace { std::chrono::seconds(1) }; ///< How long requests wait for a stale view to be confirmed again.
     Duration urgentHeartbeatGap { std::chrono::milliseconds(20) }; ///< Between heartbeats that carry a changed floor.
     Duration floorHeartbeatPeriod { std::chrono::milliseconds(100) }; ///< Between heartbeats while a floor is wanted.
@@ -107,6 +109,8 @@
     void take(const HeartbeatAnswered&, SteadyTime now, ControlActions& out);
     void take(const HeartbeatLost&, SteadyTime now, ControlActions& out);
     void take(const InstanceListRead&, SteadyTime now, ControlActions& out);
+    void take(const OrderAnswered&, SteadyTime now, ControlActions& out);
+    void take(const LeaseAnswered&, SteadyTime now, ControlActions& out);
     void take(const Tick&, SteadyTime now, ControlActions& out);
     void take(const ShutdownRequested&, SteadyTime now, ControlActions& out);
 
@@ -140,7 +144,7 @@
     std::vector<TargetNews> allTargetNews() const;
     std::set<TargetId> emptyTargets(SteadyTime now) const;
     std::size_t rankAmongLive() const;
-    void advanceDrains(const Tick&, SteadyTime now, ControlActions& out);
+    void advanceTargets(const Tick&, SteadyTime now, ControlActions& out);
     void noteAlarms(std::size_t from, SteadyTime now, const ControlActions& out);
 
     ControlOptions m_options;
@@ -149,6 +153,7 @@
     DrainTracker m_drains;
     CleaningState m_cleaning;
     std::map<PoolId, PoolScheduler> m_schedulers;
+    std::map<PoolId, PoolOrders> m_orders;
     Requests m_requests;
     std::set<RequestId> m_openClaims;
     std::map<InstanceId, detail::HeartbeatMark> m_heard;
--- a/src/core/Lease.cpp
+++ b/src/core/Lease.cpp
@@ -30,7 +30,7 @@
 {
     std::uint64_t last = lease.seen ? lease.seen->number.value() : 0;
     bool isRaised = !isGuardDisabled(GuardId::FencingNumberRaised) || !last;
-    return { lease.target, lease.self, FencingNumber { last + isRaised }, 0 };
+    return { lease.id, lease.self, FencingNumber { last + isRaised }, 0 };
 }
 
 static LeaseRow makeRenewingRow(const LeaseState& lease)
@@ -75,10 +75,10 @@
     return lease.renewedAt + options.term - options.safetyMargin;
 }
 
-LeaseState makeLease(TargetId target, InstanceId self, SteadyTime now)
+LeaseState makeLease(LeaseId id, InstanceId self, SteadyTime now)
 {
     LeaseState lease;
-    lease.target = std::move(target);
+    lease.id = std::move(id);
     lease.self = std::move(self);
     lease.nextReadAt = now;
     return lease;
@@ -124,10 +124,10 @@
     return checksFencing || isWaitedOut || isGuardDisabled(GuardId::LongestOrderWaitedOut);
 }
 
-EngineOrder stampOrder(const LeaseState& lease, const LeaseOptions& options, EngineOrder order)
+FencedOrder stampOrder(const LeaseState& lease, const LeaseOptions& options)
 {
     checkInvariant(lease.heldSince.has_value(), InvariantId::OneOrderingHolder);
-    order.target = lease.target;
+    FencedOrder order;
     order.number = lease.seen ? lease.seen->number : FencingNumber {};
     order.notAfter = orderEnd(lease, options);
     if (isGuardDisabled(GuardId::HolderStopsEarly))
--- a/src/core/Lease.h
+++ b/src/core/Lease.h
@@ -2,8 +2,8 @@
 
 /// Leases with fencing numbers, for orders to model engines.
 ///
-/// One instance at a time gives an engine orders: the holder of the engine's lease, a row in the table
-/// service. Each new holder raises the fencing number; engines that check it refuse older orders. For engines
+/// One instance at a time gives the engines of a pool orders: the holder of the pool's lease, a row in the
+/// table service. Each new holder raises the fencing number; engines that check it refuse older orders. For engines
 /// that ignore it, the holder stops by its own clock before its lease ends, and the next one waits out the
 /// longest order. Orders name the desired end state, so that a repetition does nothing.
 /// No instance compares its clock with another's. See docs/design/leases.md.
@@ -17,9 +17,9 @@
 
 namespace limpetpond {
 
-/// The lease of one engine's orders, as it stands in the table service.
+/// A lease as it stands in the table service.
 struct LeaseRow {
-    TargetId target;
+    LeaseId id;
     InstanceId holder;
     FencingNumber number; ///< Raised by each new holder.
     std::uint64_t renewals { 0 }; ///< Raised by each renewal: shows watchers that the holder lives.
@@ -57,7 +57,7 @@
 
 /// The state of one lease at one instance; changed only by the functions below.
 struct LeaseState {
-    TargetId target;
+    LeaseId id;
     InstanceId self;
     std::optional<LeaseRow> seen; ///< The row when last read.
     bool isRowKnown { false }; ///< `seen` is what a read or write showed last.
@@ -73,7 +73,7 @@
 };
 
 /// Makes the state of a lease that this instance does not hold.
-LeaseState makeLease(TargetId, InstanceId self, SteadyTime now);
+LeaseState makeLease(LeaseId, InstanceId self, SteadyTime now);
 
 /// The next operation on the row, if one is due; `isWanted` tells whether this instance wants to give orders.
 ///
@@ -84,24 +84,19 @@
 /// Takes in the end of the outstanding operation.
 void handleLeaseAnswered(LeaseState&, LeaseOperation, LeaseAnswer, const std::optional<LeaseRow>&, SteadyTime now);
 
-/// An order to an engine: its desired end state.
-struct EngineOrder {
-    TargetId target;
+/// What an order carries besides its desired end state.
+struct FencedOrder {
     FencingNumber number;
-    ModelId model;
-    std::string modelVersion;
-    std::string adapter; ///< Empty for none.
-    std::string role; ///< Empty to leave it as it is.
     SteadyTime notAfter; ///< The sender must not start later, by its own clock.
 };
 
 /// Whether this instance may send an order now. For an engine that ignores fencing numbers, a new holder
 /// waits out the longest order of the holder before it.
 ///
-///     if (mayOrder(lease, options, target.checksFencing, now)) send(stampOrder(lease, options, order));
+///     if (mayOrder(lease, options, target.checksFencing, now)) send(desired, stampOrder(lease, options));
 bool mayOrder(const LeaseState&, const LeaseOptions&, bool checksFencing, SteadyTime now);
 
-/// Adds fencing number and the latest sending time to an order.
-EngineOrder stampOrder(const LeaseState&, const LeaseOptions&, EngineOrder);
+/// The fencing number and the latest sending time of an order.
+FencedOrder stampOrder(const LeaseState&, const LeaseOptions&);
 
 } // namespace limpetpond
--- a/src/core/Messages.h
+++ b/src/core/Messages.h
@@ -6,6 +6,7 @@
 /// hands each to `Control::handle`, and carries out the actions that come back. The
 /// daemon and the randomised runs use the same core with different adapters.
 
+#include "core/Lease.h"
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
 #include "limpetpond/Outcome.h"
@@ -228,6 +229,29 @@
     std::vector<ListedInstance> instances;
 };
 
+// ---- Orders to engines ----
+
+enum class OrderProgress {
+    Reached, ///< The engine is in the desired state.
+    InProgress, ///< The engine took the order and is on its way.
+    RefusedOldFencing, ///< The engine saw a higher fencing number.
+    Failed, ///< No answer: the order may have taken effect.
+};
+
+struct OrderAnswered {
+    TargetId target;
+    EngineDesiredState desired;
+    OrderProgress progress { OrderProgress::Failed };
+};
+
+/// An operation on the row of a lease ended.
+struct LeaseAnswered {
+    LeaseId lease;
+    LeaseOperation operation { LeaseOperation::None };
+    LeaseAnswer answer { LeaseAnswer::Done };
+    std::optional<LeaseRow> row; ///< What stands, when known.
+};
+
 // ---- Time and shutdown ----
 
 /// Sent at least every 100 ms.
@@ -240,7 +264,7 @@
 
 using ControlEvent = std::variant<RequestArrived, AnswerStarted, DispatchEnded, CallerGone, ClaimAnswered, TargetReported,
     CacheChanged, SettingsHeadRead, SettingsArrived, MarkAnswered, HeartbeatReceived, HeartbeatAnswered, HeartbeatLost, InstanceListRead,
-    Tick, ShutdownRequested>;
+    OrderAnswered, LeaseAnswered, Tick, ShutdownRequested>;
 
 // ---- Actions ----
 
@@ -313,6 +337,19 @@
     SettingsVersion branchVersion; ///< The version of the target's branch that the step is based on.
 };
 
+/// Read or write the row of a lease; reported by LeaseAnswered.
+struct AccessLease {
+    LeaseId lease;
+    LeaseStep step;
+};
+
+/// Order an engine to reach a state; reported by OrderAnswered.
+struct GiveOrder {
+    TargetId target;
+    EngineDesiredState desired;
+    FencedOrder fence;
+};
+
 /// A condition that operators must hear of.
 enum class AlarmKind {
     SettingsWentBack, ///< The store showed an older version than the one in force.
@@ -328,7 +365,7 @@
 };
 
 using ControlAction = std::variant<Dispatch, CancelDispatch, FinalAnswer, WriteClaim, ReadClaim, ReadSettingsHead,
-    FetchSettings, MarkTarget, SendHeartbeat, AnswerHeartbeat, RaiseAlarm>;
+    FetchSettings, MarkTarget, SendHeartbeat, AnswerHeartbeat, AccessLease, GiveOrder, RaiseAlarm>;
 
 using ControlActions = std::vector<ControlAction>;
 
--- /dev/null
+++ b/src/core/Orders.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// Orders to the engines of one pool: load the model, version, adapters and role that the settings want.
+///
+/// The holder of the pool's lease gives them. A bounded number of engines loads at once, since all fetch
+/// from one rate-limited weight store. A state that was reached is checked again from time to time, since
+/// an engine that restarts forgets it. See docs/design/leases.md.
+
+#include "core/Lease.h"
+#include "core/Messages.h"
+#include "limpetpond/Settings.h"
+#include <map>
+
+namespace limpetpond {
+
+struct OrderOptions {
+    LeaseOptions lease;
+    Duration checkPeriod { std::chrono::minutes(1) }; ///< Between orders to an engine that reached its state.
+    Duration repeatPeriod { std::chrono::seconds(2) }; ///< Between orders to an engine that has not.
+    int maxLoading { 2 }; ///< Engines of the pool that are on their way at once.
+    Duration rankDelay { std::chrono::seconds(15) }; ///< How much longer each later live instance waits before it wants the lease.
+};
+
+/// How far one engine is.
+struct EngineProgress {
+    EngineDesiredState desired;
+    bool isOutstanding { false }; ///< An order was sent and not answered.
+    bool isLoading { false }; ///< The engine said that it is on its way.
+    std::optional<SteadyTime> reachedAt;
+    std::optional<SteadyTime> sentAt;
+    SteadyTime wantedSince;
+};
+
+/// The state of one pool's orders at one instance; changed only by the functions below.
+struct PoolOrders {
+    PoolId pool;
+    LeaseState lease;
+    std::map<TargetId, EngineProgress> engines; ///< Those with a desired state.
+};
+
+/// Makes the state of a pool without engines; `applySettings` adds them.
+///
+///     PoolOrders orders = makePoolOrders(PoolId("drafts"), InstanceId("a"), now);
+///     applySettings(orders, *settings, now);
+PoolOrders makePoolOrders(PoolId, InstanceId self, SteadyTime now);
+
+/// Takes over the desired states; a changed one is ordered anew.
+void applySettings(PoolOrders&, const Settings&, SteadyTime now);
+
+/// Appends the lease operation and the orders that are due. `rank` is this instance's place among the live
+/// ones: the first acts, later ones step in when it doesn't.
+///
+///     advanceOrders(orders, *settings, options, rank, now, actions);
+void advanceOrders(PoolOrders&, const Settings&, const OrderOptions&, std::size_t rank, SteadyTime now, ControlActions& out);
+
+/// Takes in the end of a lease operation.
+void leaseAnswered(PoolOrders&, const LeaseAnswered&, SteadyTime now);
+
+/// Takes in an engine's answer to an order; an answer to an earlier desired state only lets the next order go.
+void orderAnswered(PoolOrders&, const OrderAnswered&, SteadyTime now);
+
+/// Whether the engine confirmed its desired state; also true for one that has none.
+bool hasReachedState(const PoolOrders&, const TargetId&);
+
+} // namespace limpetpond
--- a/src/core/SettingsResolve.cpp
+++ b/src/core/SettingsResolve.cpp
@@ -248,6 +248,17 @@
                 target.mark = TargetMark::Leaving;
         }
 
+        std::optional<EngineDesiredState> resolveDesiredState(const Reader& reader)
+        {
+            EngineDesiredState desired { .model = ModelId(reader.text("wantedModel")) };
+            if (desired.model.value() == "none")
+                return std::nullopt;
+            desired.version = reader.text("wantedVersion");
+            desired.adapters = reader.list("wantedAdapters");
+            desired.role = reader.text("wantedRole");
+            return desired;
+        }
+
         TargetSettings resolveTarget(const SettingsTree& tree, const std::string& path, const std::string& name, const Branch& branch)
         {
             TargetSettings target { .id = TargetId(name) };
@@ -265,6 +276,7 @@
             reader.read("checksFencing", target.checksFencing);
             reader.read("checksKeys", target.checksKeys);
             reader.read("cleaningTime", target.cleaningTime);
+            target.desired = resolveDesiredState(reader);
             target.cleaningWindow = resolveWindow(tree, reader.text("window"));
             return target;
         }
--- a/src/core/SettingsSchema.cpp
+++ b/src/core/SettingsSchema.cpp
@@ -30,6 +30,8 @@
         constexpr std::array<std::string_view, 7> weekdays { "sunday", "monday", "tuesday", "wednesday", "thursday", "friday", "saturday" };
         constexpr std::array<std::string_view, 6> policies { "limpetpond", "round_robin", "least_outstanding", "two_choices", "prefix_hash", "no_tiers" };
 
+        constexpr std::array<std::string_view, 3> engineRoles { "prefill", "decode", "both" };
+
         constexpr double second = 1'000;
         constexpr double minute = 60 * second;
         constexpr double hour = 60 * minute;
@@ -73,6 +75,10 @@
             FieldSchema { .name = "cacheCapacity", .settableAt = fromTarget, .type = FieldType::Tokens, .least = 0, .most = 1e9, .defaultValue = "\"200000 tokens\"", .doc = "The prefix cache of an engine." },
             FieldSchema { .name = "checksFencing", .settableAt = fromTarget, .type = FieldType::Flag, .defaultValue = "false", .doc = "The target refuses orders with an old fencing number." },
             FieldSchema { .name = "checksKeys", .settableAt = fromTarget, .type = FieldType::Flag, .defaultValue = "false", .doc = "The target itself refuses a second run of an idempotency key." },
+            FieldSchema { .name = "wantedModel", .settableAt = fromTarget, .type = FieldType::Name, .defaultValue = "\"none\"", .doc = "Model engines: the model that the engine is ordered to load; none for no orders." },
+            FieldSchema { .name = "wantedVersion", .settableAt = fromTarget, .type = FieldType::Name, .defaultValue = "\"latest\"", .doc = "Model engines: the version of wantedModel." },
+            FieldSchema { .name = "wantedAdapters", .settableAt = fromTarget, .type = FieldType::NameList, .defaultValue = "[]", .doc = "Model engines: the adapters that are loaded with wantedModel." },
+            FieldSchema { .name = "wantedRole", .settableAt = fromTarget, .type = FieldType::Choice, .defaultValue = "\"both\"", .choices = engineRoles, .doc = "Model engines: whether the engine processes prompts, generates, or does both." },
             FieldSchema { .name = "window", .settableAt = fromTarget, .type = FieldType::Name, .defaultValue = "\"none\"", .doc = "The cleaning window; none for no cleaning by schedule." },
             FieldSchema { .name = "cleaningTime", .settableAt = fromTarget, .type = FieldType::Duration, .least = minute, .most = 12 * hour, .defaultValue = "\"30m\"", .doc = "What the cleaning takes once the target is empty; whole minutes." },
 
--- a/src/engine/EngineClient.h
+++ b/src/engine/EngineClient.h
@@ -103,15 +103,6 @@
 
 // ---- Orders ----
 
-/// The end state that an order asks for; a repeat changes nothing.
-struct EngineDesiredState {
-    ModelId model;
-    std::string version;
-    std::vector<std::string> adapters;
-    std::string role; ///< `prefill`, `decode` or `both`.
-    bool operator==(const EngineDesiredState&) const = default;
-};
-
 struct EngineOrder {
     FencingNumber fencing;
     EngineDesiredState desired;
--- a/test/LeaseTest.cpp
+++ b/test/LeaseTest.cpp
@@ -29,8 +29,8 @@
     LeaseOptions options;
     SteadyTime now { 1h };
     LeaseStore store;
-    LeaseState a = makeLease(TargetId { "engine-1" }, InstanceId { "a" }, now);
-    LeaseState b = makeLease(TargetId { "engine-1" }, InstanceId { "b" }, now);
+    LeaseState a = makeLease(LeaseId { "engine-1" }, InstanceId { "a" }, now);
+    LeaseState b = makeLease(LeaseId { "engine-1" }, InstanceId { "b" }, now);
 
     void serve(LeaseState & lease, const LeaseStep& step)
     {
@@ -123,7 +123,7 @@
 TEST(Lease, orderCarriesTheNumberAndEndsWithTheLease)
 {
     hold(a);
-    EngineOrder order = stampOrder(a, options, { .model = ModelId { "small" } });
+    FencedOrder order = stampOrder(a, options);
     CHECK(order.number == FencingNumber { 1 });
     CHECK(order.notAfter == a.renewedAt + options.term - options.safetyMargin);
 }
@@ -157,7 +157,7 @@
 TEST(Lease, raceForALapsedLeaseHasOneWinner)
 {
     hold(a);
-    LeaseState c = makeLease(TargetId { "engine-1" }, InstanceId { "c" }, now);
+    LeaseState c = makeLease(LeaseId { "engine-1" }, InstanceId { "c" }, now);
     serve(b, nextLeaseStep(b, options, true, now));
     serve(c, nextLeaseStep(c, options, true, now));
     now += options.term;
