--- a/src/core/Guard.h
+++ b/src/core/Guard.h
@@ -3,6 +3,10 @@
 /// Test hooks that switch off one guard each, so that the randomised runs can show that
 /// an invariant trips without it. Release builds contain none of them.
 
+#ifdef LIMPETPOND_TEST_HOOKS
+#include <cstdlib>
+#endif
+
 namespace limpetpond {
 
 /// One entry for each guard that keeps an invariant.
@@ -45,13 +49,21 @@
 
 namespace detail {
     inline thread_local GuardId disabledGuard { GuardId::None };
+
+    /// The guard that POND_TEST_DISABLED_GUARD names by its number, for tests of whole processes.
+    inline GuardId disabledGuardOfProcess()
+    {
+        static const char* const number = std::getenv("POND_TEST_DISABLED_GUARD");
+        static const auto id = static_cast<GuardId>(number ? std::atoi(number) : 0);
+        return id;
+    }
 }
 
-/// Whether the tests have switched off this guard on this thread.
+/// Whether the tests have switched off this guard, on this thread or in the whole process.
 ///
 ///     if (!isGuardDisabled(GuardId::LowerVersionRefused) && version < current)
 ///         return;
-inline bool isGuardDisabled(GuardId id) { return detail::disabledGuard == id; }
+inline bool isGuardDisabled(GuardId id) { return detail::disabledGuard == id || detail::disabledGuardOfProcess() == id; }
 
 /// Switches off one guard on this thread; `GuardId::None` switches all on.
 inline void disableGuard(GuardId id) { detail::disabledGuard = id; }
--- a/src/engine/EngineClient.h
+++ b/src/engine/EngineClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Model engines: streamed answers that can be resumed and cancelled, load, cache events,
-/// orders and KV cache. The protocol is in docs/API.md under "Model engines".
+/// orders and KV cache. The protocol is in docs/PROTOCOLS.md under "Model engines".
 
 #include "core/Messages.h"
 #include "core/StreamAssembler.h"
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -4,8 +4,8 @@
 
 #include <functional>
 #include <httplib.h>
-#include <netinet/in.h>
 #include <mutex>
+#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
--- a/test/fakes/engine/main.cpp
+++ b/test/fakes/engine/main.cpp
@@ -1,4 +1,4 @@
-/// The model engine's stand-in, with the protocol of docs/API.md under "Model engines".
+/// The model engine's stand-in, with the protocol of docs/PROTOCOLS.md under "Model engines".
 ///
 /// GET /_runs gives what ran for each prompt, GET /_stats the counts, GET /_orders the orders that were
 /// taken. POST /_control sets any of: `slowdown` (factor), `refuse` (answers 503), `cut_after` (each
--- /dev/null
+++ b/test/process/OperatorsTest.cpp
@@ -0,0 +1,58 @@
+/// Operators race one another.
+
+#include "test/process/Site.h"
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The code of the refusal, or "accepted".
+std::string outcomeOf(const Site& site, std::size_t daemon, const std::string& value, std::int64_t readVersion)
+{
+    try {
+        site.change(daemon, "pool/drafts", "maxDispatches", value, readVersion);
+        return "accepted";
+    } catch (const rpc::OperatorRefused& refused) {
+        return refused.code;
+    }
+}
+
+} // namespace
+
+TEST_GROUP(Operators) {};
+
+TEST(Operators, oneOfTwoRacingEditsIsAcceptedAndCountsEverywhere)
+{
+    Site site;
+    std::int64_t version = site.change(0, "pool/drafts", "maxDispatches", "2").version;
+    CHECK(eventually(5s, [&] { return site.valueAt(3, "pool/drafts", "maxDispatches") == "2"; }));
+    std::string first;
+    std::string second;
+    std::thread other([&] { second = outcomeOf(site, 3, "5", version); });
+    first = outcomeOf(site, 0, "4", version);
+    other.join();
+    CHECK((first == "accepted") != (second == "accepted"));
+    STRCMP_EQUAL("conflict", (first == "accepted" ? second : first).c_str());
+    std::string winner = first == "accepted" ? "4" : "5";
+    for (std::size_t i = 0; i < 4; ++i)
+        CHECK(eventually(5s, [&] { return site.valueAt(i, "pool/drafts", "maxDispatches") == winner; }));
+}
+
+TEST(Operators, leavingTargetBecomesEmptyAndGetsNoNewWork)
+{
+    Site site;
+    Load load(site.callerPorts(), { "--keys=" + plainKey, "--requests=200", "--concurrency=12" });
+    load.waitForRecords(20);
+    site.change(1, "target/engine-1", "mark", "\"leaving\"");
+    CHECK(eventually(10s, [&] { return site.targetStatus(2, "engine-1").mark == "empty"; }));
+    std::int64_t before = site.engineCount(0, "started");
+    LoadResult result = load.finish();
+    LONGS_EQUAL(before, site.engineCount(0, "started"));
+    LONGS_EQUAL(0, site.engineCount(0, "cancelled"));
+    STRCMP_EQUAL("", site.faultsOf(result).c_str());
+    LONGS_EQUAL(200, result.count("completed"));
+}
