Publish the view without std::atomic<std::shared_ptr>

Cause: ThreadSanitizer reports a data race between its load and the next store: GCC 12 unlocks a load without release order. Ruled out: a race of our own, as both sides are inside std::atomic. Change: Published holds a flag for the copy of one pointer; the control thread tries and never waits.

--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -59,6 +59,7 @@
     , m_metrics(metrics)
     , m_events(metrics.counter("limpetpond_control_events_total", "Events that the control thread took in."))
     , m_view(std::make_shared<const PublishedView>())
+    , m_newestView(m_view.load())
 {
 }
 
@@ -164,29 +165,41 @@
 
 void ControlThread::publish(SteadyTime now)
 {
-    std::shared_ptr<const PublishedView> current = view();
+    if (std::shared_ptr<const PublishedView> next = nextView(now)) {
+        m_newestView = std::move(next);
+        m_isPublished = false;
+    }
+    // A reader in the way is gone by the next turn.
+    if (!m_isPublished)
+        m_isPublished = m_view.tryStore(m_newestView);
+}
+
+std::shared_ptr<const PublishedView> ControlThread::nextView(SteadyTime now)
+{
+    const PublishedView& current = *m_newestView;
     std::shared_ptr<const Settings> settings = m_core.settings();
     bool ready = m_core.isReady(now);
     bool drained = m_core.isDrained();
     bool statusIsDue = !m_lastStatusAt || now - *m_lastStatusAt >= m_options.statusPeriod;
-    if (settings == current->settings && ready == current->ready && drained == current->drained && !statusIsDue)
-        return;
-    auto next = std::make_shared<PublishedView>(*current);
+    if (settings == current.settings && ready == current.ready && drained == current.drained && !statusIsDue)
+        return nullptr;
+    auto next = std::make_shared<PublishedView>(current);
     next->ready = ready;
     next->drained = drained;
-    if (settings != current->settings) {
+    if (settings != current.settings) {
         next->settings = settings;
         next->accounts = settings ? std::make_shared<const AccountIndex>(*settings) : nullptr;
-        m_timeline.record({ .kind = "settings_in_force", .fields = { { "version", std::to_string(settings ? settings->version.value() : 0) } } });
-        logLine(LogLevel::Info, "settings_in_force", { { "version", settings ? settings->version.value() : 0 } });
+        std::uint64_t version = settings ? settings->version.value() : 0;
+        m_timeline.record({ .kind = "settings_in_force", .fields = { { "version", std::to_string(version) } } });
+        logLine(LogLevel::Info, "settings_in_force", { { "version", version } });
     }
-    if (ready != current->ready)
+    if (ready != current.ready)
         logLine(LogLevel::Info, ready ? "ready" : "not_ready");
     if (statusIsDue) {
         next->status = std::make_shared<const ControlStatus>(m_core.status(now));
         m_lastStatusAt = now;
     }
-    m_view.store(std::move(next), std::memory_order_release);
+    return next;
 }
 
 void ControlThread::record(const ControlEvent& event)
--- a/src/daemon/ControlThread.h
+++ b/src/daemon/ControlThread.h
@@ -8,6 +8,7 @@
 #include "core/ControlStatus.h"
 #include "core/Messages.h"
 #include "daemon/Mailbox.h"
+#include "daemon/Published.h"
 #include "daemon/Ticket.h"
 #include <atomic>
 #include <functional>
@@ -84,7 +85,7 @@
     /// Hands a peer's heartbeat to the core and waits for the answer; none when time runs out.
     std::optional<Heartbeat> heartbeat(const Heartbeat&, std::chrono::milliseconds timeout);
 
-    std::shared_ptr<const PublishedView> view() const { return m_view.load(std::memory_order_acquire); }
+    std::shared_ptr<const PublishedView> view() const { return m_view.load(); }
 
 private:
     using HeartbeatReply = Mailbox<Heartbeat>;
@@ -99,6 +100,7 @@
     void carryOut(const ControlAction&, const Mail&);
     void toTicket(const RequestId&, TicketMessage);
     void publish(SteadyTime now);
+    std::shared_ptr<const PublishedView> nextView(SteadyTime now);
     void record(const ControlEvent&);
     void record(const ControlAction&);
 
@@ -111,7 +113,9 @@
     Counter& m_events;
     Mailbox<Mail> m_mailbox;
     std::unordered_map<RequestId, std::shared_ptr<Ticket>> m_tickets;
-    std::atomic<std::shared_ptr<const PublishedView>> m_view;
+    Published<PublishedView> m_view;
+    std::shared_ptr<const PublishedView> m_newestView; ///< Published once `m_isPublished` is set.
+    bool m_isPublished { true };
     std::optional<SteadyTime> m_lastStatusAt;
     std::atomic<bool> m_stopping { false };
     std::thread m_thread;
--- /dev/null
+++ b/src/daemon/Published.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/// A shared pointer that one thread replaces and many read.
+///
+/// `std::atomic<std::shared_ptr>` of GCC 12 unlocks its readers without release order, which is
+/// a data race between a load and the next store.
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <utility>
+
+namespace limpetpond {
+
+/// The flag is held for the copy of one pointer; the writer never waits for it.
+///
+///     Published<View> view(std::make_shared<const View>());
+///     std::shared_ptr<const View> seen = view.load();
+template <typename T>
+class Published {
+public:
+    explicit Published(std::shared_ptr<const T> value)
+        : m_value(std::move(value))
+    {
+    }
+
+    std::shared_ptr<const T> load() const
+    {
+        while (m_busy.test_and_set(std::memory_order_acquire))
+            std::this_thread::yield();
+        std::shared_ptr<const T> value = m_value;
+        m_busy.clear(std::memory_order_release);
+        return value;
+    }
+
+    /// False when a reader is copying the pointer just now; nothing was stored then.
+    bool tryStore(std::shared_ptr<const T> value)
+    {
+        if (m_busy.test_and_set(std::memory_order_acquire))
+            return false;
+        m_value.swap(value);
+        m_busy.clear(std::memory_order_release);
+        return true;
+    }
+
+private:
+    mutable std::atomic_flag m_busy;
+    std::shared_ptr<const T> m_value;
+};
+
+} // namespace limpetpond
