--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -642,7 +642,8 @@
     status.takenAt = now;
     status.version = versionInForce(m_replica);
     status.highestKnown = m_replica.highestKnown;
-    status.confirmedAge = storeConfirmedAge(m_replica, now);
+    status.majorityVersion = majorityVersion(m_replica, now);
+    status.confirmedAge = confirmedAge(m_replica, now);
     status.storeReachable = m_replica.storeReachable;
     status.instances.push_back({ .instance = m_options.instance, .listed = m_replica.listed.contains(m_options.instance), .leaving = m_isShuttingDown, .version = versionToReport(m_replica) });
     for (const auto& [id, member] : m_membership.members) {
--- /dev/null
+++ b/src/core/ControlStatus.cpp
@@ -0,0 +1,35 @@
+#include "core/ControlStatus.h"
+
+namespace limpetpond {
+
+std::string_view toString(AlarmKind kind)
+{
+    switch (kind) {
+    case AlarmKind::SettingsWentBack:
+        return "settings_went_back";
+    case AlarmKind::CutOff:
+        return "cut_off";
+    case AlarmKind::StoreUnavailable:
+        return "store_unavailable";
+    case AlarmKind::CleaningWindowMissed:
+        return "cleaning_window_missed";
+    case AlarmKind::InvariantViolated:
+        return "invariant_violated";
+    }
+    return "invariant_violated";
+}
+
+std::string_view toString(MemberState state)
+{
+    switch (state) {
+    case MemberState::Live:
+        return "live";
+    case MemberState::Suspected:
+        return "suspected";
+    case MemberState::Departed:
+        return "departed";
+    }
+    return "departed";
+}
+
+} // namespace limpetpond
--- a/src/core/ControlStatus.h
+++ b/src/core/ControlStatus.h
@@ -54,6 +54,7 @@
     SteadyTime takenAt;
     SettingsVersion version;
     SettingsVersion highestKnown;
+    SettingsVersion majorityVersion; ///< The highest version that a majority of the listed instances holds.
     std::optional<Duration> confirmedAge;
     bool storeReachable { false };
     std::vector<InstanceStatus> instances; ///< This one included.
--- a/src/core/SettingsReplica.cpp
+++ b/src/core/SettingsReplica.cpp
@@ -208,13 +208,19 @@
     return now - *replica.storeConfirmedAt;
 }
 
-std::optional<SteadyTime> confirmedUntil(const SettingsReplica& replica)
+std::optional<Duration> confirmedAge(const SettingsReplica& replica, SteadyTime now)
 {
-    if (!replica.established)
-        return std::nullopt;
     std::optional<SteadyTime> confirmedAt = std::max(replica.storeConfirmedAt, replica.quorumConfirmedAt);
     if (!confirmedAt)
         return std::nullopt;
+    return now - *confirmedAt;
+}
+
+std::optional<SteadyTime> confirmedUntil(const SettingsReplica& replica)
+{
+    std::optional<SteadyTime> confirmedAt = std::max(replica.storeConfirmedAt, replica.quorumConfirmedAt);
+    if (!replica.established || !confirmedAt)
+        return std::nullopt;
     return *confirmedAt + detail::siteOf(replica).viewAgeLimit;
 }
 
@@ -236,16 +242,23 @@
     return since && now - *since <= detail::siteOf(replica).viewAgeLimit;
 }
 
-bool majorityHolds(const SettingsReplica& replica, SettingsVersion version, SteadyTime now)
+SettingsVersion majorityVersion(const SettingsReplica& replica, SteadyTime now)
 {
-    if (versionToReport(replica) < version)
-        return false;
-    if (isGuardDisabled(GuardId::AcceptWaitsForMajority))
-        return true;
     if (replica.listed.empty())
-        return false;
+        return {};
+    SettingsVersion own = versionToReport(replica);
     std::size_t others = detail::othersNeeded(replica, true, now);
-    return detail::askedTimes(replica, now, [&](const PeerSettings& peer) { return peer.version >= version; }).size() >= others;
+    if (!others || isGuardDisabled(GuardId::AcceptWaitsForMajority))
+        return own;
+    std::vector<SettingsVersion> versions;
+    for (const auto& [instance, peer] : replica.peers) {
+        if (peer.askedAt && detail::isListed(replica, instance, now))
+            versions.push_back(peer.version);
+    }
+    if (versions.size() < others)
+        return {};
+    std::ranges::sort(versions, std::greater());
+    return std::min(own, versions[others - 1]);
 }
 
 ControlActions headRead(SettingsReplica& replica, const SettingsHeadRead& read, SteadyTime now)
--- a/src/core/SettingsReplica.h
+++ b/src/core/SettingsReplica.h
@@ -62,6 +62,9 @@
 /// The age to report in heartbeats; none when no read has ever confirmed the version in force.
 std::optional<Duration> storeConfirmedAge(const SettingsReplica&, SteadyTime now);
 
+/// The age of the newest confirmation of any kind; none when never confirmed.
+std::optional<Duration> confirmedAge(const SettingsReplica&, SteadyTime now);
+
 /// The end of the time in which the settings in force may be acted on; none when never confirmed.
 ///
 ///     dispatch.notAfter = *confirmedUntil(replica);
@@ -75,8 +78,9 @@
 /// Whether a majority of the listed instances, itself included, answered within the view's age limit.
 bool hearsMajority(const SettingsReplica&, SteadyTime now);
 
-/// Whether a majority of the listed instances, itself included, holds `version` or a later one.
-bool majorityHolds(const SettingsReplica&, SettingsVersion version, SteadyTime now);
+/// The highest version that a majority of the listed instances, itself included, holds; none when there is none.
+/// A change is accepted once this reaches its version.
+SettingsVersion majorityVersion(const SettingsReplica&, SteadyTime now);
 
 /// Takes in a read of the version row.
 ControlActions headRead(SettingsReplica&, const SettingsHeadRead&, SteadyTime now);
--- /dev/null
+++ b/src/peer/SettingsTransfer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// Settings on their way from one instance to another.
+
+#include "gen/limpetpond_types.h"
+#include "platform/SettingsHolder.h"
+
+namespace limpetpond {
+
+/// The Thrift form of an accepted change.
+rpc::SettingsChange toThrift(const AcceptedChange&);
+
+/// Errors: CallError Malformed.
+Result<AcceptedChange> fromThrift(const rpc::SettingsChange&);
+
+/// What a peer that holds `after` needs: the changes, or the whole tree where they are no longer held.
+///
+///     return makeUpdate(holder, SettingsVersion(after));
+rpc::SettingsUpdate makeUpdate(const SettingsHolder&, SettingsVersion after);
+
+/// Takes a peer's update into the holder and returns the settings in force. Errors: CallError Malformed.
+///
+///     post(SettingsArrived { takeUpdate(holder, update).value() });
+Result<std::shared_ptr<const Settings>> takeUpdate(SettingsHolder&, const rpc::SettingsUpdate&);
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/platform/SettingsStore.cpp
@@ -0,0 +1,309 @@
+#include "platform/SettingsStore.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <thread>
+
+namespace limpetpond {
+
+namespace detail {
+
+namespace {
+
+    constexpr std::size_t maxEditsBytes = 300'000;
+    constexpr std::chrono::milliseconds firstPause { 20 };
+    constexpr int maxPauseDoublings = 5;
+
+    const std::string headSort = "head";
+    const std::string snapshotSort = "snapshot";
+
+    /// Numbers of a fixed width sort as text in their own order.
+    std::string numbered(std::string_view prefix, std::uint64_t number)
+    {
+        std::array<char, 32> digits {};
+        std::snprintf(digits.data(), digits.size(), "%020llu", static_cast<unsigned long long>(number));
+        return std::string(prefix) + digits.data();
+    }
+
+    std::string changeSort(SettingsVersion version) { return numbered("change#", version.value()); }
+    std::string idSort(const ChangeId& id) { return "id#" + id.value(); }
+    std::string pieceSort(SettingsVersion version, std::size_t piece) { return numbered(numbered("snapshot#", version.value()) + "#", piece); }
+
+    SettingsVersion versionOf(const TableItem& item, std::string_view name = "version")
+    {
+        return SettingsVersion(static_cast<std::uint64_t>(std::max<std::int64_t>(numberOf(item, name), 0)));
+    }
+
+    TableAttribute number(std::string name, std::uint64_t value)
+    {
+        return { .name = std::move(name), .value = static_cast<std::int64_t>(value) };
+    }
+
+    TableAttribute text(std::string name, std::string value)
+    {
+        return { .name = std::move(name), .value = std::move(value) };
+    }
+
+    boost::leaf::error_id malformed(std::string detail)
+    {
+        return boost::leaf::new_error(CallError { .failure = CallFailure::Malformed, .detail = std::move(detail) });
+    }
+
+    Result<AcceptedChange> changeFromItem(const TableItem& item)
+    {
+        BOOST_LEAF_AUTO(edits, editsFromJson(textOf(item, "edits")));
+        return AcceptedChange {
+            .version = versionOf(item),
+            .change = ChangeId(textOf(item, "changeId")),
+            .author = textOf(item, "author"),
+            .acceptedAtMs = numberOf(item, "acceptedAtMs"),
+            .edits = std::move(edits),
+        };
+    }
+
+    TableItem changeItem(const TableKey& key, const AcceptedChange& change)
+    {
+        return { .key = key, .attributes = {
+                                 number("version", change.version.value()),
+                                 text("changeId", change.change.value()),
+                                 text("author", change.author),
+                                 number("acceptedAtMs", static_cast<std::uint64_t>(change.acceptedAtMs)),
+                                 text("edits", editsToJson(change.edits)),
+                             } };
+    }
+
+    TableCondition absent() { return { .test = TableTest::RowAbsent }; }
+
+    TableCondition stillAt(SettingsVersion version)
+    {
+        if (version.isNone())
+            return absent();
+        return { .test = TableTest::Equal, .attribute = "version", .value = static_cast<std::int64_t>(version.value()) };
+    }
+
+    bool isValidChangeId(const ChangeId& id)
+    {
+        const std::string& value = id.value();
+        return !value.empty() && value.size() <= 200 && std::ranges::all_of(value, [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+    }
+
+    Result<void> checkProposal(const ProposedChange& proposed)
+    {
+        if (!isValidChangeId(proposed.change))
+            return boost::leaf::new_error(InvalidSetting { .name = "change id", .value = proposed.change.value(), .allowed = "1 to 200 printable ASCII characters without spaces" });
+        std::size_t size = editsToJson(proposed.edits).size();
+        if (size > maxEditsBytes)
+            return boost::leaf::new_error(InvalidSetting { .name = "edits", .value = std::to_string(size) + " bytes", .allowed = "at most " + std::to_string(maxEditsBytes) + " bytes in one change" });
+        return {};
+    }
+
+    bool areSameEdits(const std::vector<SettingsEdit>& a, const std::vector<SettingsEdit>& b)
+    {
+        return std::ranges::equal(a, b, [](const SettingsEdit& x, const SettingsEdit& y) { return x.path == y.path && x.field == y.field && x.value == y.value; });
+    }
+
+} // namespace
+
+} // namespace detail
+
+TableAccess tableAccess(TableClient& client)
+{
+    return {
+        .get = [&client](const TableKey& key) { return client.get(key); },
+        .query = [&client](const TableQuery& query) { return client.query(query); },
+        .transact = [&client](const std::vector<TableWrite>& writes) { return client.transact(writes); },
+    };
+}
+
+SettingsStore::SettingsStore(SettingsStoreOptions options)
+    : m_options(std::move(options))
+{
+}
+
+Result<SettingsVersion> SettingsStore::readHead()
+{
+    BOOST_LEAF_AUTO(head, m_options.table.get(key(detail::headSort)));
+    return head ? detail::versionOf(*head) : SettingsVersion();
+}
+
+Result<std::vector<AcceptedChange>> SettingsStore::changesAfter(SettingsVersion version)
+{
+    TableQuery query { .partition = m_options.partition, .firstSort = detail::changeSort(SettingsVersion(version.value() + 1)), .lastSort = detail::changeSort(SettingsVersion(~std::uint64_t { 0 })) };
+    BOOST_LEAF_AUTO(items, m_options.table.query(query));
+    std::vector<AcceptedChange> changes;
+    for (const TableItem& item : items) {
+        BOOST_LEAF_AUTO(change, detail::changeFromItem(item));
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+Result<SettingsTree> SettingsStore::readSnapshot()
+{
+    BOOST_LEAF_AUTO(pointer, m_options.table.get(key(detail::snapshotSort)));
+    if (!pointer)
+        return SettingsTree();
+    SettingsVersion version = detail::versionOf(*pointer);
+    TableQuery query { .partition = m_options.partition, .firstSort = detail::pieceSort(version, 0), .lastSort = detail::pieceSort(version, ~std::size_t { 0 }) };
+    BOOST_LEAF_AUTO(pieces, m_options.table.query(query));
+    if (static_cast<std::int64_t>(pieces.size()) != numberOf(*pointer, "pieces"))
+        return detail::malformed("a piece of the settings snapshot is missing");
+    std::string json;
+    for (const TableItem& piece : pieces)
+        json += textOf(piece, "data");
+    return treeFromJson(json);
+}
+
+Result<SettingsCatchUp> SettingsStore::catchUp(const SettingsTree& held)
+{
+    BOOST_LEAF_AUTO(head, readHead());
+    if (head < held.version)
+        return boost::leaf::new_error(StoreWentBack { .storeVersion = head, .heldVersion = held.version });
+    SettingsCatchUp newest { .tree = held };
+    if (head == held.version)
+        return newest;
+    if (head.value() - held.version.value() > static_cast<std::uint64_t>(m_options.snapshotEvery)) {
+        BOOST_LEAF_AUTO(snapshot, readSnapshot());
+        if (snapshot.version > held.version)
+            newest.tree = std::move(snapshot);
+    }
+    BOOST_LEAF_ASSIGN(newest.changes, changesAfter(newest.tree.version));
+    for (const AcceptedChange& change : newest.changes) {
+        if (change.version.value() != newest.tree.version.value() + 1)
+            return detail::malformed("a change of the settings is missing after version " + std::to_string(newest.tree.version.value()));
+        newest.tree = replayChange(newest.tree, change);
+    }
+    if (newest.tree.version < head)
+        return detail::malformed("the newest change of the settings is missing");
+    return newest;
+}
+
+Result<std::optional<AcceptedChange>> SettingsStore::findAccepted(const ChangeId& id)
+{
+    BOOST_LEAF_AUTO(row, m_options.table.get(key(detail::idSort(id))));
+    if (!row)
+        return std::optional<AcceptedChange>();
+    BOOST_LEAF_AUTO(item, m_options.table.get(key(detail::changeSort(detail::versionOf(*row)))));
+    if (!item)
+        return detail::malformed("the change of a change id is missing");
+    BOOST_LEAF_AUTO(change, detail::changeFromItem(*item));
+    return std::optional(std::move(change));
+}
+
+Result<std::optional<StoredChange>> SettingsStore::earlier(const SettingsTree& held, const ProposedChange& proposed)
+{
+    BOOST_LEAF_AUTO(found, findAccepted(proposed.change));
+    if (!found)
+        return std::optional<StoredChange>();
+    if (!detail::areSameEdits(found->edits, proposed.edits))
+        return boost::leaf::new_error(InvalidSetting { .name = "change id", .value = proposed.change.value(), .allowed = "an id that no other change has used; version " + std::to_string(found->version.value()) + " did" });
+    BOOST_LEAF_AUTO(newest, catchUp(held));
+    return std::optional(StoredChange { .newest = std::move(newest), .change = std::move(*found), .acceptedEarlier = true });
+}
+
+Result<std::optional<StoredChange>> SettingsStore::tryOnce(const SettingsTree& held, const ProposedChange& proposed, SystemTime now, bool& mayHaveCommitted)
+{
+    BOOST_LEAF_AUTO(known, earlier(held, proposed));
+    if (known)
+        return known;
+    BOOST_LEAF_AUTO(newest, catchUp(held));
+    AcceptedChange change {
+        .version = SettingsVersion(newest.tree.version.value() + 1),
+        .change = proposed.change,
+        .author = proposed.author,
+        .acceptedAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(),
+        .edits = proposed.edits,
+    };
+    BOOST_LEAF_AUTO(next, applyChange(newest.tree, change));
+    TableItem head { .key = key(detail::headSort), .attributes = { detail::number("version", change.version.value()) } };
+    TableItem id { .key = key(detail::idSort(change.change)), .attributes = { detail::number("version", change.version.value()) } };
+    std::vector<TableWrite> writes {
+        { .item = std::move(head), .conditions = { detail::stillAt(newest.tree.version) } },
+        { .item = detail::changeItem(key(detail::changeSort(change.version)), change), .conditions = { detail::absent() } },
+        { .item = std::move(id), .conditions = { detail::absent() } },
+    };
+    mayHaveCommitted = true;
+    BOOST_LEAF_AUTO(result, m_options.table.transact(writes));
+    mayHaveCommitted = false;
+    if (!result.committed)
+        return std::optional<StoredChange>();
+    newest.tree = std::move(next);
+    newest.changes.push_back(change);
+    return std::optional(StoredChange { .newest = std::move(newest), .change = std::move(change) });
+}
+
+Result<StoredChange> SettingsStore::accept(const SettingsTree& held, const ProposedChange& proposed, SystemTime now)
+{
+    BOOST_LEAF_CHECK(detail::checkProposal(proposed));
+    // An earlier try whose answer was lost may still take effect while this is true.
+    bool isOpen = false;
+    for (int i = 0; i < m_options.tries; ++i) {
+        if (i)
+            pause(i);
+        bool mayHaveCommitted = false;
+        bool mayTryAgain = false;
+        auto refused = [&](const auto& error) -> Result<std::optional<StoredChange>> {
+            // Another try of the same change may be what stands in the way.
+            auto accepted = earlier(held, proposed);
+            if (!accepted || *accepted)
+                return accepted;
+            return boost::leaf::new_error(error);
+        };
+        Result<std::optional<StoredChange>> outcome = boost::leaf::try_handle_some(
+            [&] { return tryOnce(held, proposed, now, mayHaveCommitted); },
+            [&](const SettingsConflict& conflict) { return refused(conflict); },
+            [&](const InvalidSetting& invalid) { return refused(invalid); },
+            [&](const CallError& error) -> Result<std::optional<StoredChange>> {
+                bool isLost = mayHaveCommitted && error.failure != CallFailure::NotSent && error.failure != CallFailure::Throttled && error.failure != CallFailure::Refused;
+                isOpen = isOpen || isLost;
+                mayTryAgain = isLost || isOpen || error.failure == CallFailure::Throttled;
+                if (!mayTryAgain)
+                    return boost::leaf::new_error(error);
+                return std::optional<StoredChange>();
+            });
+        if (!outcome)
+            return outcome.error();
+        if (!*outcome)
+            continue;
+        StoredChange stored = std::move(**outcome);
+        if (!stored.acceptedEarlier && stored.change.version.value() % static_cast<std::uint64_t>(m_options.snapshotEvery) == 0)
+            writeSnapshot(stored.newest.tree);
+        return stored;
+    }
+    if (isOpen)
+        return boost::leaf::new_error(UnknownOutcome { .change = proposed.change });
+    return boost::leaf::new_error(CallError { .failure = CallFailure::Throttled, .detail = "the settings were changed by others at every try" });
+}
+
+void SettingsStore::writeSnapshot(const SettingsTree& tree)
+{
+    // The changes alone give the tree, so a snapshot that fails is left out.
+    boost::leaf::try_handle_all([&]() -> Result<void> {
+        BOOST_LEAF_AUTO(pointer, m_options.table.get(key(detail::snapshotSort)));
+        SettingsVersion standing = pointer ? detail::versionOf(*pointer) : SettingsVersion();
+        if (standing >= tree.version)
+            return {};
+        std::string json = treeToJson(tree);
+        std::size_t pieces = 0;
+        for (std::size_t begin = 0; begin < json.size(); begin += m_options.snapshotPieceBytes) {
+            TableItem piece { .key = key(detail::pieceSort(tree.version, pieces++)), .attributes = { detail::text("data", json.substr(begin, m_options.snapshotPieceBytes)) } };
+            BOOST_LEAF_CHECK(m_options.table.transact({ { .item = std::move(piece) } }));
+        }
+        TableItem next { .key = key(detail::snapshotSort), .attributes = { detail::number("version", tree.version.value()), detail::number("pieces", pieces) } };
+        BOOST_LEAF_CHECK(m_options.table.transact({ { .item = std::move(next), .conditions = { detail::stillAt(standing) } } }));
+        for (std::int64_t piece = 0; pointer && piece < numberOf(*pointer, "pieces"); ++piece)
+            BOOST_LEAF_CHECK(m_options.table.transact({ { .kind = TableWriteKind::Delete, .item = { .key = key(detail::pieceSort(standing, piece)) } } }));
+        return {}; }, [] {});
+}
+
+void SettingsStore::pause(int tryNumber)
+{
+    auto time = detail::firstPause * (1 << std::min(tryNumber, detail::maxPauseDoublings));
+    if (m_options.sleep)
+        m_options.sleep(time);
+    else
+        std::this_thread::sleep_for(time);
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/tool/CommandLine.cpp
@@ -0,0 +1,313 @@
+#include "tool/CommandLine.h"
+
+#include "core/SettingsSchema.h"
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+
+ABSL_FLAG(std::string, instances, "", "instances to ask, as IP:PORT,IP:PORT (LIMPETPOND_INSTANCES)");
+ABSL_FLAG(std::string, operator_secret, "", "the operators' secret (LIMPETPOND_OPERATOR_SECRET)");
+ABSL_FLAG(std::string, operator_secret_file, "", "a file whose first line is the secret (LIMPETPOND_OPERATOR_SECRET_FILE)");
+ABSL_FLAG(std::string, author, "", "who makes the change; USER when not given");
+ABSL_FLAG(std::string, change_id, "", "the id of the change; give the same one to repeat a change whose outcome is unknown");
+ABSL_FLAG(std::int64_t, read_version, -1, "the version of the branch that the edit is based on; read now when not given");
+ABSL_FLAG(std::int64_t, after, 0, "only what came after this version or sequence number");
+ABSL_FLAG(std::string, request, "", "only events of this request");
+ABSL_FLAG(std::string, target, "", "only events of this target");
+ABSL_FLAG(std::string, instance, "", "only events of this instance");
+ABSL_FLAG(std::string, output, "", "the file to write; the standard output when not given");
+ABSL_FLAG(std::string, timeout, "10m", "how long to wait, in ms, s, m or h");
+ABSL_FLAG(std::string, period, "1s", "between two looks, in ms, s, m or h");
+ABSL_FLAG(bool, json, false, "print JSON");
+ABSL_FLAG(bool, dry_run, false, "show what would change, and change nothing");
+ABSL_FLAG(bool, wait, false, "wait until it is done");
+ABSL_FLAG(bool, watch, false, "show again and again until interrupted");
+ABSL_FLAG(bool, replace, false, "also remove what the file doesn't name");
+ABSL_FLAG(bool, html, false, "print a self-contained HTML page");
+ABSL_FLAG(bool, chrome_trace, false, "print Chrome trace JSON");
+
+namespace limpetpond::tool {
+
+namespace detail {
+
+namespace {
+
+    using TextMap = std::map<std::string, std::string>;
+
+    constexpr std::array commonFlags { "instances", "operator_secret", "operator_secret_file", "json" };
+
+    struct CommandHelp {
+        std::string_view words;
+        std::string_view arguments;
+        std::string_view summary;
+        std::string_view flags; ///< Separated by spaces.
+        std::string_view example;
+    };
+
+    constexpr std::array commands {
+        CommandHelp { "settings get", "[PATH [FIELD]]", "print the values set at a branch, or the value in force of one field", "", "limpetpond settings get pool/drafts maxWait" },
+        CommandHelp { "settings set", "PATH FIELD=VALUE...", "set fields of a branch, in one change", "dry_run author change_id read_version", "limpetpond settings set pool/drafts maxWait=30s maxWaiting=200" },
+        CommandHelp { "settings unset", "PATH [FIELD...]", "remove fields, so that inherited values count, or the whole branch", "dry_run author change_id read_version", "limpetpond settings unset pool/drafts maxWait" },
+        CommandHelp { "settings diff", "FILE | VERSION VERSION", "show what an import would change, or what differs between two versions", "replace", "limpetpond settings diff 12 15" },
+        CommandHelp { "settings history", "", "list accepted changes, oldest first", "after", "limpetpond settings history --after 12" },
+        CommandHelp { "settings explain", "[PATH]", "show each value in force, the branch it comes from, and who set it when", "", "limpetpond settings explain target/engine-1" },
+        CommandHelp { "settings export", "[PATH]", "print the branches at and below a path as JSON", "output", "limpetpond settings export --output settings.json" },
+        CommandHelp { "settings import", "FILE", "bring the branches to what an export holds, in one change", "replace dry_run author change_id", "limpetpond settings import settings.json --dry-run" },
+        CommandHelp { "settings schema", "", "print every field with its unit, range, default and meaning", "", "limpetpond settings schema" },
+        CommandHelp { "target leave", "NAME", "mark a target as leaving, so that it gets no new work", "wait timeout period author change_id", "limpetpond target leave engine-1 --wait" },
+        CommandHelp { "target return", "NAME", "return a target to service", "author change_id", "limpetpond target return engine-1" },
+        CommandHelp { "target status", "[NAME]", "show how far a target's leaving has got", "", "limpetpond target status engine-1" },
+        CommandHelp { "status", "", "show instances, versions, pools, targets and alarms", "watch period", "limpetpond status --watch" },
+        CommandHelp { "timeline", "", "merge the events of all instances in causal order", "request target instance html chrome_trace output", "limpetpond timeline --request r-1 --html --output path.html" },
+    };
+
+    boost::leaf::error_id invalid(std::string name, std::string value, std::string allowed)
+    {
+        return boost::leaf::new_error(InvalidSetting { .name = std::move(name), .value = std::move(value), .allowed = std::move(allowed) });
+    }
+
+    std::string valueOr(const TextMap& map, const std::string& name, std::string otherwise)
+    {
+        auto found = map.find(name);
+        return found == map.end() ? std::move(otherwise) : found->second;
+    }
+
+    bool startsWithWords(std::string_view command, const std::vector<std::string>& words)
+    {
+        std::string prefix;
+        for (const std::string& word : words)
+            prefix += prefix.empty() ? word : " " + word;
+        return prefix.empty() || command == prefix || command.starts_with(prefix + " ");
+    }
+
+    std::string flagLine(const std::string& name)
+    {
+        const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+        std::string shown = "--" + name;
+        std::ranges::replace(shown, '_', '-');
+        shown.resize(std::max<std::size_t>(shown.size() + 1, 24), ' ');
+        return "  " + shown + (flag ? flag->Help() : std::string()) + "\n";
+    }
+
+    std::vector<std::string> splitWords(std::string_view text)
+    {
+        std::vector<std::string> words;
+        while (!text.empty()) {
+            auto space = std::min(text.find(' '), text.size());
+            if (space)
+                words.emplace_back(text.substr(0, space));
+            text.remove_prefix(std::min(space + 1, text.size()));
+        }
+        return words;
+    }
+
+    std::string commandHelp(const CommandHelp& command)
+    {
+        std::string text = "Usage: limpetpond " + std::string(command.words) + " " + std::string(command.arguments) + " [FLAGS]\n\n" + std::string(command.summary) + "\n\nFlags:\n";
+        for (const std::string& flag : splitWords(command.flags))
+            text += flagLine(flag);
+        for (const char* flag : commonFlags)
+            text += flagLine(flag);
+        return text + "\nExample: " + std::string(command.example) + "\n";
+    }
+
+    std::string overviewHelp(const std::vector<std::string>& words)
+    {
+        std::string list;
+        for (const CommandHelp& command : commands) {
+            if (!startsWithWords(command.words, words))
+                continue;
+            std::string name = std::string(command.words) + " " + std::string(command.arguments);
+            name.resize(std::max<std::size_t>(name.size() + 1, 40), ' ');
+            list += "  " + name + "\n      " + std::string(command.summary) + "\n";
+        }
+        if (list.empty())
+            return {};
+        std::string text = "Usage: limpetpond COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n" + list + "\nFlags of every command:\n";
+        for (const char* flag : commonFlags)
+            text += flagLine(flag);
+        text += "  --help                  print help, also after a command\n  --version               print the version\n";
+        return text + "\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 conflict with another operator's change,\n4 no instance reachable, 5 outcome unknown (repeat with the printed --change-id).\n";
+    }
+
+    bool isKnownFlag(const std::string& name)
+    {
+        for (const CommandHelp& command : commands) {
+            if (std::ranges::count(splitWords(command.flags), name))
+                return true;
+        }
+        return std::ranges::find(commonFlags, name) != commonFlags.end();
+    }
+
+    bool isSwitch(const std::string& name)
+    {
+        const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+        return flag && flag->IsOfType<bool>();
+    }
+
+    /// The arguments with flag names as Abseil knows them. Errors: InvalidSetting for an unknown flag or a missing value.
+    Result<std::vector<std::string>> normalizedArguments(int argc, char** argv, ToolCommand& command)
+    {
+        std::vector<std::string> arguments { argc ? argv[0] : "limpetpond" };
+        for (int i = 1; i < argc; ++i) {
+            std::string argument = argv[i];
+            if (argument == "--help" || argument == "-h") {
+                command.help = true;
+                continue;
+            }
+            if (argument == "--version") {
+                command.version = true;
+                continue;
+            }
+            if (!argument.starts_with("--") || argument == "--") {
+                arguments.push_back(argument);
+                continue;
+            }
+            auto equals = argument.find('=');
+            std::string name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
+            std::ranges::replace(name, '-', '_');
+            if (!isKnownFlag(name))
+                return invalid("--" + name, argument, "a flag that limpetpond --help lists");
+            bool hasValue = equals != std::string::npos;
+            if (!hasValue && !isSwitch(name)) {
+                if (i + 1 == argc)
+                    return invalid("--" + name, "", "a value after the flag");
+                arguments.push_back("--" + name + "=" + argv[++i]);
+                continue;
+            }
+            std::string value = hasValue ? argument.substr(equals + 1) : "true";
+            if (isSwitch(name) && value != "true" && value != "false")
+                return invalid("--" + name, value, "true or false");
+            arguments.push_back("--" + name + "=" + value);
+        }
+        return arguments;
+    }
+
+    Result<std::chrono::milliseconds> duration(const std::string& name, const std::string& text)
+    {
+        std::optional<double> amount = measure(FieldType::Duration, boost::json::value(text));
+        if (!amount || *amount < 1)
+            return invalid("--" + name, text, "a duration of at least 1ms, in ms, s, m or h");
+        return std::chrono::milliseconds(static_cast<std::int64_t>(*amount));
+    }
+
+    Result<void> checkNumber(const std::vector<std::string>& arguments, const std::string& name)
+    {
+        for (const std::string& argument : arguments) {
+            std::string prefix = "--" + name + "=";
+            if (!argument.starts_with(prefix))
+                continue;
+            std::string_view text = std::string_view(argument).substr(prefix.size());
+            std::int64_t number = 0;
+            auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+            if (error != std::errc() || end != text.data() + text.size() || number < 0)
+                return invalid("--" + name, std::string(text), "a whole number, 0 or more");
+        }
+        return {};
+    }
+
+    Result<std::string> readSecret(const TextMap& environment)
+    {
+        std::string secret = absl::GetFlag(FLAGS_operator_secret);
+        if (secret.empty())
+            secret = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET", "");
+        std::string file = absl::GetFlag(FLAGS_operator_secret_file);
+        if (file.empty() && secret.empty())
+            file = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET_FILE", "");
+        if (file.empty())
+            return secret;
+        std::ifstream stream(file);
+        if (!std::getline(stream, secret))
+            return invalid("--operator_secret_file", file, "a file that can be read and is not empty");
+        return secret;
+    }
+
+    Result<ToolOptions> collectOptions(const TextMap& environment)
+    {
+        ToolOptions options;
+        std::string instances = absl::GetFlag(FLAGS_instances);
+        bool isFromFlag = !instances.empty();
+        if (!isFromFlag)
+            instances = valueOr(environment, "LIMPETPOND_INSTANCES", "127.0.0.1:9090");
+        BOOST_LEAF_ASSIGN(options.instances, parseAddresses(isFromFlag ? "--instances" : "LIMPETPOND_INSTANCES", instances));
+        BOOST_LEAF_ASSIGN(options.secret, readSecret(environment));
+        BOOST_LEAF_ASSIGN(options.timeout, duration("timeout", absl::GetFlag(FLAGS_timeout)));
+        BOOST_LEAF_ASSIGN(options.period, duration("period", absl::GetFlag(FLAGS_period)));
+        options.author = absl::GetFlag(FLAGS_author);
+        if (options.author.empty())
+            options.author = valueOr(environment, "USER", "operator");
+        options.changeId = absl::GetFlag(FLAGS_change_id);
+        if (absl::GetFlag(FLAGS_read_version) >= 0)
+            options.readVersion = absl::GetFlag(FLAGS_read_version);
+        options.after = absl::GetFlag(FLAGS_after);
+        options.request = absl::GetFlag(FLAGS_request);
+        options.target = absl::GetFlag(FLAGS_target);
+        options.instance = absl::GetFlag(FLAGS_instance);
+        options.output = absl::GetFlag(FLAGS_output);
+        options.json = absl::GetFlag(FLAGS_json);
+        options.dryRun = absl::GetFlag(FLAGS_dry_run);
+        options.wait = absl::GetFlag(FLAGS_wait);
+        options.watch = absl::GetFlag(FLAGS_watch);
+        options.replace = absl::GetFlag(FLAGS_replace);
+        options.html = absl::GetFlag(FLAGS_html);
+        options.chromeTrace = absl::GetFlag(FLAGS_chrome_trace);
+        return options;
+    }
+
+} // namespace
+
+} // namespace detail
+
+Result<std::vector<Address>> parseAddresses(const std::string& name, std::string_view text)
+{
+    std::vector<Address> addresses;
+    std::string_view rest = text;
+    while (!rest.empty()) {
+        auto comma = std::min(rest.find(','), rest.size());
+        std::string_view one = rest.substr(0, comma);
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+        auto colon = one.rfind(':');
+        int port = 0;
+        bool isWhole = colon != std::string_view::npos && colon > 0
+            && std::from_chars(one.data() + colon + 1, one.data() + one.size(), port).ptr == one.data() + one.size();
+        if (!isWhole || port < 1 || port > 65'535)
+            return detail::invalid(name, std::string(one), "IP:PORT,IP:PORT with ports from 1 to 65535");
+        addresses.push_back({ .host = std::string(one.substr(0, colon)), .port = port });
+    }
+    if (addresses.empty())
+        return detail::invalid(name, std::string(text), "at least one IP:PORT");
+    return addresses;
+}
+
+Result<ToolCommand> parseToolCommand(int argc, char** argv, const std::map<std::string, std::string>& environment)
+{
+    ToolCommand command;
+    BOOST_LEAF_AUTO(arguments, detail::normalizedArguments(argc, argv, command));
+    BOOST_LEAF_CHECK(detail::checkNumber(arguments, "read_version"));
+    BOOST_LEAF_CHECK(detail::checkNumber(arguments, "after"));
+    std::vector<char*> pointers;
+    for (std::string& argument : arguments)
+        pointers.push_back(argument.data());
+    std::vector<char*> words = absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
+    command.words.assign(words.begin() + 1, words.end());
+    if (command.help || command.version)
+        return command;
+    BOOST_LEAF_ASSIGN(command.options, detail::collectOptions(environment));
+    return command;
+}
+
+std::string helpText(const std::vector<std::string>& words)
+{
+    for (const detail::CommandHelp& command : detail::commands) {
+        std::vector<std::string> own = detail::splitWords(command.words);
+        if (words.size() >= own.size() && std::equal(own.begin(), own.end(), words.begin()))
+            return detail::commandHelp(command);
+    }
+    return detail::overviewHelp(words);
+}
+
+} // namespace limpetpond::tool
--- /dev/null
+++ b/src/tool/CommandLine.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/// The command line of `limpetpond`: commands, flags and their help.
+
+#include "limpetpond/Errors.h"
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace limpetpond::tool {
+
+/// How the tool ends.
+enum ExitCode : int {
+    exitDone = 0,
+    exitRefused = 1, ///< The instance refused, or what was asked for did not come about.
+    exitUsage = 2,
+    exitConflict = 3, ///< Another operator changed the branch.
+    exitUnreachable = 4, ///< No instance answered.
+    exitUnknown = 5, ///< The change may have taken effect; repeat it with its change id.
+};
+
+/// Where an instance listens for operators.
+struct Address {
+    std::string host;
+    int port { 0 };
+    bool operator==(const Address&) const = default;
+};
+
+/// What the flags and environment variables say.
+struct ToolOptions {
+    std::vector<Address> instances;
+    std::string secret;
+    std::string author;
+    std::string changeId; ///< Empty: a new one is made.
+    std::optional<std::int64_t> readVersion;
+    std::int64_t after { 0 };
+    std::string request;
+    std::string target;
+    std::string instance;
+    std::string output; ///< A file; empty for the standard output.
+    std::chrono::milliseconds timeout { 600'000 };
+    std::chrono::milliseconds period { 1'000 };
+    bool json { false };
+    bool dryRun { false };
+    bool wait { false };
+    bool watch { false };
+    bool replace { false };
+    bool html { false };
+    bool chromeTrace { false };
+};
+
+/// The words of a command line and its options.
+struct ToolCommand {
+    std::vector<std::string> words; ///< Without the program's name.
+    ToolOptions options;
+    bool help { false };
+    bool version { false };
+};
+
+/// Parses the command line by Abseil flags, with the environment for what no flag gives.
+/// Hyphens and underscores in flag names are the same. Errors: InvalidSetting.
+///
+///     Result<ToolCommand> command = parseToolCommand(argc, argv, { { "LIMPETPOND_INSTANCES", "127.0.0.1:9090" } });
+Result<ToolCommand> parseToolCommand(int argc, char** argv, const std::map<std::string, std::string>& environment);
+
+/// Parses `IP:PORT,IP:PORT`. Errors: InvalidSetting.
+Result<std::vector<Address>> parseAddresses(const std::string& name, std::string_view text);
+
+/// The help of a command such as `settings set`; the commands below it for a group; empty for an unknown one.
+std::string helpText(const std::vector<std::string>& words);
+
+} // namespace limpetpond::tool
--- /dev/null
+++ b/src/tool/RunTool.cpp
@@ -0,0 +1,67 @@
+#include "tool/Commands.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace limpetpond::tool {
+
+namespace detail {
+
+namespace {
+
+    Result<int> dispatch(CommandContext& context, const std::vector<std::string>& words)
+    {
+        if (words.empty())
+            return boost::leaf::new_error(UsageError { .detail = "a command is needed; see limpetpond --help" });
+        std::vector<std::string> rest(words.begin() + 1, words.end());
+        if (words.front() == "settings")
+            return runSettings(context, rest);
+        if (words.front() == "target")
+            return runTarget(context, rest);
+        bool isView = words.front() == "status" || words.front() == "timeline";
+        if (isView && !rest.empty())
+            return boost::leaf::new_error(UsageError { .detail = words.front() + " takes no arguments" });
+        if (words.front() == "status")
+            return runStatus(context);
+        if (words.front() == "timeline")
+            return runTimeline(context);
+        return boost::leaf::new_error(UsageError { .detail = "there is no command \"" + words.front() + "\"; see limpetpond --help" });
+    }
+
+    int report(const CommandContext& context, std::ostream& errors, int code, const std::string& kind, const std::string& detail)
+    {
+        if (context.options.json)
+            context.out << boost::json::serialize(boost::json::object { { "error", kind }, { "detail", detail } }) << "\n";
+        errors << "limpetpond: " << kind << ": " << detail << "\n";
+        return code;
+    }
+
+    int reportRefusal(const CommandContext& context, std::ostream& errors, const rpc::OperatorRefused& refused)
+    {
+        int code = refused.code == "conflict" ? exitConflict : refused.code == "unknown_outcome" ? exitUnknown
+                                                                                                 : exitRefused;
+        report(context, errors, code, refused.code, refused.detail);
+        if (refused.code == "conflict")
+            errors << "  the branch is now " << refused.currentValue << "\n";
+        return code;
+    }
+
+} // namespace
+
+} // namespace detail
+
+int runTool(const ToolCommand& command, std::ostream& out, std::ostream& errors)
+{
+    OperatorClient client(command.options);
+    CommandContext context { command.options, client, out };
+    return boost::leaf::try_handle_all(
+        [&] { return detail::dispatch(context, command.words); },
+        [&](const UsageError& error) { return detail::report(context, errors, exitUsage, "usage", error.detail); },
+        [&](const InvalidSetting& error) { return detail::report(context, errors, exitUsage, "invalid_setting", error.name + ": " + error.value + " is refused; allowed is " + error.allowed); },
+        [&](const rpc::OperatorRefused& refused) { return detail::reportRefusal(context, errors, refused); },
+        [&](const ChangeUnknown& unknown) { return detail::report(context, errors, exitUnknown, "unknown_outcome", unknown.detail + "; repeat with --change-id " + unknown.changeId); },
+        [&](const Unreachable& unreachable) { return detail::report(context, errors, exitUnreachable, "unreachable", unreachable.detail); },
+        [&] { return detail::report(context, errors, exitRefused, "failed", "an unknown failure"); });
+}
+
+} // namespace limpetpond::tool
--- /dev/null
+++ b/src/tool/main.cpp
@@ -0,0 +1,59 @@
+/// The operators' command-line tool.
+
+#include "tool/Commands.h"
+
+#include <iostream>
+
+extern char** environ;
+
+namespace {
+
+std::map<std::string, std::string> environmentVariables()
+{
+    std::map<std::string, std::string> variables;
+    for (char** entry = environ; entry && *entry; ++entry) {
+        std::string_view text = *entry;
+        auto equals = text.find('=');
+        if (equals != std::string_view::npos)
+            variables.emplace(text.substr(0, equals), text.substr(equals + 1));
+    }
+    return variables;
+}
+
+int runOrExplain(const limpetpond::tool::ToolCommand& command)
+{
+    using namespace limpetpond::tool;
+    if (command.version) {
+        std::cout << "limpetpond " LIMPETPOND_VERSION "\n";
+        return exitDone;
+    }
+    if (!command.help)
+        return runTool(command, std::cout, std::cerr);
+    std::string help = helpText(command.words);
+    if (help.empty()) {
+        std::cerr << "limpetpond: usage: there is no such command; see limpetpond --help\n";
+        return exitUsage;
+    }
+    std::cout << help;
+    return exitDone;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace limpetpond;
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(command, tool::parseToolCommand(argc, argv, environmentVariables()));
+            return runOrExplain(command);
+        },
+        [](const InvalidSetting& error) {
+            std::cerr << "limpetpond: " << error.name << ": \"" << error.value << "\" is refused; allowed is " << error.allowed << "\n";
+            return static_cast<int>(tool::exitUsage);
+        },
+        [] {
+            std::cerr << "limpetpond: an unknown failure\n";
+            return static_cast<int>(tool::exitRefused);
+        });
+}
