--- a/src/operator/StatusJson.cpp
+++ b/src/operator/StatusJson.cpp
@@ -8,79 +8,79 @@
 
 namespace detail {
 
-namespace {
-
-    namespace json = boost::json;
-
-    std::int64_t milliseconds(Duration time)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    }
-
-    json::value optionalMilliseconds(const std::optional<Duration>& time)
-    {
-        return time ? json::value(milliseconds(*time)) : json::value();
-    }
-
-    json::string text(std::string_view word)
-    {
-        return json::string(word.data(), word.size());
-    }
-
-    json::object instanceAsJson(const InstanceStatus& instance)
-    {
-        return {
-            { "instance", instance.instance.value() },
-            { "state", text(toString(instance.state)) },
-            { "listed", instance.listed },
-            { "leaving", instance.leaving },
-            { "version", instance.version.value() },
-            { "lastHeardMs", optionalMilliseconds(instance.lastHeardAge) },
-        };
-    }
-
-    json::object poolAsJson(const PoolStatus& pool)
-    {
-        json::object waiting;
-        for (const auto& [tier, count] : pool.waitingByTier)
-            waiting[std::to_string(tier.level)] = count;
-        return {
-            { "pool", pool.pool.value() },
-            { "waiting", pool.waiting },
-            { "inProgress", pool.inProgress },
-            { "floor", pool.floor.level },
-            { "waitingByTier", std::move(waiting) },
-        };
-    }
-
-    json::object targetAsJson(const TargetControlStatus& target, SteadyTime now)
-    {
-        json::array missing;
-        for (const InstanceId& instance : target.drain.notConfirmed)
-            missing.emplace_back(instance.value());
-        std::optional<Duration> wait;
-        if (target.drain.departedUntil)
-            wait = std::max(*target.drain.departedUntil - now, Duration(0));
-        return {
-            { "target", target.target.value() },
-            { "pool", target.pool.value() },
-            { "mark", text(toString(target.drain.state)) },
-            { "requestsInProgress", target.drain.requestsInProgress },
-            { "tokensInProgress", target.drain.tokensInProgress.count() },
-            { "requestsHere", target.requestsHere },
-            { "tokensHere", target.tokensHere.count() },
-            { "ejected", target.ejected },
-            { "notConfirmed", std::move(missing) },
-            { "waitsForUnheardMs", optionalMilliseconds(wait) },
-        };
-    }
-
-    json::object alarmAsJson(const ActiveAlarm& alarm)
-    {
-        return { { "alarm", text(toString(alarm.kind)) }, { "subject", alarm.subject }, { "ageMs", milliseconds(alarm.age) } };
-    }
-
-} // namespace
+    namespace {
+
+        namespace json = boost::json;
+
+        std::int64_t milliseconds(Duration time)
+        {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+        }
+
+        json::value optionalMilliseconds(const std::optional<Duration>& time)
+        {
+            return time ? json::value(milliseconds(*time)) : json::value();
+        }
+
+        json::string text(std::string_view word)
+        {
+            return json::string(word.data(), word.size());
+        }
+
+        json::object instanceAsJson(const InstanceStatus& instance)
+        {
+            return {
+                { "instance", instance.instance.value() },
+                { "state", text(toString(instance.state)) },
+                { "listed", instance.listed },
+                { "leaving", instance.leaving },
+                { "version", instance.version.value() },
+                { "lastHeardMs", optionalMilliseconds(instance.lastHeardAge) },
+            };
+        }
+
+        json::object poolAsJson(const PoolStatus& pool)
+        {
+            json::object waiting;
+            for (const auto& [tier, count] : pool.waitingByTier)
+                waiting[std::to_string(tier.level)] = count;
+            return {
+                { "pool", pool.pool.value() },
+                { "waiting", pool.waiting },
+                { "inProgress", pool.inProgress },
+                { "floor", pool.floor.level },
+                { "waitingByTier", std::move(waiting) },
+            };
+        }
+
+        json::object targetAsJson(const TargetControlStatus& target, SteadyTime now)
+        {
+            json::array missing;
+            for (const InstanceId& instance : target.drain.notConfirmed)
+                missing.emplace_back(instance.value());
+            std::optional<Duration> wait;
+            if (target.drain.departedUntil)
+                wait = std::max(*target.drain.departedUntil - now, Duration(0));
+            return {
+                { "target", target.target.value() },
+                { "pool", target.pool.value() },
+                { "mark", text(toString(target.drain.state)) },
+                { "requestsInProgress", target.drain.requestsInProgress },
+                { "tokensInProgress", target.drain.tokensInProgress.count() },
+                { "requestsHere", target.requestsHere },
+                { "tokensHere", target.tokensHere.count() },
+                { "ejected", target.ejected },
+                { "notConfirmed", std::move(missing) },
+                { "waitsForUnheardMs", optionalMilliseconds(wait) },
+            };
+        }
+
+        json::object alarmAsJson(const ActiveAlarm& alarm)
+        {
+            return { { "alarm", text(toString(alarm.kind)) }, { "subject", alarm.subject }, { "ageMs", milliseconds(alarm.age) } };
+        }
+
+    } // namespace
 
 } // namespace detail
 
--- a/src/peer/SettingsTransfer.cpp
+++ b/src/peer/SettingsTransfer.cpp
@@ -4,19 +4,19 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    boost::leaf::error_id malformed(std::string detail)
-    {
-        return boost::leaf::new_error(CallError { .failure = CallFailure::Malformed, .detail = std::move(detail) });
-    }
+        boost::leaf::error_id malformed(std::string detail)
+        {
+            return boost::leaf::new_error(CallError { .failure = CallFailure::Malformed, .detail = std::move(detail) });
+        }
 
-    SettingsVersion versionOf(std::int64_t number)
-    {
-        return SettingsVersion(number > 0 ? static_cast<std::uint64_t>(number) : 0);
-    }
+        SettingsVersion versionOf(std::int64_t number)
+        {
+            return SettingsVersion(number > 0 ? static_cast<std::uint64_t>(number) : 0);
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/platform/SettingsHolder.cpp
+++ b/src/platform/SettingsHolder.cpp
@@ -4,11 +4,11 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    constexpr std::size_t maxHeldChanges = 1'000;
+        constexpr std::size_t maxHeldChanges = 1'000;
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/platform/SettingsStore.cpp
+++ b/src/platform/SettingsStore.cpp
@@ -9,101 +9,113 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    constexpr std::size_t maxEditsBytes = 300'000;
-    constexpr std::chrono::milliseconds firstPause { 20 };
-    constexpr int maxPauseDoublings = 5;
+        constexpr std::size_t maxEditsBytes = 300'000;
+        constexpr std::chrono::milliseconds firstPause { 20 };
+        constexpr int maxPauseDoublings = 5;
 
-    const std::string headSort = "head";
-    const std::string snapshotSort = "snapshot";
+        const std::string headSort = "head";
+        const std::string snapshotSort = "snapshot";
 
-    /// Numbers of a fixed width sort as text in their own order.
-    std::string numbered(std::string_view prefix, std::uint64_t number)
-    {
-        std::array<char, 32> digits {};
-        std::snprintf(digits.data(), digits.size(), "%020llu", static_cast<unsigned long long>(number));
-        return std::string(prefix) + digits.data();
-    }
+        /// Numbers of a fixed width sort as text in their own order.
+        std::string numbered(std::string_view prefix, std::uint64_t number)
+        {
+            std::array<char, 32> digits {};
+            std::snprintf(digits.data(), digits.size(), "%020llu", static_cast<unsigned long long>(number));
+            return std::string(prefix) + digits.data();
+        }
 
-    std::string changeSort(SettingsVersion version) { return numbered("change#", version.value()); }
-    std::string idSort(const ChangeId& id) { return "id#" + id.value(); }
-    std::string pieceSort(SettingsVersion version, std::size_t piece) { return numbered(numbered("snapshot#", version.value()) + "#", piece); }
+        std::string changeSort(SettingsVersion version) { return numbered("change#", version.value()); }
+        std::string idSort(const ChangeId& id) { return "id#" + id.value(); }
+        std::string pieceSort(SettingsVersion version, std::size_t piece) { return numbered(numbered("snapshot#", version.value()) + "#", piece); }
 
-    SettingsVersion versionOf(const TableItem& item, std::string_view name = "version")
-    {
-        return SettingsVersion(static_cast<std::uint64_t>(std::max<std::int64_t>(numberOf(item, name), 0)));
-    }
+        SettingsVersion versionOf(const TableItem& item, std::string_view name = "version")
+        {
+            return SettingsVersion(static_cast<std::uint64_t>(std::max<std::int64_t>(numberOf(item, name), 0)));
+        }
 
-    TableAttribute number(std::string name, std::uint64_t value)
-    {
-        return { .name = std::move(name), .value = static_cast<std::int64_t>(value) };
-    }
+        TableAttribute number(std::string name, std::uint64_t value)
+        {
+            return { .name = std::move(name), .value = static_cast<std::int64_t>(value) };
+        }
 
-    TableAttribute text(std::string name, std::string value)
-    {
-        return { .name = std::move(name), .value = std::move(value) };
-    }
+        TableAttribute text(std::string name, std::string value)
+        {
+            return { .name = std::move(name), .value = std::move(value) };
+        }
 
-    boost::leaf::error_id malformed(std::string detail)
-    {
-        return boost::leaf::new_error(CallError { .failure = CallFailure::Malformed, .detail = std::move(detail) });
-    }
+        boost::leaf::error_id malformed(std::string detail)
+        {
+            return boost::leaf::new_error(CallError { .failure = CallFailure::Malformed, .detail = std::move(detail) });
+        }
 
-    Result<AcceptedChange> changeFromItem(const TableItem& item)
-    {
-        BOOST_LEAF_AUTO(edits, editsFromJson(textOf(item, "edits")));
-        return AcceptedChange {
-            .version = versionOf(item),
-            .change = ChangeId(textOf(item, "changeId")),
-            .author = textOf(item, "author"),
-            .acceptedAtMs = numberOf(item, "acceptedAtMs"),
-            .edits = std::move(edits),
-        };
-    }
+        Result<AcceptedChange> changeFromItem(const TableItem& item)
+        {
+            BOOST_LEAF_AUTO(edits, editsFromJson(textOf(item, "edits")));
+            return AcceptedChange {
+                .version = versionOf(item),
+                .change = ChangeId(textOf(item, "changeId")),
+                .author = textOf(item, "author"),
+                .acceptedAtMs = numberOf(item, "acceptedAtMs"),
+                .edits = std::move(edits),
+            };
+        }
 
-    TableItem changeItem(const TableKey& key, const AcceptedChange& change)
-    {
-        return { .key = key, .attributes = {
-                                 number("version", change.version.value()),
-                                 text("changeId", change.change.value()),
-                                 text("author", change.author),
-                                 number("acceptedAtMs", static_cast<std::uint64_t>(change.acceptedAtMs)),
-                                 text("edits", editsToJson(change.edits)),
-                             } };
-    }
+        TableItem changeItem(const TableKey& key, const AcceptedChange& change)
+        {
+            return { .key = key, .attributes = {
+                                     number("version", change.version.value()),
+                                     text("changeId", change.change.value()),
+                                     text("author", change.author),
+                                     number("acceptedAtMs", static_cast<std::uint64_t>(change.acceptedAtMs)),
+                                     text("edits", editsToJson(change.edits)),
+                                 } };
+        }
 
-    TableCondition absent() { return { .test = TableTest::RowAbsent }; }
+        TableCondition absent() { return { .test = TableTest::RowAbsent }; }
 
-    TableCondition stillAt(SettingsVersion version)
-    {
-        if (version.isNone())
-            return absent();
-        return { .test = TableTest::Equal, .attribute = "version", .value = static_cast<std::int64_t>(version.value()) };
-    }
+        TableCondition stillAt(SettingsVersion version)
+        {
+            if (version.isNone())
+                return absent();
+            return { .test = TableTest::Equal, .attribute = "version", .value = static_cast<std::int64_t>(version.value()) };
+        }
 
-    bool isValidChangeId(const ChangeId& id)
-    {
-        const std::string& value = id.value();
-        return !value.empty() && value.size() <= 200 && std::ranges::all_of(value, [](unsigned char c) { return c > 0x20 && c < 0x7f; });
-    }
+        bool isValidChangeId(const ChangeId& id)
+        {
+            const std::string& value = id.value();
+            return !value.empty() && value.size() <= 200 && std::ranges::all_of(value, [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+        }
 
-    Result<void> checkProposal(const ProposedChange& proposed)
-    {
-        if (!isValidChangeId(proposed.change))
-            return boost::leaf::new_error(InvalidSetting { .name = "change id", .value = proposed.change.value(), .allowed = "1 to 200 printable ASCII characters without spaces" });
-        std::size_t size = editsToJson(proposed.edits).size();
-        if (size > maxEditsBytes)
-            return boost::leaf::new_error(InvalidSetting { .name = "edits", .value = std::to_string(size) + " bytes", .allowed = "at most " + std::to_string(maxEditsBytes) + " bytes in one change" });
-        return {};
-    }
+        Result<void> checkProposal(const ProposedChange& proposed)
+        {
+            if (!isValidChangeId(proposed.change))
+                return boost::leaf::new_error(InvalidSetting { .name = "change id", .value = proposed.change.value(), .allowed = "1 to 200 printable ASCII characters without spaces" });
+            std::size_t size = editsToJson(proposed.edits).size();
+            if (size > maxEditsBytes)
+                return boost::leaf::new_error(InvalidSetting { .name = "edits", .value = std::to_string(size) + " bytes", .allowed = "at most " + std::to_string(maxEditsBytes) + " bytes in one change" });
+            return {};
+        }
 
-    bool areSameEdits(const std::vector<SettingsEdit>& a, const std::vector<SettingsEdit>& b)
-    {
-        return std::ranges::equal(a, b, [](const SettingsEdit& x, const SettingsEdit& y) { return x.path == y.path && x.field == y.field && x.value == y.value; });
-    }
+        bool mayTryAgain(const AcceptTry& outcome, bool isOpen)
+        {
+            if (const auto* error = std::get_if<CallError>(&outcome.failure))
+                return isOpen || error->failure == CallFailure::Throttled;
+            return std::holds_alternative<std::monostate>(outcome.failure);
+        }
+
+        boost::leaf::error_id raise(const AcceptTry& outcome)
+        {
+            return std::visit([](const auto& error) { return boost::leaf::new_error(error); }, outcome.failure);
+        }
 
-} // namespace
+        bool areSameEdits(const std::vector<SettingsEdit>& a, const std::vector<SettingsEdit>& b)
+        {
+            return std::ranges::equal(a, b, [](const SettingsEdit& x, const SettingsEdit& y) { return x.path == y.path && x.field == y.field && x.value == y.value; });
+        }
+
+    } // namespace
 
 } // namespace detail
 
@@ -202,7 +214,7 @@
     return std::optional(StoredChange { .newest = std::move(newest), .change = std::move(*found), .acceptedEarlier = true });
 }
 
-Result<std::optional<StoredChange>> SettingsStore::tryOnce(const SettingsTree& held, const ProposedChange& proposed, SystemTime now, bool& mayHaveCommitted)
+Result<std::optional<StoredChange>> SettingsStore::commit(const SettingsTree& held, const ProposedChange& proposed, SystemTime now, bool& mayHaveCommitted)
 {
     BOOST_LEAF_AUTO(known, earlier(held, proposed));
     if (known)
@@ -233,43 +245,55 @@
     return std::optional(StoredChange { .newest = std::move(newest), .change = std::move(change) });
 }
 
+detail::AcceptTry SettingsStore::tryOnce(const SettingsTree& held, const ProposedChange& proposed, SystemTime now)
+{
+    detail::AcceptTry result;
+    auto fail = [&](const auto& error) {
+        result.failure = error;
+        return std::optional<StoredChange>();
+    };
+    auto noAnswer = [&] { return fail(CallError { .failure = CallFailure::NoAnswer, .detail = "an unknown failure" }); };
+    result.stored = boost::leaf::try_handle_all(
+        [&] { return commit(held, proposed, now, result.mayHaveCommitted); },
+        [&](const SettingsConflict& error) { return fail(error); },
+        [&](const InvalidSetting& error) { return fail(error); },
+        [&](const StoreWentBack& error) { return fail(error); },
+        [&](const CallError& error) {
+            bool hadNoEffect = error.failure == CallFailure::NotSent || error.failure == CallFailure::Throttled || error.failure == CallFailure::Refused;
+            result.mayHaveCommitted = result.mayHaveCommitted && !hadNoEffect;
+            return fail(error);
+        },
+        noAnswer);
+    bool isRefused = std::holds_alternative<SettingsConflict>(result.failure) || std::holds_alternative<InvalidSetting>(result.failure);
+    if (!isRefused)
+        return result;
+    // Another try of the same change may be what stands in the way.
+    result.stored = boost::leaf::try_handle_all(
+        [&] { return earlier(held, proposed); },
+        [&](const InvalidSetting& error) { return fail(error); },
+        [&](const StoreWentBack& error) { return fail(error); },
+        [&](const CallError& error) { return fail(error); },
+        noAnswer);
+    return result;
+}
+
 Result<StoredChange> SettingsStore::accept(const SettingsTree& held, const ProposedChange& proposed, SystemTime now)
 {
     BOOST_LEAF_CHECK(detail::checkProposal(proposed));
-    // An earlier try whose answer was lost may still take effect while this is true.
+    // A try whose answer was lost may still take effect while this is true.
     bool isOpen = false;
     for (int i = 0; i < m_options.tries; ++i) {
         if (i)
             pause(i);
-        bool mayHaveCommitted = false;
-        bool mayTryAgain = false;
-        auto refused = [&](const auto& error) -> Result<std::optional<StoredChange>> {
-            // Another try of the same change may be what stands in the way.
-            auto accepted = earlier(held, proposed);
-            if (!accepted || *accepted)
-                return accepted;
-            return boost::leaf::new_error(error);
-        };
-        Result<std::optional<StoredChange>> outcome = boost::leaf::try_handle_some(
-            [&] { return tryOnce(held, proposed, now, mayHaveCommitted); },
-            [&](const SettingsConflict& conflict) { return refused(conflict); },
-            [&](const InvalidSetting& invalid) { return refused(invalid); },
-            [&](const CallError& error) -> Result<std::optional<StoredChange>> {
-                bool isLost = mayHaveCommitted && error.failure != CallFailure::NotSent && error.failure != CallFailure::Throttled && error.failure != CallFailure::Refused;
-                isOpen = isOpen || isLost;
-                mayTryAgain = isLost || isOpen || error.failure == CallFailure::Throttled;
-                if (!mayTryAgain)
-                    return boost::leaf::new_error(error);
-                return std::optional<StoredChange>();
-            });
-        if (!outcome)
-            return outcome.error();
-        if (!*outcome)
-            continue;
-        StoredChange stored = std::move(**outcome);
-        if (!stored.acceptedEarlier && stored.change.version.value() % static_cast<std::uint64_t>(m_options.snapshotEvery) == 0)
-            writeSnapshot(stored.newest.tree);
-        return stored;
+        detail::AcceptTry outcome = tryOnce(held, proposed, now);
+        if (outcome.stored) {
+            if (!outcome.stored->acceptedEarlier && outcome.stored->change.version.value() % static_cast<std::uint64_t>(m_options.snapshotEvery) == 0)
+                writeSnapshot(outcome.stored->newest.tree);
+            return std::move(*outcome.stored);
+        }
+        isOpen = isOpen || outcome.mayHaveCommitted;
+        if (!detail::mayTryAgain(outcome, isOpen))
+            return detail::raise(outcome);
     }
     if (isOpen)
         return boost::leaf::new_error(UnknownOutcome { .change = proposed.change });
--- a/src/platform/SettingsStore.h
+++ b/src/platform/SettingsStore.h
@@ -11,7 +11,9 @@
 #include "limpetpond/Clock.h"
 #include "platform/TableClient.h"
 #include <functional>
+#include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace limpetpond {
@@ -59,6 +61,17 @@
     bool acceptedEarlier { false }; ///< An earlier try with the same change id was accepted.
 };
 
+namespace detail {
+
+    /// How one try to have a change accepted ended.
+    struct AcceptTry {
+        std::optional<StoredChange> stored;
+        std::variant<std::monostate, InvalidSetting, SettingsConflict, StoreWentBack, CallError> failure; ///< None: another change came first.
+        bool mayHaveCommitted { false };
+    };
+
+} // namespace detail
+
 struct SettingsStoreOptions {
     TableAccess table;
     std::string partition { "settings" };
@@ -92,7 +105,8 @@
 private:
     Result<std::optional<AcceptedChange>> findAccepted(const ChangeId&);
     Result<std::optional<StoredChange>> earlier(const SettingsTree& held, const ProposedChange&);
-    Result<std::optional<StoredChange>> tryOnce(const SettingsTree& held, const ProposedChange&, SystemTime now, bool& mayHaveCommitted);
+    Result<std::optional<StoredChange>> commit(const SettingsTree& held, const ProposedChange&, SystemTime now, bool& mayHaveCommitted);
+    detail::AcceptTry tryOnce(const SettingsTree& held, const ProposedChange&, SystemTime now);
     Result<SettingsTree> readSnapshot();
     void writeSnapshot(const SettingsTree&);
     void pause(int tryNumber);
--- a/src/tool/CommandLine.cpp
+++ b/src/tool/CommandLine.cpp
@@ -34,231 +34,232 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    using TextMap = std::map<std::string, std::string>;
+        using TextMap = std::map<std::string, std::string>;
 
-    constexpr std::array commonFlags { "instances", "operator_secret", "operator_secret_file", "json" };
+        constexpr std::array commonFlags { "instances", "operator_secret", "operator_secret_file", "json" };
 
-    struct CommandHelp {
-        std::string_view words;
-        std::string_view arguments;
-        std::string_view summary;
-        std::string_view flags; ///< Separated by spaces.
-        std::string_view example;
-    };
+        struct CommandHelp {
+            std::string_view words;
+            std::string_view arguments;
+            std::string_view summary;
+            std::string_view flags; ///< Separated by spaces.
+            std::string_view example;
+        };
 
-    constexpr std::array commands {
-        CommandHelp { "settings get", "[PATH [FIELD]]", "print the values set at a branch, or the value in force of one field", "", "limpetpond settings get pool/drafts maxWait" },
-        CommandHelp { "settings set", "PATH FIELD=VALUE...", "set fields of a branch, in one change", "dry_run author change_id read_version", "limpetpond settings set pool/drafts maxWait=30s maxWaiting=200" },
-        CommandHelp { "settings unset", "PATH [FIELD...]", "remove fields, so that inherited values count, or the whole branch", "dry_run author change_id read_version", "limpetpond settings unset pool/drafts maxWait" },
-        CommandHelp { "settings diff", "FILE | VERSION VERSION", "show what an import would change, or what differs between two versions", "replace", "limpetpond settings diff 12 15" },
-        CommandHelp { "settings history", "", "list accepted changes, oldest first", "after", "limpetpond settings history --after 12" },
-        CommandHelp { "settings explain", "[PATH]", "show each value in force, the branch it comes from, and who set it when", "", "limpetpond settings explain target/engine-1" },
-        CommandHelp { "settings export", "[PATH]", "print the branches at and below a path as JSON", "output", "limpetpond settings export --output settings.json" },
-        CommandHelp { "settings import", "FILE", "bring the branches to what an export holds, in one change", "replace dry_run author change_id", "limpetpond settings import settings.json --dry-run" },
-        CommandHelp { "settings schema", "", "print every field with its unit, range, default and meaning", "", "limpetpond settings schema" },
-        CommandHelp { "target leave", "NAME", "mark a target as leaving, so that it gets no new work", "wait timeout period author change_id", "limpetpond target leave engine-1 --wait" },
-        CommandHelp { "target return", "NAME", "return a target to service", "author change_id", "limpetpond target return engine-1" },
-        CommandHelp { "target status", "[NAME]", "show how far a target's leaving has got", "", "limpetpond target status engine-1" },
-        CommandHelp { "status", "", "show instances, versions, pools, targets and alarms", "watch period", "limpetpond status --watch" },
-        CommandHelp { "timeline", "", "merge the events of all instances in causal order", "request target instance html chrome_trace output", "limpetpond timeline --request r-1 --html --output path.html" },
-    };
+        constexpr std::array commands {
+            CommandHelp { "settings get", "[PATH [FIELD]]", "print the values set at a branch, or the value in force of one field", "", "limpetpond settings get pool/drafts maxWait" },
+            CommandHelp { "settings set", "PATH FIELD=VALUE...", "set fields of a branch, in one change", "dry_run author change_id read_version", "limpetpond settings set pool/drafts maxWait=30s maxWaiting=200" },
+            CommandHelp { "settings unset", "PATH [FIELD...]", "remove fields, so that inherited values count, or the whole branch", "dry_run author change_id read_version", "limpetpond settings unset pool/drafts maxWait" },
+            CommandHelp { "settings diff", "FILE | VERSION VERSION", "show what an import would change, or what differs between two versions", "replace", "limpetpond settings diff 12 15" },
+            CommandHelp { "settings history", "", "list accepted changes, oldest first", "after", "limpetpond settings history --after 12" },
+            CommandHelp { "settings explain", "[PATH]", "show each value in force, the branch it comes from, and who set it when", "", "limpetpond settings explain target/engine-1" },
+            CommandHelp { "settings export", "[PATH]", "print the branches at and below a path as JSON", "output", "limpetpond settings export --output settings.json" },
+            CommandHelp { "settings import", "FILE", "bring the branches to what an export holds, in one change", "replace dry_run author change_id", "limpetpond settings import settings.json --dry-run" },
+            CommandHelp { "settings schema", "", "print every field with its unit, range, default and meaning", "", "limpetpond settings schema" },
+            CommandHelp { "target leave", "NAME", "mark a target as leaving, so that it gets no new work", "wait timeout period author change_id", "limpetpond target leave engine-1 --wait" },
+            CommandHelp { "target return", "NAME", "return a target to service", "author change_id", "limpetpond target return engine-1" },
+            CommandHelp { "target status", "[NAME]", "show how far a target's leaving has got", "", "limpetpond target status engine-1" },
+            CommandHelp { "status", "", "show instances, versions, pools, targets and alarms", "watch period", "limpetpond status --watch" },
+            CommandHelp { "timeline", "", "merge the events of all instances in causal order", "request target instance html chrome_trace output", "limpetpond timeline --request r-1 --html --output path.html" },
+        };
 
-    boost::leaf::error_id invalid(std::string name, std::string value, std::string allowed)
-    {
-        return boost::leaf::new_error(InvalidSetting { .name = std::move(name), .value = std::move(value), .allowed = std::move(allowed) });
-    }
+        boost::leaf::error_id invalid(std::string name, std::string value, std::string allowed)
+        {
+            return boost::leaf::new_error(InvalidSetting { .name = std::move(name), .value = std::move(value), .allowed = std::move(allowed) });
+        }
 
-    std::string valueOr(const TextMap& map, const std::string& name, std::string otherwise)
-    {
-        auto found = map.find(name);
-        return found == map.end() ? std::move(otherwise) : found->second;
-    }
+        std::string valueOr(const TextMap& map, const std::string& name, std::string otherwise)
+        {
+            auto found = map.find(name);
+            return found == map.end() ? std::move(otherwise) : found->second;
+        }
 
-    bool startsWithWords(std::string_view command, const std::vector<std::string>& words)
-    {
-        std::string prefix;
-        for (const std::string& word : words)
-            prefix += prefix.empty() ? word : " " + word;
-        return prefix.empty() || command == prefix || command.starts_with(prefix + " ");
-    }
+        bool startsWithWords(std::string_view command, const std::vector<std::string>& words)
+        {
+            std::string prefix;
+            for (const std::string& word : words)
+                prefix += prefix.empty() ? word : " " + word;
+            return prefix.empty() || command == prefix || command.starts_with(prefix + " ");
+        }
 
-    std::string flagLine(const std::string& name)
-    {
-        const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
-        std::string shown = "--" + name;
-        std::ranges::replace(shown, '_', '-');
-        shown.resize(std::max<std::size_t>(shown.size() + 1, 24), ' ');
-        return "  " + shown + (flag ? flag->Help() : std::string()) + "\n";
-    }
+        std::string flagLine(const std::string& name)
+        {
+            const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+            std::string shown = "--" + name;
+            std::ranges::replace(shown, '_', '-');
+            shown.resize(std::max<std::size_t>(shown.size() + 1, 24), ' ');
+            return "  " + shown + (flag ? flag->Help() : std::string()) + "\n";
+        }
 
-    std::vector<std::string> splitWords(std::string_view text)
-    {
-        std::vector<std::string> words;
-        while (!text.empty()) {
-            auto space = std::min(text.find(' '), text.size());
-            if (space)
-                words.emplace_back(text.substr(0, space));
-            text.remove_prefix(std::min(space + 1, text.size()));
+        std::vector<std::string> splitWords(std::string_view text)
+        {
+            std::vector<std::string> words;
+            while (!text.empty()) {
+                auto space = std::min(text.find(' '), text.size());
+                if (space)
+                    words.emplace_back(text.substr(0, space));
+                text.remove_prefix(std::min(space + 1, text.size()));
+            }
+            return words;
         }
-        return words;
-    }
 
-    std::string commandHelp(const CommandHelp& command)
-    {
-        std::string text = "Usage: limpetpond " + std::string(command.words) + " " + std::string(command.arguments) + " [FLAGS]\n\n" + std::string(command.summary) + "\n\nFlags:\n";
-        for (const std::string& flag : splitWords(command.flags))
-            text += flagLine(flag);
-        for (const char* flag : commonFlags)
-            text += flagLine(flag);
-        return text + "\nExample: " + std::string(command.example) + "\n";
-    }
+        std::string commandHelp(const CommandHelp& command)
+        {
+            std::string text = "Usage: limpetpond " + std::string(command.words) + " " + std::string(command.arguments) + " [FLAGS]\n\n" + std::string(command.summary) + "\n\nFlags:\n";
+            for (const std::string& flag : splitWords(command.flags))
+                text += flagLine(flag);
+            for (const char* flag : commonFlags)
+                text += flagLine(flag);
+            return text + "\nExample: " + std::string(command.example) + "\n";
+        }
 
-    std::string overviewHelp(const std::vector<std::string>& words)
-    {
-        std::string list;
-        for (const CommandHelp& command : commands) {
-            if (!startsWithWords(command.words, words))
-                continue;
-            std::string name = std::string(command.words) + " " + std::string(command.arguments);
-            name.resize(std::max<std::size_t>(name.size() + 1, 40), ' ');
-            list += "  " + name + "\n      " + std::string(command.summary) + "\n";
+        std::string overviewHelp(const std::vector<std::string>& words)
+        {
+            std::string list;
+            for (const CommandHelp& command : commands) {
+                if (!startsWithWords(command.words, words))
+                    continue;
+                std::string name(command.words);
+                if (!command.arguments.empty())
+                    name += " " + std::string(command.arguments);
+                list += "  " + name + "\n      " + std::string(command.summary) + "\n";
+            }
+            if (list.empty())
+                return {};
+            std::string text = "Usage: limpetpond COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n" + list + "\nFlags of every command:\n";
+            for (const char* flag : commonFlags)
+                text += flagLine(flag);
+            text += "  --help                  print help, also after a command\n  --version               print the version\n";
+            return text + "\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 conflict with another operator's change,\n4 no instance reachable, 5 outcome unknown (repeat with the printed --change-id).\n";
         }
-        if (list.empty())
-            return {};
-        std::string text = "Usage: limpetpond COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:\n" + list + "\nFlags of every command:\n";
-        for (const char* flag : commonFlags)
-            text += flagLine(flag);
-        text += "  --help                  print help, also after a command\n  --version               print the version\n";
-        return text + "\nExit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 conflict with another operator's change,\n4 no instance reachable, 5 outcome unknown (repeat with the printed --change-id).\n";
-    }
 
-    bool isKnownFlag(const std::string& name)
-    {
-        for (const CommandHelp& command : commands) {
-            if (std::ranges::count(splitWords(command.flags), name))
-                return true;
+        bool isKnownFlag(const std::string& name)
+        {
+            for (const CommandHelp& command : commands) {
+                if (std::ranges::count(splitWords(command.flags), name))
+                    return true;
+            }
+            return std::ranges::find(commonFlags, name) != commonFlags.end();
         }
-        return std::ranges::find(commonFlags, name) != commonFlags.end();
-    }
 
-    bool isSwitch(const std::string& name)
-    {
-        const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
-        return flag && flag->IsOfType<bool>();
-    }
+        bool isSwitch(const std::string& name)
+        {
+            const absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
+            return flag && flag->IsOfType<bool>();
+        }
 
-    /// The arguments with flag names as Abseil knows them. Errors: InvalidSetting for an unknown flag or a missing value.
-    Result<std::vector<std::string>> normalizedArguments(int argc, char** argv, ToolCommand& command)
-    {
-        std::vector<std::string> arguments { argc ? argv[0] : "limpetpond" };
-        for (int i = 1; i < argc; ++i) {
-            std::string argument = argv[i];
-            if (argument == "--help" || argument == "-h") {
-                command.help = true;
-                continue;
-            }
-            if (argument == "--version") {
-                command.version = true;
-                continue;
+        /// The arguments with flag names as Abseil knows them. Errors: InvalidSetting for an unknown flag or a missing value.
+        Result<std::vector<std::string>> normalizedArguments(int argc, char** argv, ToolCommand& command)
+        {
+            std::vector<std::string> arguments { argc ? argv[0] : "limpetpond" };
+            for (int i = 1; i < argc; ++i) {
+                std::string argument = argv[i];
+                if (argument == "--help" || argument == "-h") {
+                    command.help = true;
+                    continue;
+                }
+                if (argument == "--version") {
+                    command.version = true;
+                    continue;
+                }
+                if (!argument.starts_with("--") || argument == "--") {
+                    arguments.push_back(argument);
+                    continue;
+                }
+                auto equals = argument.find('=');
+                std::string name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
+                std::ranges::replace(name, '-', '_');
+                if (!isKnownFlag(name))
+                    return invalid("--" + name, argument, "a flag that limpetpond --help lists");
+                bool hasValue = equals != std::string::npos;
+                if (!hasValue && !isSwitch(name)) {
+                    if (i + 1 == argc)
+                        return invalid("--" + name, "", "a value after the flag");
+                    arguments.push_back("--" + name + "=" + argv[++i]);
+                    continue;
+                }
+                std::string value = hasValue ? argument.substr(equals + 1) : "true";
+                if (isSwitch(name) && value != "true" && value != "false")
+                    return invalid("--" + name, value, "true or false");
+                arguments.push_back("--" + name + "=" + value);
             }
-            if (!argument.starts_with("--") || argument == "--") {
-                arguments.push_back(argument);
-                continue;
-            }
-            auto equals = argument.find('=');
-            std::string name = argument.substr(2, equals == std::string::npos ? equals : equals - 2);
-            std::ranges::replace(name, '-', '_');
-            if (!isKnownFlag(name))
-                return invalid("--" + name, argument, "a flag that limpetpond --help lists");
-            bool hasValue = equals != std::string::npos;
-            if (!hasValue && !isSwitch(name)) {
-                if (i + 1 == argc)
-                    return invalid("--" + name, "", "a value after the flag");
-                arguments.push_back("--" + name + "=" + argv[++i]);
-                continue;
-            }
-            std::string value = hasValue ? argument.substr(equals + 1) : "true";
-            if (isSwitch(name) && value != "true" && value != "false")
-                return invalid("--" + name, value, "true or false");
-            arguments.push_back("--" + name + "=" + value);
+            return arguments;
         }
-        return arguments;
-    }
 
-    Result<std::chrono::milliseconds> duration(const std::string& name, const std::string& text)
-    {
-        std::optional<double> amount = measure(FieldType::Duration, boost::json::value(text));
-        if (!amount || *amount < 1)
-            return invalid("--" + name, text, "a duration of at least 1ms, in ms, s, m or h");
-        return std::chrono::milliseconds(static_cast<std::int64_t>(*amount));
-    }
+        Result<std::chrono::milliseconds> duration(const std::string& name, const std::string& text)
+        {
+            std::optional<double> amount = measure(FieldType::Duration, boost::json::value(text));
+            if (!amount || *amount < 1)
+                return invalid("--" + name, text, "a duration of at least 1ms, in ms, s, m or h");
+            return std::chrono::milliseconds(static_cast<std::int64_t>(*amount));
+        }
 
-    Result<void> checkNumber(const std::vector<std::string>& arguments, const std::string& name)
-    {
-        for (const std::string& argument : arguments) {
-            std::string prefix = "--" + name + "=";
-            if (!argument.starts_with(prefix))
-                continue;
-            std::string_view text = std::string_view(argument).substr(prefix.size());
-            std::int64_t number = 0;
-            auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-            if (error != std::errc() || end != text.data() + text.size() || number < 0)
-                return invalid("--" + name, std::string(text), "a whole number, 0 or more");
+        Result<void> checkNumber(const std::vector<std::string>& arguments, const std::string& name)
+        {
+            for (const std::string& argument : arguments) {
+                std::string prefix = "--" + name + "=";
+                if (!argument.starts_with(prefix))
+                    continue;
+                std::string_view text = std::string_view(argument).substr(prefix.size());
+                std::int64_t number = 0;
+                auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+                if (error != std::errc() || end != text.data() + text.size() || number < 0)
+                    return invalid("--" + name, std::string(text), "a whole number, 0 or more");
+            }
+            return {};
         }
-        return {};
-    }
 
-    Result<std::string> readSecret(const TextMap& environment)
-    {
-        std::string secret = absl::GetFlag(FLAGS_operator_secret);
-        if (secret.empty())
-            secret = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET", "");
-        std::string file = absl::GetFlag(FLAGS_operator_secret_file);
-        if (file.empty() && secret.empty())
-            file = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET_FILE", "");
-        if (file.empty())
+        Result<std::string> readSecret(const TextMap& environment)
+        {
+            std::string secret = absl::GetFlag(FLAGS_operator_secret);
+            if (secret.empty())
+                secret = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET", "");
+            std::string file = absl::GetFlag(FLAGS_operator_secret_file);
+            if (file.empty() && secret.empty())
+                file = valueOr(environment, "LIMPETPOND_OPERATOR_SECRET_FILE", "");
+            if (file.empty())
+                return secret;
+            std::ifstream stream(file);
+            if (!std::getline(stream, secret))
+                return invalid("--operator_secret_file", file, "a file that can be read and is not empty");
             return secret;
-        std::ifstream stream(file);
-        if (!std::getline(stream, secret))
-            return invalid("--operator_secret_file", file, "a file that can be read and is not empty");
-        return secret;
-    }
+        }
 
-    Result<ToolOptions> collectOptions(const TextMap& environment)
-    {
-        ToolOptions options;
-        std::string instances = absl::GetFlag(FLAGS_instances);
-        bool isFromFlag = !instances.empty();
-        if (!isFromFlag)
-            instances = valueOr(environment, "LIMPETPOND_INSTANCES", "127.0.0.1:9090");
-        BOOST_LEAF_ASSIGN(options.instances, parseAddresses(isFromFlag ? "--instances" : "LIMPETPOND_INSTANCES", instances));
-        BOOST_LEAF_ASSIGN(options.secret, readSecret(environment));
-        BOOST_LEAF_ASSIGN(options.timeout, duration("timeout", absl::GetFlag(FLAGS_timeout)));
-        BOOST_LEAF_ASSIGN(options.period, duration("period", absl::GetFlag(FLAGS_period)));
-        options.author = absl::GetFlag(FLAGS_author);
-        if (options.author.empty())
-            options.author = valueOr(environment, "USER", "operator");
-        options.changeId = absl::GetFlag(FLAGS_change_id);
-        if (absl::GetFlag(FLAGS_read_version) >= 0)
-            options.readVersion = absl::GetFlag(FLAGS_read_version);
-        options.after = absl::GetFlag(FLAGS_after);
-        options.request = absl::GetFlag(FLAGS_request);
-        options.target = absl::GetFlag(FLAGS_target);
-        options.instance = absl::GetFlag(FLAGS_instance);
-        options.output = absl::GetFlag(FLAGS_output);
-        options.json = absl::GetFlag(FLAGS_json);
-        options.dryRun = absl::GetFlag(FLAGS_dry_run);
-        options.wait = absl::GetFlag(FLAGS_wait);
-        options.watch = absl::GetFlag(FLAGS_watch);
-        options.replace = absl::GetFlag(FLAGS_replace);
-        options.html = absl::GetFlag(FLAGS_html);
-        options.chromeTrace = absl::GetFlag(FLAGS_chrome_trace);
-        return options;
-    }
+        Result<ToolOptions> collectOptions(const TextMap& environment)
+        {
+            ToolOptions options;
+            std::string instances = absl::GetFlag(FLAGS_instances);
+            bool isFromFlag = !instances.empty();
+            if (!isFromFlag)
+                instances = valueOr(environment, "LIMPETPOND_INSTANCES", "127.0.0.1:9090");
+            BOOST_LEAF_ASSIGN(options.instances, parseAddresses(isFromFlag ? "--instances" : "LIMPETPOND_INSTANCES", instances));
+            BOOST_LEAF_ASSIGN(options.secret, readSecret(environment));
+            BOOST_LEAF_ASSIGN(options.timeout, duration("timeout", absl::GetFlag(FLAGS_timeout)));
+            BOOST_LEAF_ASSIGN(options.period, duration("period", absl::GetFlag(FLAGS_period)));
+            options.author = absl::GetFlag(FLAGS_author);
+            if (options.author.empty())
+                options.author = valueOr(environment, "USER", "operator");
+            options.changeId = absl::GetFlag(FLAGS_change_id);
+            if (absl::GetFlag(FLAGS_read_version) >= 0)
+                options.readVersion = absl::GetFlag(FLAGS_read_version);
+            options.after = absl::GetFlag(FLAGS_after);
+            options.request = absl::GetFlag(FLAGS_request);
+            options.target = absl::GetFlag(FLAGS_target);
+            options.instance = absl::GetFlag(FLAGS_instance);
+            options.output = absl::GetFlag(FLAGS_output);
+            options.json = absl::GetFlag(FLAGS_json);
+            options.dryRun = absl::GetFlag(FLAGS_dry_run);
+            options.wait = absl::GetFlag(FLAGS_wait);
+            options.watch = absl::GetFlag(FLAGS_watch);
+            options.replace = absl::GetFlag(FLAGS_replace);
+            options.html = absl::GetFlag(FLAGS_html);
+            options.chromeTrace = absl::GetFlag(FLAGS_chrome_trace);
+            return options;
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/OperatorClient.cpp
+++ b/src/tool/OperatorClient.cpp
@@ -2,29 +2,29 @@
 
 #include "peer/ThriftConnection.h"
 #include <random>
-#include <thrift/TException.h>
+#include <thrift/Thrift.h>
 
 namespace limpetpond::tool {
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    constexpr std::chrono::milliseconds connectTimeout { 1'000 };
-    constexpr std::chrono::milliseconds callTimeout { 15'000 };
+        constexpr std::chrono::milliseconds connectTimeout { 1'000 };
+        constexpr std::chrono::milliseconds callTimeout { 15'000 };
 
-    /// Whether another instance may still carry out a change that one refused with this code.
-    bool mayAskNext(const std::string& code)
-    {
-        return code == "cut_off" || code == "store_unavailable" || code == "unknown_outcome";
-    }
+        /// Whether another instance may still carry out a change that one refused with this code.
+        bool mayAskNext(const std::string& code)
+        {
+            return code == "cut_off" || code == "store_unavailable" || code == "unknown_outcome";
+        }
 
-    std::string textOf(const Address& address)
-    {
-        return address.host + ":" + std::to_string(address.port);
-    }
+        std::string textOf(const Address& address)
+        {
+            return address.host + ":" + std::to_string(address.port);
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
@@ -116,7 +116,8 @@
     for (const Address& address : m_options.instances) {
         std::optional<rpc::OperatorRefused> refused;
         Attempt attempt = boost::leaf::try_handle_all(
-            [&] { return callOne(address, [&](auto& client) { client.change(reply, m_options.secret, request); }, detail); },
+            [&] { return callOne(
+                      address, [&](auto& client) { client.change(reply, m_options.secret, request); }, detail); },
             [&](const rpc::OperatorRefused& error) {
                 refused = error;
                 return Attempt::NotSent;
--- a/src/tool/RunTool.cpp
+++ b/src/tool/RunTool.cpp
@@ -7,46 +7,46 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    Result<int> dispatch(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.empty())
-            return boost::leaf::new_error(UsageError { .detail = "a command is needed; see limpetpond --help" });
-        std::vector<std::string> rest(words.begin() + 1, words.end());
-        if (words.front() == "settings")
-            return runSettings(context, rest);
-        if (words.front() == "target")
-            return runTarget(context, rest);
-        bool isView = words.front() == "status" || words.front() == "timeline";
-        if (isView && !rest.empty())
-            return boost::leaf::new_error(UsageError { .detail = words.front() + " takes no arguments" });
-        if (words.front() == "status")
-            return runStatus(context);
-        if (words.front() == "timeline")
-            return runTimeline(context);
-        return boost::leaf::new_error(UsageError { .detail = "there is no command \"" + words.front() + "\"; see limpetpond --help" });
-    }
+        Result<int> dispatch(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.empty())
+                return boost::leaf::new_error(UsageError { .detail = "a command is needed; see limpetpond --help" });
+            std::vector<std::string> rest(words.begin() + 1, words.end());
+            if (words.front() == "settings")
+                return runSettings(context, rest);
+            if (words.front() == "target")
+                return runTarget(context, rest);
+            bool isView = words.front() == "status" || words.front() == "timeline";
+            if (isView && !rest.empty())
+                return boost::leaf::new_error(UsageError { .detail = words.front() + " takes no arguments" });
+            if (words.front() == "status")
+                return runStatus(context);
+            if (words.front() == "timeline")
+                return runTimeline(context);
+            return boost::leaf::new_error(UsageError { .detail = "there is no command \"" + words.front() + "\"; see limpetpond --help" });
+        }
 
-    int report(const CommandContext& context, std::ostream& errors, int code, const std::string& kind, const std::string& detail)
-    {
-        if (context.options.json)
-            context.out << boost::json::serialize(boost::json::object { { "error", kind }, { "detail", detail } }) << "\n";
-        errors << "limpetpond: " << kind << ": " << detail << "\n";
-        return code;
-    }
+        int report(const CommandContext& context, std::ostream& errors, int code, const std::string& kind, const std::string& detail)
+        {
+            if (context.options.json)
+                context.out << boost::json::serialize(boost::json::object { { "error", kind }, { "detail", detail } }) << "\n";
+            errors << "limpetpond: " << kind << ": " << detail << "\n";
+            return code;
+        }
 
-    int reportRefusal(const CommandContext& context, std::ostream& errors, const rpc::OperatorRefused& refused)
-    {
-        int code = refused.code == "conflict" ? exitConflict : refused.code == "unknown_outcome" ? exitUnknown
-                                                                                                 : exitRefused;
-        report(context, errors, code, refused.code, refused.detail);
-        if (refused.code == "conflict")
-            errors << "  the branch is now " << refused.currentValue << "\n";
-        return code;
-    }
+        int reportRefusal(const CommandContext& context, std::ostream& errors, const rpc::OperatorRefused& refused)
+        {
+            int code = refused.code == "conflict" ? exitConflict : refused.code == "unknown_outcome" ? exitUnknown
+                                                                                                     : exitRefused;
+            report(context, errors, code, refused.code, refused.detail);
+            if (refused.code == "conflict")
+                errors << "  the branch is now " << refused.currentValue << "\n";
+            return code;
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/SettingsCommands.cpp
+++ b/src/tool/SettingsCommands.cpp
@@ -15,347 +15,349 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    namespace json = boost::json;
+        namespace json = boost::json;
 
-    boost::leaf::error_id usage(std::string detail)
-    {
-        return boost::leaf::new_error(UsageError { .detail = std::move(detail) });
-    }
+        boost::leaf::error_id usage(std::string detail)
+        {
+            return boost::leaf::new_error(UsageError { .detail = std::move(detail) });
+        }
 
-    /// UTC, to the second.
-    std::string timeText(std::int64_t milliseconds)
-    {
-        if (!milliseconds)
-            return "-";
-        std::time_t seconds = milliseconds / 1'000;
-        std::tm parts {};
-        gmtime_r(&seconds, &parts);
-        char text[32];
-        std::strftime(text, sizeof text, "%Y-%m-%d %H:%M:%SZ", &parts);
-        return text;
-    }
+        /// UTC, to the second.
+        std::string timeText(std::int64_t milliseconds)
+        {
+            if (!milliseconds)
+                return "-";
+            std::time_t seconds = milliseconds / 1'000;
+            std::tm parts {};
+            gmtime_r(&seconds, &parts);
+            char text[32];
+            std::strftime(text, sizeof text, "%Y-%m-%d %H:%M:%SZ", &parts);
+            return text;
+        }
 
-    Result<SettingsTree> readTree(CommandContext& context, const std::string& path)
-    {
-        BOOST_LEAF_AUTO(text, context.client.tree(path));
-        return treeFromJson(text);
-    }
+        Result<SettingsTree> readTree(CommandContext& context, const std::string& path)
+        {
+            BOOST_LEAF_AUTO(text, context.client.tree(path));
+            return treeFromJson(text);
+        }
 
-    /// The branch's version now; 0 for one that does not exist. Errors: those of OperatorClient.
-    Result<std::int64_t> branchVersion(CommandContext& context, const std::string& path)
-    {
-        if (context.options.readVersion)
-            return *context.options.readVersion;
-        return boost::leaf::try_handle_some(
-            [&]() -> Result<std::int64_t> {
-                BOOST_LEAF_AUTO(tree, readTree(context, path));
-                auto branch = tree.branches.find(path);
-                return branch == tree.branches.end() ? 0 : static_cast<std::int64_t>(branch->second.version.value());
-            },
-            [](const rpc::OperatorRefused& refused) -> Result<std::int64_t> {
-                if (refused.code == "not_found")
-                    return 0;
-                return boost::leaf::new_error(refused);
-            });
-    }
+        /// The branch's version now; 0 for one that does not exist. Errors: those of OperatorClient.
+        Result<std::int64_t> branchVersion(CommandContext& context, const std::string& path)
+        {
+            if (context.options.readVersion)
+                return *context.options.readVersion;
+            std::optional<rpc::OperatorRefused> refused;
+            Result<SettingsTree> tree = boost::leaf::try_handle_some(
+                [&] { return readTree(context, path); },
+                [&](const rpc::OperatorRefused& error) -> Result<SettingsTree> {
+                    refused = error;
+                    return SettingsTree();
+                });
+            if (!tree)
+                return tree.error();
+            if (refused && refused->code != "not_found")
+                return boost::leaf::new_error(*refused);
+            auto branch = tree->branches.find(path);
+            return branch == tree->branches.end() ? 0 : static_cast<std::int64_t>(branch->second.version.value());
+        }
 
-    bool isListType(FieldType type)
-    {
-        return type == FieldType::NameList || type == FieldType::MethodList || type == FieldType::PathList || type == FieldType::HashList;
-    }
+        bool isListType(FieldType type)
+        {
+            return type == FieldType::NameList || type == FieldType::MethodList || type == FieldType::PathList || type == FieldType::HashList;
+        }
 
-    bool isNumberType(FieldType type)
-    {
-        return type == FieldType::Count || type == FieldType::Share || type == FieldType::Flag;
-    }
+        bool isNumberType(FieldType type)
+        {
+            return type == FieldType::Count || type == FieldType::Share || type == FieldType::Flag;
+        }
 
-    json::array listOf(const std::string& text)
-    {
-        json::array list;
-        std::stringstream stream(text);
-        for (std::string item; std::getline(stream, item, ',');)
-            list.emplace_back(item);
-        return list;
-    }
+        json::array listOf(const std::string& text)
+        {
+            json::array list;
+            std::stringstream stream(text);
+            for (std::string item; std::getline(stream, item, ',');)
+                list.emplace_back(item);
+            return list;
+        }
 
-    /// The JSON of a value as typed: 30s, 64, a,b and ["a","b"] need no quotes.
-    std::string valueAsTyped(const std::string& path, const std::string& field, const std::string& text)
-    {
-        json::error_code error;
-        json::value parsed = json::parse(text, error);
-        std::optional<BranchKind> kind = kindOfPath(path);
-        const FieldSchema* schema = kind ? findField(*kind, field) : nullptr;
-        if (!error && (!schema || isNumberType(schema->type) || parsed.is_string() || parsed.is_array()))
-            return text;
-        if (schema && isListType(schema->type))
-            return json::serialize(listOf(text));
-        return json::serialize(json::value(text));
-    }
+        /// The JSON of a value as typed: 30s, 64, a,b and ["a","b"] need no quotes.
+        std::string valueAsTyped(const std::string& path, const std::string& field, const std::string& text)
+        {
+            json::error_code error;
+            json::value parsed = json::parse(text, error);
+            std::optional<BranchKind> kind = kindOfPath(path);
+            const FieldSchema* schema = kind ? findField(*kind, field) : nullptr;
+            if (!error && (!schema || isNumberType(schema->type) || parsed.is_string() || parsed.is_array()))
+                return text;
+            if (schema && isListType(schema->type))
+                return json::serialize(listOf(text));
+            return json::serialize(json::value(text));
+        }
 
-    Result<int> sendChange(CommandContext& context, std::vector<rpc::Edit> edits)
-    {
-        rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
-        BOOST_LEAF_AUTO(reply, context.client.change(request));
-        printChange(context, request, reply);
-        return exitDone;
-    }
+        Result<int> sendChange(CommandContext& context, std::vector<rpc::Edit> edits)
+        {
+            rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
+            BOOST_LEAF_AUTO(reply, context.client.change(request));
+            printChange(context, request, reply);
+            return exitDone;
+        }
 
-    Result<int> set(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() < 2)
-            return usage("settings set needs PATH FIELD=VALUE...");
-        const std::string& path = words.front();
-        BOOST_LEAF_AUTO(version, branchVersion(context, path));
-        std::vector<rpc::Edit> edits;
-        for (std::size_t i = 1; i < words.size(); ++i) {
-            auto equals = words[i].find('=');
-            if (equals == std::string::npos || !equals)
-                return usage("settings set: \"" + words[i] + "\" is not FIELD=VALUE");
-            rpc::Edit edit;
-            edit.path = path;
-            edit.field = words[i].substr(0, equals);
-            edit.value = valueAsTyped(path, edit.field, words[i].substr(equals + 1));
-            edit.readVersion = version;
-            edits.push_back(std::move(edit));
+        Result<int> set(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() < 2)
+                return usage("settings set needs PATH FIELD=VALUE...");
+            const std::string& path = words.front();
+            BOOST_LEAF_AUTO(version, branchVersion(context, path));
+            std::vector<rpc::Edit> edits;
+            for (std::size_t i = 1; i < words.size(); ++i) {
+                auto equals = words[i].find('=');
+                if (equals == std::string::npos || !equals)
+                    return usage("settings set: \"" + words[i] + "\" is not FIELD=VALUE");
+                rpc::Edit edit;
+                edit.path = path;
+                edit.field = words[i].substr(0, equals);
+                edit.value = valueAsTyped(path, edit.field, words[i].substr(equals + 1));
+                edit.readVersion = version;
+                edits.push_back(std::move(edit));
+            }
+            return sendChange(context, std::move(edits));
         }
-        return sendChange(context, std::move(edits));
-    }
 
-    Result<int> unset(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.empty())
-            return usage("settings unset needs PATH [FIELD...]");
-        const std::string& path = words.front();
-        BOOST_LEAF_AUTO(version, branchVersion(context, path));
-        std::vector<std::string> fields(words.begin() + 1, words.end());
-        if (fields.empty())
-            fields.emplace_back();
-        std::vector<rpc::Edit> edits;
-        for (const std::string& field : fields) {
-            rpc::Edit edit;
-            edit.path = path;
-            edit.field = field;
-            edit.readVersion = version;
-            edits.push_back(std::move(edit));
+        Result<int> unset(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.empty())
+                return usage("settings unset needs PATH [FIELD...]");
+            const std::string& path = words.front();
+            BOOST_LEAF_AUTO(version, branchVersion(context, path));
+            std::vector<std::string> fields(words.begin() + 1, words.end());
+            if (fields.empty())
+                fields.emplace_back();
+            std::vector<rpc::Edit> edits;
+            for (const std::string& field : fields) {
+                rpc::Edit edit;
+                edit.path = path;
+                edit.field = field;
+                edit.readVersion = version;
+                edits.push_back(std::move(edit));
+            }
+            return sendChange(context, std::move(edits));
         }
-        return sendChange(context, std::move(edits));
-    }
 
-    void printBranch(std::ostream& out, const std::string& path, const Branch& branch)
-    {
-        out << path << "  (version " << branch.version.value() << ")\n";
-        for (const auto& [name, stored] : branch.fields)
-            out << "  " << name << " = " << valueToJson(stored.value) << "\n";
-    }
+        void printBranch(std::ostream& out, const std::string& path, const Branch& branch)
+        {
+            out << path << "  (version " << branch.version.value() << ")\n";
+            for (const auto& [name, stored] : branch.fields)
+                out << "  " << name << " = " << valueToJson(stored.value) << "\n";
+        }
 
-    Result<int> getField(CommandContext& context, const std::string& path, const std::string& field)
-    {
-        BOOST_LEAF_AUTO(values, context.client.explain(path));
-        for (const rpc::ExplainedValue& value : values) {
-            if (value.field != field)
-                continue;
-            context.out << value.value << "\n";
-            return exitDone;
+        Result<int> getField(CommandContext& context, const std::string& path, const std::string& field)
+        {
+            BOOST_LEAF_AUTO(values, context.client.explain(path));
+            for (const rpc::ExplainedValue& value : values) {
+                if (value.field != field)
+                    continue;
+                context.out << value.value << "\n";
+                return exitDone;
+            }
+            return boost::leaf::new_error(InvalidSetting { .name = path + " " + field, .value = "", .allowed = "a field of the branch; see limpetpond settings schema" });
         }
-        return boost::leaf::new_error(InvalidSetting { .name = path + " " + field, .value = "", .allowed = "a field of the branch; see limpetpond settings schema" });
-    }
 
-    Result<int> get(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() > 2)
-            return usage("settings get takes [PATH [FIELD]]");
-        if (words.size() == 2)
-            return getField(context, words[0], words[1]);
-        BOOST_LEAF_AUTO(text, context.client.tree(words.empty() ? "" : words[0]));
-        if (context.options.json) {
-            context.out << text << "\n";
+        Result<int> get(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() > 2)
+                return usage("settings get takes [PATH [FIELD]]");
+            if (words.size() == 2)
+                return getField(context, words[0], words[1]);
+            BOOST_LEAF_AUTO(text, context.client.tree(words.empty() ? "" : words[0]));
+            if (context.options.json) {
+                context.out << text << "\n";
+                return exitDone;
+            }
+            BOOST_LEAF_AUTO(tree, treeFromJson(text));
+            context.out << "# version " << tree.version.value() << "\n";
+            for (const auto& [path, branch] : tree.branches)
+                printBranch(context.out, path, branch);
             return exitDone;
         }
-        BOOST_LEAF_AUTO(tree, treeFromJson(text));
-        context.out << "# version " << tree.version.value() << "\n";
-        for (const auto& [path, branch] : tree.branches)
-            printBranch(context.out, path, branch);
-        return exitDone;
-    }
 
-    json::object asJson(const rpc::ExplainedValue& value)
-    {
-        return { { "path", value.path }, { "field", value.field }, { "value", json::parse(value.value) }, { "inheritedFrom", value.inheritedFrom }, { "version", value.version }, { "author", value.author }, { "acceptedAtMs", value.acceptedAtMs } };
-    }
+        json::object asJson(const rpc::ExplainedValue& value)
+        {
+            return { { "path", value.path }, { "field", value.field }, { "value", json::parse(value.value) }, { "inheritedFrom", value.inheritedFrom }, { "version", value.version }, { "author", value.author }, { "acceptedAtMs", value.acceptedAtMs } };
+        }
 
-    std::string originOf(const rpc::ExplainedValue& value)
-    {
-        if (value.inheritedFrom.empty())
-            return "default";
-        return value.inheritedFrom + ", version " + std::to_string(value.version) + " by " + value.author + " at " + timeText(value.acceptedAtMs);
-    }
+        std::string originOf(const rpc::ExplainedValue& value)
+        {
+            if (value.inheritedFrom.empty())
+                return "default";
+            return value.inheritedFrom + ", version " + std::to_string(value.version) + " by " + value.author + " at " + timeText(value.acceptedAtMs);
+        }
 
-    Result<int> explain(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() > 1)
-            return usage("settings explain takes [PATH]");
-        BOOST_LEAF_AUTO(values, context.client.explain(words.empty() ? "" : words[0]));
-        json::array list;
-        std::string path;
-        for (const rpc::ExplainedValue& value : values) {
-            if (context.options.json) {
-                list.push_back(asJson(value));
-                continue;
+        Result<int> explain(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() > 1)
+                return usage("settings explain takes [PATH]");
+            BOOST_LEAF_AUTO(values, context.client.explain(words.empty() ? "" : words[0]));
+            json::array list;
+            std::string path;
+            for (const rpc::ExplainedValue& value : values) {
+                if (context.options.json) {
+                    list.push_back(asJson(value));
+                    continue;
+                }
+                if (value.path != path)
+                    context.out << value.path << "\n";
+                path = value.path;
+                context.out << "  " << value.field << " = " << value.value << "\n      from " << originOf(value) << "\n";
             }
-            if (value.path != path)
-                context.out << value.path << "\n";
-            path = value.path;
-            context.out << "  " << value.field << " = " << value.value << "\n      from " << originOf(value) << "\n";
+            if (context.options.json)
+                context.out << json::serialize(list) << "\n";
+            return exitDone;
         }
-        if (context.options.json)
-            context.out << json::serialize(list) << "\n";
-        return exitDone;
-    }
 
-    Result<int> history(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (!words.empty())
-            return usage("settings history takes no arguments");
-        BOOST_LEAF_AUTO(changes, context.client.history(context.options.after));
-        json::array list;
-        for (const rpc::SettingsChange& change : changes) {
-            if (context.options.json) {
-                list.push_back(json::object { { "version", change.version }, { "changeId", change.changeId }, { "author", change.author }, { "acceptedAtMs", change.acceptedAtMs }, { "edits", json::parse(change.body) } });
-                continue;
+        Result<int> history(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (!words.empty())
+                return usage("settings history takes no arguments");
+            BOOST_LEAF_AUTO(changes, context.client.history(context.options.after));
+            json::array list;
+            for (const rpc::SettingsChange& change : changes) {
+                if (context.options.json) {
+                    list.push_back(json::object { { "version", change.version }, { "changeId", change.changeId }, { "author", change.author }, { "acceptedAtMs", change.acceptedAtMs }, { "edits", json::parse(change.body) } });
+                    continue;
+                }
+                context.out << change.version << "  " << timeText(change.acceptedAtMs) << "  " << change.author << "  " << change.changeId << "\n";
+                BOOST_LEAF_AUTO(edits, editsFromJson(change.body));
+                for (const SettingsEdit& edit : edits)
+                    context.out << "    " << edit.path << (edit.field.empty() ? "" : " " + edit.field) << (edit.value ? " = " + json::serialize(*edit.value) : " removed") << "\n";
             }
-            context.out << change.version << "  " << timeText(change.acceptedAtMs) << "  " << change.author << "  " << change.changeId << "\n";
-            BOOST_LEAF_AUTO(edits, editsFromJson(change.body));
-            for (const SettingsEdit& edit : edits)
-                context.out << "    " << edit.path << (edit.field.empty() ? "" : " " + edit.field) << (edit.value ? " = " + json::serialize(*edit.value) : " removed") << "\n";
+            if (context.options.json)
+                context.out << json::serialize(list) << "\n";
+            return exitDone;
         }
-        if (context.options.json)
-            context.out << json::serialize(list) << "\n";
-        return exitDone;
-    }
 
-    Result<std::string> readFile(const std::string& name)
-    {
-        std::ifstream file(name);
-        std::stringstream text;
-        if (name == "-")
-            text << std::cin.rdbuf();
-        else if (!file)
-            return boost::leaf::new_error(InvalidSetting { .name = "file", .value = name, .allowed = "a file that can be read" });
-        else
-            text << file.rdbuf();
-        return text.str();
-    }
+        Result<std::string> readFile(const std::string& name)
+        {
+            std::ifstream file(name);
+            std::stringstream text;
+            if (name == "-")
+                text << std::cin.rdbuf();
+            else if (!file)
+                return boost::leaf::new_error(InvalidSetting { .name = "file", .value = name, .allowed = "a file that can be read" });
+            else
+                text << file.rdbuf();
+            return text.str();
+        }
 
-    Result<std::vector<rpc::Edit>> importEditsOf(CommandContext& context, const std::string& file)
-    {
-        BOOST_LEAF_AUTO(text, readFile(file));
-        BOOST_LEAF_AUTO(tree, readTree(context, ""));
-        ImportScope scope = context.options.replace ? ImportScope::WholeTree : ImportScope::ListedBranches;
-        BOOST_LEAF_AUTO(edits, importEdits(tree, text, scope));
-        std::vector<rpc::Edit> wires;
-        for (const SettingsEdit& edit : edits) {
-            rpc::Edit wire;
-            wire.path = edit.path;
-            wire.value = edit.value ? json::serialize(*edit.value) : "";
-            wire.readVersion = static_cast<std::int64_t>(edit.readVersion->value());
-            wires.push_back(std::move(wire));
+        Result<std::vector<rpc::Edit>> importEditsOf(CommandContext& context, const std::string& file)
+        {
+            BOOST_LEAF_AUTO(text, readFile(file));
+            BOOST_LEAF_AUTO(tree, readTree(context, ""));
+            ImportScope scope = context.options.replace ? ImportScope::WholeTree : ImportScope::ListedBranches;
+            BOOST_LEAF_AUTO(edits, importEdits(tree, text, scope));
+            std::vector<rpc::Edit> wires;
+            for (const SettingsEdit& edit : edits) {
+                rpc::Edit wire;
+                wire.path = edit.path;
+                wire.value = edit.value ? json::serialize(*edit.value) : "";
+                wire.readVersion = static_cast<std::int64_t>(edit.readVersion->value());
+                wires.push_back(std::move(wire));
+            }
+            return wires;
         }
-        return wires;
-    }
 
-    Result<int> import(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() != 1)
-            return usage("settings import needs FILE, or - for the standard input");
-        BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
-        if (edits.empty()) {
-            context.out << "nothing to change\n";
-            return exitDone;
+        Result<int> import(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() != 1)
+                return usage("settings import needs FILE, or - for the standard input");
+            BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
+            if (edits.empty()) {
+                context.out << "nothing to change\n";
+                return exitDone;
+            }
+            return sendChange(context, std::move(edits));
         }
-        return sendChange(context, std::move(edits));
-    }
 
-    Result<int> exportTree(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() > 1)
-            return usage("settings export takes [PATH]");
-        BOOST_LEAF_AUTO(tree, readTree(context, words.empty() ? "" : words[0]));
-        std::string text = exportBranches(tree, "") + "\n";
-        if (context.options.output.empty()) {
-            context.out << text;
+        Result<int> exportTree(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() > 1)
+                return usage("settings export takes [PATH]");
+            BOOST_LEAF_AUTO(tree, readTree(context, words.empty() ? "" : words[0]));
+            std::string text = exportBranches(tree, "") + "\n";
+            if (context.options.output.empty()) {
+                context.out << text;
+                return exitDone;
+            }
+            std::ofstream file(context.options.output);
+            file << text;
+            if (!file.flush())
+                return boost::leaf::new_error(InvalidSetting { .name = "--output", .value = context.options.output, .allowed = "a file that can be written" });
             return exitDone;
         }
-        std::ofstream file(context.options.output);
-        file << text;
-        if (!file.flush())
-            return boost::leaf::new_error(InvalidSetting { .name = "--output", .value = context.options.output, .allowed = "a file that can be written" });
-        return exitDone;
-    }
 
-    std::string sideText(const std::optional<json::value>& value)
-    {
-        return value ? valueToJson(*value) : "(none)";
-    }
+        std::string sideText(const std::optional<json::value>& value)
+        {
+            return value ? valueToJson(*value) : "(none)";
+        }
 
-    void printEffects(std::ostream& out, const std::vector<SettingsEffect>& list)
-    {
-        for (const SettingsEffect& effect : list)
-            out << "  " << effect.path << " " << effect.field << ": " << sideText(effect.before) << " -> " << sideText(effect.after) << "\n";
-    }
+        void printEffects(std::ostream& out, const std::vector<SettingsEffect>& list)
+        {
+            for (const SettingsEffect& effect : list)
+                out << "  " << effect.path << " " << effect.field << ": " << sideText(effect.before) << " -> " << sideText(effect.after) << "\n";
+        }
 
-    std::optional<std::uint64_t> asVersion(const std::string& text)
-    {
-        std::uint64_t number = 0;
-        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-        if (error != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return number;
-    }
+        std::optional<std::uint64_t> asVersion(const std::string& text)
+        {
+            std::uint64_t number = 0;
+            auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+            if (error != std::errc() || end != text.data() + text.size())
+                return std::nullopt;
+            return number;
+        }
 
-    /// The tree at a version, replayed from the first change on.
-    Result<SettingsTree> treeAt(const std::vector<rpc::SettingsChange>& changes, std::uint64_t version)
-    {
-        SettingsTree tree;
-        for (const rpc::SettingsChange& wire : changes) {
-            if (static_cast<std::uint64_t>(wire.version) > version)
-                break;
-            BOOST_LEAF_AUTO(edits, editsFromJson(wire.body));
-            AcceptedChange change { .version = SettingsVersion(static_cast<std::uint64_t>(wire.version)), .edits = std::move(edits) };
-            tree = replayChange(tree, change);
+        /// The tree at a version, replayed from the first change on.
+        Result<SettingsTree> treeAt(const std::vector<rpc::SettingsChange>& changes, std::uint64_t version)
+        {
+            SettingsTree tree;
+            for (const rpc::SettingsChange& wire : changes) {
+                if (static_cast<std::uint64_t>(wire.version) > version)
+                    break;
+                BOOST_LEAF_AUTO(edits, editsFromJson(wire.body));
+                AcceptedChange change { .version = SettingsVersion(static_cast<std::uint64_t>(wire.version)), .edits = std::move(edits) };
+                tree = replayChange(tree, change);
+            }
+            if (tree.version.value() != version)
+                return boost::leaf::new_error(InvalidSetting { .name = "version", .value = std::to_string(version), .allowed = "a version from 0 to " + std::to_string(tree.version.value()) });
+            return tree;
         }
-        if (tree.version.value() != version)
-            return boost::leaf::new_error(InvalidSetting { .name = "version", .value = std::to_string(version), .allowed = "a version from 0 to " + std::to_string(tree.version.value()) });
-        return tree;
-    }
 
-    Result<int> diffVersions(CommandContext& context, std::uint64_t from, std::uint64_t to)
-    {
-        BOOST_LEAF_AUTO(changes, context.client.history(0));
-        BOOST_LEAF_AUTO(before, treeAt(changes, from));
-        BOOST_LEAF_AUTO(after, treeAt(changes, to));
-        printEffects(context.out, effects(before, after));
-        return exitDone;
-    }
+        Result<int> diffVersions(CommandContext& context, std::uint64_t from, std::uint64_t to)
+        {
+            BOOST_LEAF_AUTO(changes, context.client.history(0));
+            BOOST_LEAF_AUTO(before, treeAt(changes, from));
+            BOOST_LEAF_AUTO(after, treeAt(changes, to));
+            printEffects(context.out, effects(before, after));
+            return exitDone;
+        }
 
-    Result<int> diff(CommandContext& context, const std::vector<std::string>& words)
-    {
-        if (words.size() == 2 && asVersion(words[0]) && asVersion(words[1]))
-            return diffVersions(context, *asVersion(words[0]), *asVersion(words[1]));
-        if (words.size() != 1)
-            return usage("settings diff needs FILE, or two versions");
-        BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
-        if (edits.empty())
+        Result<int> diff(CommandContext& context, const std::vector<std::string>& words)
+        {
+            if (words.size() == 2 && asVersion(words[0]) && asVersion(words[1]))
+                return diffVersions(context, *asVersion(words[0]), *asVersion(words[1]));
+            if (words.size() != 1)
+                return usage("settings diff needs FILE, or two versions");
+            BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
+            if (edits.empty())
+                return exitDone;
+            rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
+            request.dryRun = true;
+            BOOST_LEAF_AUTO(reply, context.client.change(request));
+            printChange(context, request, reply);
             return exitDone;
-        rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
-        request.dryRun = true;
-        BOOST_LEAF_AUTO(reply, context.client.change(request));
-        printChange(context, request, reply);
-        return exitDone;
-    }
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/StatusView.cpp
+++ b/src/tool/StatusView.cpp
@@ -11,128 +11,128 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    namespace json = boost::json;
+        namespace json = boost::json;
 
-    json::object parseObject(const std::string& text)
-    {
-        json::error_code error;
-        json::value value = json::parse(text, error);
-        return value.is_object() ? value.get_object() : json::object();
-    }
+        json::object parseObject(const std::string& text)
+        {
+            json::error_code error;
+            json::value value = json::parse(text, error);
+            return value.is_object() ? value.get_object() : json::object();
+        }
 
-    std::string textOf(const json::object& object, std::string_view name)
-    {
-        const json::value* value = object.if_contains(name);
-        if (!value || value->is_null())
-            return "-";
-        return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
-    }
+        std::string textOf(const json::object& object, std::string_view name)
+        {
+            const json::value* value = object.if_contains(name);
+            if (!value || value->is_null())
+                return "-";
+            return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+        }
 
-    json::array listOf(const json::object& object, std::string_view name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_array() ? value->get_array() : json::array();
-    }
+        json::array listOf(const json::object& object, std::string_view name)
+        {
+            const json::value* value = object.if_contains(name);
+            return value && value->is_array() ? value->get_array() : json::array();
+        }
 
-    bool isTrue(const json::object& object, std::string_view name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_bool() && value->get_bool();
-    }
+        bool isTrue(const json::object& object, std::string_view name)
+        {
+            const json::value* value = object.if_contains(name);
+            return value && value->is_bool() && value->get_bool();
+        }
 
-    /// A cell of a fixed width; longer text ends in a tilde.
-    std::string cell(std::string text, std::size_t width)
-    {
-        if (text.size() > width) {
-            text.resize(width - 1);
-            text += '~';
+        /// A cell of a fixed width; longer text ends in a tilde.
+        std::string cell(std::string text, std::size_t width)
+        {
+            if (text.size() > width) {
+                text.resize(width - 1);
+                text += '~';
+            }
+            text.resize(width, ' ');
+            return text + " ";
         }
-        text.resize(width, ' ');
-        return text + " ";
-    }
 
-    void addLine(std::string& out, std::string line)
-    {
-        if (line.size() > screenColumns) {
-            line.resize(screenColumns - 1);
-            line += '~';
+        void addLine(std::string& out, std::string line)
+        {
+            if (line.size() > screenColumns) {
+                line.resize(screenColumns - 1);
+                line += '~';
+            }
+            while (!line.empty() && line.back() == ' ')
+                line.pop_back();
+            out += line + "\n";
         }
-        while (!line.empty() && line.back() == ' ')
-            line.pop_back();
-        out += line + "\n";
-    }
 
-    void addInstances(std::string& out, const std::vector<InstanceAnswer>& answers)
-    {
-        addLine(out, cell("INSTANCE", 16) + cell("ADDRESS", 21) + cell("STATE", 12) + cell("VERSION", 8) + cell("MAJORITY", 8) + "CONFIRMED");
-        for (const InstanceAnswer& answer : answers) {
-            if (!answer.status) {
-                addLine(out, cell("-", 16) + cell(answer.address, 21) + answer.failure);
-                continue;
+        void addInstances(std::string& out, const std::vector<InstanceAnswer>& answers)
+        {
+            addLine(out, cell("INSTANCE", 16) + cell("ADDRESS", 21) + cell("STATE", 12) + cell("VERSION", 8) + cell("MAJORITY", 8) + "CONFIRMED");
+            for (const InstanceAnswer& answer : answers) {
+                if (!answer.status) {
+                    addLine(out, cell("-", 16) + cell(answer.address, 21) + answer.failure);
+                    continue;
+                }
+                json::object status = parseObject(*answer.status);
+                std::string state = isTrue(status, "ready") ? "ready" : isTrue(status, "mayDispatch") ? "not ready"
+                                                                                                      : "stale";
+                addLine(out, cell(textOf(status, "instance"), 16) + cell(answer.address, 21) + cell(state, 12) + cell(textOf(status, "version"), 8) + cell(textOf(status, "majorityVersion"), 8) + textOf(status, "confirmedAgeMs") + " ms ago");
             }
-            json::object status = parseObject(*answer.status);
-            std::string state = isTrue(status, "ready") ? "ready" : isTrue(status, "mayDispatch") ? "not ready"
-                                                                                                   : "stale";
-            addLine(out, cell(textOf(status, "instance"), 16) + cell(answer.address, 21) + cell(state, 12) + cell(textOf(status, "version"), 8) + cell(textOf(status, "majorityVersion"), 8) + textOf(status, "confirmedAgeMs") + " ms ago");
         }
-    }
 
-    void addPeers(std::string& out, const json::object& status)
-    {
-        for (const json::value& item : listOf(status, "instances")) {
-            const json::object& peer = item.as_object();
-            if (textOf(peer, "state") == "live")
-                continue;
-            addLine(out, "  " + textOf(peer, "instance") + " is " + textOf(peer, "state") + ", last heard " + textOf(peer, "lastHeardMs") + " ms ago");
+        void addPeers(std::string& out, const json::object& status)
+        {
+            for (const json::value& item : listOf(status, "instances")) {
+                const json::object& peer = item.as_object();
+                if (textOf(peer, "state") == "live")
+                    continue;
+                addLine(out, "  " + textOf(peer, "instance") + " is " + textOf(peer, "state") + ", last heard " + textOf(peer, "lastHeardMs") + " ms ago");
+            }
         }
-    }
 
-    void addPools(std::string& out, const json::object& status)
-    {
-        json::array pools = listOf(status, "pools");
-        if (pools.empty())
-            return;
-        out += "\n";
-        addLine(out, cell("POOL", 24) + cell("WAITING", 8) + cell("RUNNING", 8) + cell("FLOOR", 6) + "WAITING BY TIER");
-        for (const json::value& item : pools) {
-            const json::object& pool = item.as_object();
-            addLine(out, cell(textOf(pool, "pool"), 24) + cell(textOf(pool, "waiting"), 8) + cell(textOf(pool, "inProgress"), 8) + cell(textOf(pool, "floor"), 6) + textOf(pool, "waitingByTier"));
+        void addPools(std::string& out, const json::object& status)
+        {
+            json::array pools = listOf(status, "pools");
+            if (pools.empty())
+                return;
+            out += "\n";
+            addLine(out, cell("POOL", 24) + cell("WAITING", 8) + cell("RUNNING", 8) + cell("FLOOR", 6) + "WAITING BY TIER");
+            for (const json::value& item : pools) {
+                const json::object& pool = item.as_object();
+                addLine(out, cell(textOf(pool, "pool"), 24) + cell(textOf(pool, "waiting"), 8) + cell(textOf(pool, "inProgress"), 8) + cell(textOf(pool, "floor"), 6) + textOf(pool, "waitingByTier"));
+            }
         }
-    }
 
-    void addTargets(std::string& out, const json::object& status)
-    {
-        json::array targets = listOf(status, "targets");
-        if (targets.empty())
-            return;
-        out += "\n";
-        addLine(out, cell("TARGET", 20) + cell("POOL", 16) + cell("MARK", 9) + cell("REQUESTS", 9) + cell("TOKENS", 9) + "NOTE");
-        for (const json::value& item : targets) {
-            const json::object& target = item.as_object();
-            std::string note = isTrue(target, "ejected") ? "ejected" : "";
-            if (std::size_t missing = listOf(target, "notConfirmed").size())
-                note += "waits for " + std::to_string(missing);
-            addLine(out, cell(textOf(target, "target"), 20) + cell(textOf(target, "pool"), 16) + cell(textOf(target, "mark"), 9) + cell(textOf(target, "requestsInProgress"), 9) + cell(textOf(target, "tokensInProgress"), 9) + note);
+        void addTargets(std::string& out, const json::object& status)
+        {
+            json::array targets = listOf(status, "targets");
+            if (targets.empty())
+                return;
+            out += "\n";
+            addLine(out, cell("TARGET", 20) + cell("POOL", 16) + cell("MARK", 9) + cell("REQUESTS", 9) + cell("TOKENS", 9) + "NOTE");
+            for (const json::value& item : targets) {
+                const json::object& target = item.as_object();
+                std::string note = isTrue(target, "ejected") ? "ejected" : "";
+                if (std::size_t missing = listOf(target, "notConfirmed").size())
+                    note += "waits for " + std::to_string(missing);
+                addLine(out, cell(textOf(target, "target"), 20) + cell(textOf(target, "pool"), 16) + cell(textOf(target, "mark"), 9) + cell(textOf(target, "requestsInProgress"), 9) + cell(textOf(target, "tokensInProgress"), 9) + note);
+            }
         }
-    }
 
-    void addAlarms(std::string& out, const std::vector<InstanceAnswer>& answers)
-    {
-        std::set<std::string> lines;
-        for (const InstanceAnswer& answer : answers) {
-            json::object status = answer.status ? parseObject(*answer.status) : json::object();
-            for (const json::value& item : listOf(status, "alarms"))
-                lines.insert("ALARM " + textOf(status, "instance") + " " + textOf(item.as_object(), "alarm") + ": " + textOf(item.as_object(), "subject"));
+        void addAlarms(std::string& out, const std::vector<InstanceAnswer>& answers)
+        {
+            std::set<std::string> lines;
+            for (const InstanceAnswer& answer : answers) {
+                json::object status = answer.status ? parseObject(*answer.status) : json::object();
+                for (const json::value& item : listOf(status, "alarms"))
+                    lines.insert("ALARM " + textOf(status, "instance") + " " + textOf(item.as_object(), "alarm") + ": " + textOf(item.as_object(), "subject"));
+            }
+            if (!lines.empty())
+                out += "\n";
+            for (const std::string& line : lines)
+                addLine(out, line);
         }
-        if (!lines.empty())
-            out += "\n";
-        for (const std::string& line : lines)
-            addLine(out, line);
-    }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/TargetCommands.cpp
+++ b/src/tool/TargetCommands.cpp
@@ -12,99 +12,99 @@
 
 namespace detail {
 
-namespace {
-
-    boost::leaf::error_id usage(std::string detail)
-    {
-        return boost::leaf::new_error(UsageError { .detail = std::move(detail) });
-    }
-
-    std::string joined(const std::vector<std::string>& words)
-    {
-        std::string text;
-        for (const std::string& word : words)
-            text += (text.empty() ? "" : ", ") + word;
-        return text;
-    }
-
-    boost::json::object asJson(const rpc::TargetStatus& status)
-    {
-        boost::json::array missing;
-        for (const std::string& instance : status.notConfirmed)
-            missing.emplace_back(instance);
-        return { { "target", status.target }, { "pool", status.pool }, { "mark", status.mark }, { "requestsInProgress", status.requestsInProgress }, { "tokensInProgress", status.tokensInProgress }, { "notConfirmed", std::move(missing) }, { "detail", status.detail } };
-    }
-
-    void print(CommandContext& context, const rpc::TargetStatus& status)
-    {
-        if (context.options.json) {
-            context.out << boost::json::serialize(asJson(status)) << "\n";
-            return;
+    namespace {
+
+        boost::leaf::error_id usage(std::string detail)
+        {
+            return boost::leaf::new_error(UsageError { .detail = std::move(detail) });
         }
-        context.out << status.target << ": " << status.mark << ", " << status.requestsInProgress << " requests and " << status.tokensInProgress << " tokens in progress";
-        if (!status.notConfirmed.empty())
-            context.out << "; not confirmed by " << joined(status.notConfirmed);
-        context.out << "; " << status.detail << "\n";
-    }
-
-    /// Waits until the target is empty and shows the progress. Exit code 1 when the time is over first.
-    Result<int> waitUntilEmpty(CommandContext& context, const std::string& target)
-    {
-        auto until = std::chrono::steady_clock::now() + context.options.timeout;
-        std::string shown;
-        while (true) {
-            BOOST_LEAF_AUTO(status, context.client.targetStatus(target));
-            std::string progress = status.mark + status.detail + std::to_string(status.requestsInProgress);
-            if (progress != shown)
-                print(context, status);
-            shown = progress;
-            context.out.flush();
-            if (status.mark == "empty")
-                return exitDone;
-            if (std::chrono::steady_clock::now() >= until) {
-                context.out << target << " is not empty after the time of --timeout; it stays marked as leaving\n";
-                return exitRefused;
+
+        std::string joined(const std::vector<std::string>& words)
+        {
+            std::string text;
+            for (const std::string& word : words)
+                text += (text.empty() ? "" : ", ") + word;
+            return text;
+        }
+
+        boost::json::object asJson(const rpc::TargetStatus& status)
+        {
+            boost::json::array missing;
+            for (const std::string& instance : status.notConfirmed)
+                missing.emplace_back(instance);
+            return { { "target", status.target }, { "pool", status.pool }, { "mark", status.mark }, { "requestsInProgress", status.requestsInProgress }, { "tokensInProgress", status.tokensInProgress }, { "notConfirmed", std::move(missing) }, { "detail", status.detail } };
+        }
+
+        void print(CommandContext& context, const rpc::TargetStatus& status)
+        {
+            if (context.options.json) {
+                context.out << boost::json::serialize(asJson(status)) << "\n";
+                return;
             }
-            std::this_thread::sleep_for(context.options.period);
+            context.out << status.target << ": " << status.mark << ", " << status.requestsInProgress << " requests and " << status.tokensInProgress << " tokens in progress";
+            if (!status.notConfirmed.empty())
+                context.out << "; not confirmed by " << joined(status.notConfirmed);
+            context.out << "; " << status.detail << "\n";
         }
-    }
-
-    Result<int> mark(CommandContext& context, const std::string& target, const std::string& value)
-    {
-        // The target must exist: a mark makes no branch.
-        BOOST_LEAF_AUTO(text, context.client.tree(branchPath(BranchKind::Target, target)));
-        BOOST_LEAF_AUTO(tree, treeFromJson(text));
-        rpc::Edit edit;
-        edit.path = branchPath(BranchKind::Target, target);
-        edit.field = "mark";
-        edit.value = "\"" + value + "\"";
-        edit.readVersion = static_cast<std::int64_t>(tree.branches.at(edit.path).version.value());
-        rpc::ChangeRequest request = makeChange(context.options, { edit });
-        BOOST_LEAF_AUTO(reply, context.client.change(request));
-        printChange(context, request, reply);
-        return exitDone;
-    }
-
-    Result<int> leave(CommandContext& context, const std::string& target)
-    {
-        BOOST_LEAF_AUTO(code, mark(context, target, "leaving"));
-        if (code != exitDone || !context.options.wait)
-            return code;
-        return waitUntilEmpty(context, target);
-    }
-
-    Result<int> showAll(CommandContext& context)
-    {
-        BOOST_LEAF_AUTO(text, context.client.tree("target"));
-        BOOST_LEAF_AUTO(tree, treeFromJson(text));
-        for (const auto& [path, branch] : tree.branches) {
-            BOOST_LEAF_AUTO(status, context.client.targetStatus(path.substr(path.find('/') + 1)));
-            print(context, status);
+
+        /// Waits until the target is empty and shows the progress. Exit code 1 when the time is over first.
+        Result<int> waitUntilEmpty(CommandContext& context, const std::string& target)
+        {
+            auto until = std::chrono::steady_clock::now() + context.options.timeout;
+            std::string shown;
+            while (true) {
+                BOOST_LEAF_AUTO(status, context.client.targetStatus(target));
+                std::string progress = status.mark + status.detail + std::to_string(status.requestsInProgress);
+                if (progress != shown)
+                    print(context, status);
+                shown = progress;
+                context.out.flush();
+                if (status.mark == "empty")
+                    return exitDone;
+                if (std::chrono::steady_clock::now() >= until) {
+                    context.out << target << " is not empty after the time of --timeout; it stays marked as leaving\n";
+                    return exitRefused;
+                }
+                std::this_thread::sleep_for(context.options.period);
+            }
+        }
+
+        Result<int> mark(CommandContext& context, const std::string& target, const std::string& value)
+        {
+            // The target must exist: a mark makes no branch.
+            BOOST_LEAF_AUTO(text, context.client.tree(branchPath(BranchKind::Target, target)));
+            BOOST_LEAF_AUTO(tree, treeFromJson(text));
+            rpc::Edit edit;
+            edit.path = branchPath(BranchKind::Target, target);
+            edit.field = "mark";
+            edit.value = "\"" + value + "\"";
+            edit.readVersion = static_cast<std::int64_t>(tree.branches.at(edit.path).version.value());
+            rpc::ChangeRequest request = makeChange(context.options, { edit });
+            BOOST_LEAF_AUTO(reply, context.client.change(request));
+            printChange(context, request, reply);
+            return exitDone;
+        }
+
+        Result<int> leave(CommandContext& context, const std::string& target)
+        {
+            BOOST_LEAF_AUTO(code, mark(context, target, "leaving"));
+            if (code != exitDone || !context.options.wait)
+                return code;
+            return waitUntilEmpty(context, target);
+        }
+
+        Result<int> showAll(CommandContext& context)
+        {
+            BOOST_LEAF_AUTO(text, context.client.tree("target"));
+            BOOST_LEAF_AUTO(tree, treeFromJson(text));
+            for (const auto& [path, branch] : tree.branches) {
+                BOOST_LEAF_AUTO(status, context.client.targetStatus(path.substr(path.find('/') + 1)));
+                print(context, status);
+            }
+            return exitDone;
         }
-        return exitDone;
-    }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/TimelineView.cpp
+++ b/src/tool/TimelineView.cpp
@@ -13,12 +13,12 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    namespace json = boost::json;
+        namespace json = boost::json;
 
-    // The page's parts; the events go between them.
-    constexpr std::string_view pageBegin = R"html(<!doctype html>
+        // The page's parts; the events go between them.
+        constexpr std::string_view pageBegin = R"html(<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>limpetpond time line</title>
 <style>
 body{font:14px/1.4 system-ui,sans-serif;margin:1em;color:#222;background:#fff}
@@ -43,7 +43,7 @@
 <script>
 const events=)html";
 
-    constexpr std::string_view pageEnd = R"html(;
+        constexpr std::string_view pageEnd = R"html(;
 const maxRows=2000,laneHeight=34,labelWidth=110,axisHeight=22;
 const byId=id=>document.getElementById(id);
 const params=new URLSearchParams(location.hash.slice(1));
@@ -88,51 +88,51 @@
 </script></body></html>
 )html";
 
-    std::string timeText(std::int64_t micros)
-    {
-        constexpr std::int64_t microsPerSecond = 1'000'000;
-        std::time_t seconds = micros / microsPerSecond;
-        std::tm parts {};
-        gmtime_r(&seconds, &parts);
-        std::array<char, 40> text {};
-        std::size_t length = std::strftime(text.data(), text.size(), "%H:%M:%S.", &parts);
-        std::string fraction = std::to_string(micros % microsPerSecond);
-        return std::string(text.data(), length) + std::string(6 - std::min<std::size_t>(fraction.size(), 6), '0') + fraction;
-    }
+        std::string timeText(std::int64_t micros)
+        {
+            constexpr std::int64_t microsPerSecond = 1'000'000;
+            std::time_t seconds = micros / microsPerSecond;
+            std::tm parts {};
+            gmtime_r(&seconds, &parts);
+            std::array<char, 40> text {};
+            std::size_t length = std::strftime(text.data(), text.size(), "%H:%M:%S.", &parts);
+            std::string fraction = std::to_string(micros % microsPerSecond);
+            return std::string(text.data(), length) + std::string(6 - std::min<std::size_t>(fraction.size(), 6), '0') + fraction;
+        }
 
-    json::object fieldsOf(const rpc::TimelineEvent& event)
-    {
-        json::object fields;
-        for (const auto& [name, value] : event.fields)
-            fields[name] = value;
-        return fields;
-    }
+        json::object fieldsOf(const rpc::TimelineEvent& event)
+        {
+            json::object fields;
+            for (const auto& [name, value] : event.fields)
+                fields[name] = value;
+            return fields;
+        }
 
-    /// JSON that can stand inside a script element.
-    std::string scriptSafe(const std::string& text)
-    {
-        std::string safe;
-        for (char c : text) {
-            if (c == '<')
-                safe += "\\u003c";
-            else
-                safe += c;
+        /// JSON that can stand inside a script element.
+        std::string scriptSafe(const std::string& text)
+        {
+            std::string safe;
+            for (char c : text) {
+                if (c == '<')
+                    safe += "\\u003c";
+                else
+                    safe += c;
+            }
+            return safe;
         }
-        return safe;
-    }
 
-    struct Span {
-        std::int64_t begin { 0 };
-        std::int64_t end { 0 };
-        int process { 0 };
-    };
+        struct Span {
+            std::int64_t begin { 0 };
+            std::int64_t end { 0 };
+            int process { 0 };
+        };
 
-    json::object traceEvent(std::string_view phase, const std::string& name, int process, std::int64_t time)
-    {
-        return { { "ph", json::string(phase.data(), phase.size()) }, { "name", name }, { "pid", process }, { "tid", 0 }, { "ts", time } };
-    }
+        json::object traceEvent(std::string_view phase, const std::string& name, int process, std::int64_t time)
+        {
+            return { { "ph", json::string(phase.data(), phase.size()) }, { "name", name }, { "pid", process }, { "tid", 0 }, { "ts", time } };
+        }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/ViewCommands.cpp
+++ b/src/tool/ViewCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "tool/StatusView.h"
 #include "tool/TimelineView.h"
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -13,83 +14,83 @@
 
 namespace detail {
 
-namespace {
+    namespace {
 
-    constexpr std::string_view clearScreen = "\x1b[H\x1b[2J";
+        constexpr std::string_view clearScreen = "\x1b[H\x1b[2J";
 
-    std::string textOf(const Address& address)
-    {
-        return address.host + ":" + std::to_string(address.port);
-    }
+        std::string textOf(const Address& address)
+        {
+            return address.host + ":" + std::to_string(address.port);
+        }
 
-    /// Asks every instance; one that doesn't answer is part of the answer. Errors: rpc::OperatorRefused.
-    Result<std::vector<InstanceAnswer>> askAll(CommandContext& context)
-    {
-        std::vector<InstanceAnswer> answers;
-        for (const Address& address : context.options.instances) {
-            InstanceAnswer answer { .address = textOf(address) };
-            BOOST_LEAF_CHECK(boost::leaf::try_handle_some(
-                [&]() -> Result<void> {
-                    BOOST_LEAF_AUTO(status, context.client.statusOf(address));
-                    answer.status = std::move(status);
-                    return {};
-                },
-                [&](const Unreachable&) -> Result<void> {
-                    answer.failure = "not reachable";
-                    return {};
-                }));
-            answers.push_back(std::move(answer));
+        /// Asks every instance; one that doesn't answer is part of the answer. Errors: rpc::OperatorRefused.
+        Result<std::vector<InstanceAnswer>> askAll(CommandContext& context)
+        {
+            std::vector<InstanceAnswer> answers;
+            for (const Address& address : context.options.instances) {
+                InstanceAnswer answer { .address = textOf(address) };
+                BOOST_LEAF_CHECK(boost::leaf::try_handle_some(
+                    [&]() -> Result<void> {
+                        BOOST_LEAF_AUTO(status, context.client.statusOf(address));
+                        answer.status = std::move(status);
+                        return {};
+                    },
+                    [&](const Unreachable&) -> Result<void> {
+                        answer.failure = "not reachable";
+                        return {};
+                    }));
+                answers.push_back(std::move(answer));
+            }
+            return answers;
         }
-        return answers;
-    }
 
-    bool hasAnswer(const std::vector<InstanceAnswer>& answers)
-    {
-        return std::ranges::any_of(answers, [](const InstanceAnswer& answer) { return answer.status.has_value(); });
-    }
+        bool hasAnswer(const std::vector<InstanceAnswer>& answers)
+        {
+            return std::ranges::any_of(answers, [](const InstanceAnswer& answer) { return answer.status.has_value(); });
+        }
 
-    bool isChosen(const ToolOptions& options, const rpc::TimelineEvent& event)
-    {
-        if (!options.target.empty() && event.target != options.target)
-            return false;
-        return options.instance.empty() || event.process == options.instance;
-    }
+        bool isChosen(const ToolOptions& options, const rpc::TimelineEvent& event)
+        {
+            if (!options.target.empty() && event.target != options.target)
+                return false;
+            return options.instance.empty() || event.process == options.instance;
+        }
 
-    std::string timelineJson(const std::vector<rpc::TimelineEvent>& events)
-    {
-        boost::json::array list;
-        for (const rpc::TimelineEvent& event : events) {
-            boost::json::object fields;
-            for (const auto& [name, value] : event.fields)
-                fields[name] = value;
-            list.push_back(boost::json::object { { "sequence", event.sequence }, { "systemMicros", event.systemMicros }, { "logicalTime", event.logicalTime }, { "process", event.process }, { "kind", event.kind }, { "request", event.request }, { "target", event.target }, { "fields", std::move(fields) } });
+        std::string timelineJson(const std::vector<rpc::TimelineEvent>& events)
+        {
+            boost::json::array list;
+            for (const rpc::TimelineEvent& event : events) {
+                boost::json::object fields;
+                for (const auto& [name, value] : event.fields)
+                    fields[name] = value;
+                list.push_back(boost::json::object { { "sequence", event.sequence }, { "systemMicros", event.systemMicros }, { "logicalTime", event.logicalTime }, { "process", event.process }, { "kind", event.kind }, { "request", event.request }, { "target", event.target }, { "fields", std::move(fields) } });
+            }
+            return boost::json::serialize(list) + "\n";
         }
-        return boost::json::serialize(list) + "\n";
-    }
 
-    std::string render(const ToolOptions& options, const std::vector<rpc::TimelineEvent>& events)
-    {
-        if (options.html)
-            return timelineHtml(events);
-        if (options.chromeTrace)
-            return timelineChromeTrace(events) + "\n";
-        return options.json ? timelineJson(events) : timelineText(events);
-    }
+        std::string render(const ToolOptions& options, const std::vector<rpc::TimelineEvent>& events)
+        {
+            if (options.html)
+                return timelineHtml(events);
+            if (options.chromeTrace)
+                return timelineChromeTrace(events) + "\n";
+            return options.json ? timelineJson(events) : timelineText(events);
+        }
 
-    Result<void> write(CommandContext& context, const std::string& text)
-    {
-        if (context.options.output.empty()) {
-            context.out << text;
+        Result<void> write(CommandContext& context, const std::string& text)
+        {
+            if (context.options.output.empty()) {
+                context.out << text;
+                return {};
+            }
+            std::ofstream file(context.options.output);
+            file << text;
+            if (!file.flush())
+                return boost::leaf::new_error(InvalidSetting { .name = "--output", .value = context.options.output, .allowed = "a file that can be written" });
             return {};
         }
-        std::ofstream file(context.options.output);
-        file << text;
-        if (!file.flush())
-            return boost::leaf::new_error(InvalidSetting { .name = "--output", .value = context.options.output, .allowed = "a file that can be written" });
-        return {};
-    }
 
-} // namespace
+    } // namespace
 
 } // namespace detail
 
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -3,6 +3,7 @@
 #include "tool/Commands.h"
 
 #include <iostream>
+#include <thrift/TOutput.h>
 
 extern char** environ;
 
@@ -43,6 +44,8 @@
 int main(int argc, char** argv)
 {
     using namespace limpetpond;
+    // Failures of connections are reported by the commands themselves.
+    apache::thrift::GlobalOutput.setOutputFunction([](const char*) {});
     return boost::leaf::try_handle_all(
         [&]() -> Result<int> {
             BOOST_LEAF_AUTO(command, tool::parseToolCommand(argc, argv, environmentVariables()));
--- /dev/null
+++ b/test/TableFake.h
@@ -0,0 +1,118 @@
+#pragma once
+
+/// A table in memory with the faults that the platform's table service can have.
+
+#include "platform/SettingsStore.h"
+#include <functional>
+#include <map>
+
+namespace limpetpond {
+
+/// Serves TableAccess. Faults are set by the test.
+struct TableFake {
+    std::map<TableKey, TableItem> rows;
+    bool down { false }; ///< No call reaches the table.
+    int lostAnswers { 0 }; ///< So many transactions take effect and their answers are lost.
+    int lostRequests { 0 }; ///< So many transactions are lost before they take effect, without a sign of it.
+    int readsUntilDown { -1 }; ///< The table goes down after so many reads.
+    int transactions { 0 };
+    std::function<void()> beforeTransaction; ///< Runs once, before the next transaction.
+
+    TableAccess access()
+    {
+        return {
+            .get = [this](const TableKey& key) { return get(key); },
+            .query = [this](const TableQuery& query) { return this->query(query); },
+            .transact = [this](const std::vector<TableWrite>& writes) { return transact(writes); },
+        };
+    }
+
+private:
+    static boost::leaf::error_id failure(CallFailure failure)
+    {
+        return boost::leaf::new_error(CallError { .failure = failure, .detail = "fake" });
+    }
+
+    bool isReadRefused()
+    {
+        if (!readsUntilDown)
+            down = true;
+        if (readsUntilDown > 0)
+            --readsUntilDown;
+        return down;
+    }
+
+    Result<std::optional<TableItem>> get(const TableKey& key)
+    {
+        if (isReadRefused())
+            return failure(CallFailure::NotSent);
+        auto row = rows.find(key);
+        return row == rows.end() ? std::optional<TableItem>() : std::optional(row->second);
+    }
+
+    Result<std::vector<TableItem>> query(const TableQuery& query)
+    {
+        if (isReadRefused())
+            return failure(CallFailure::NotSent);
+        std::vector<TableItem> items;
+        for (const auto& [key, item] : rows) {
+            if (key.partition == query.partition && key.sort >= query.firstSort && (query.lastSort.empty() || key.sort <= query.lastSort))
+                items.push_back(item);
+        }
+        return items;
+    }
+
+    bool holds(const TableWrite& write, const TableCondition& condition) const
+    {
+        auto row = rows.find(write.item.key);
+        if (condition.test == TableTest::RowAbsent)
+            return row == rows.end();
+        if (condition.test == TableTest::RowPresent)
+            return row != rows.end();
+        if (row == rows.end())
+            return false;
+        for (const TableAttribute& attribute : row->second.attributes) {
+            if (attribute.name == condition.attribute)
+                return condition.test == TableTest::Equal ? attribute.value == condition.value : condition.test == TableTest::Less && attribute.value < condition.value;
+        }
+        return false;
+    }
+
+    Result<TransactionResult> transact(const std::vector<TableWrite>& writes)
+    {
+        ++transactions;
+        if (beforeTransaction)
+            std::exchange(beforeTransaction, nullptr)();
+        if (down)
+            return failure(CallFailure::NotSent);
+        if (lostRequests > 0) {
+            --lostRequests;
+            return failure(CallFailure::NoAnswer);
+        }
+        TransactionResult result { .committed = true };
+        for (const TableWrite& write : writes) {
+            bool isAllowed = std::all_of(write.conditions.begin(), write.conditions.end(), [&](const TableCondition& condition) { return holds(write, condition); });
+            result.rows.push_back({ .verdict = isAllowed ? RowVerdict::None : RowVerdict::ConditionFailed });
+            result.committed = result.committed && isAllowed;
+        }
+        if (result.committed)
+            apply(writes);
+        if (lostAnswers > 0) {
+            --lostAnswers;
+            return failure(CallFailure::NoAnswer);
+        }
+        return result;
+    }
+
+    void apply(const std::vector<TableWrite>& writes)
+    {
+        for (const TableWrite& write : writes) {
+            if (write.kind == TableWriteKind::Delete)
+                rows.erase(write.item.key);
+            if (write.kind == TableWriteKind::Put)
+                rows[write.item.key] = write.item;
+        }
+    }
+};
+
+} // namespace limpetpond
