Daemon: the program limpetpondd with the platform's and the peers' I/O

PlatformIo carries out claims, settings and heartbeats on threads of their own and gathers claim writes into batches; pollers read load, cache events and the instance list; Daemon binds every port first, serves, and drains on SIGTERM.

--- a/src/base/ProcessSettings.cpp
+++ b/src/base/ProcessSettings.cpp
@@ -370,9 +370,14 @@
         return spec && spec->kind == SettingKind::Secret;
     }
 
+    /// Variables of the command-line tool and of the build, which may stand in the same environment.
+    constexpr std::array<std::string_view, 2> kForeignVariables { "LIMPETPOND_INSTANCES", "LIMPETPOND_PRESET" };
+
     Result<void> refuseUnknownVariables(const TextMap& variables)
     {
         for (const auto& [name, value] : variables) {
+            if (std::find(kForeignVariables.begin(), kForeignVariables.end(), name) != kForeignVariables.end())
+                continue;
             std::string flag = name.substr(kVariablePrefix.size());
             std::transform(flag.begin(), flag.end(), flag.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
             if (!findSpec(flag) && !isSecretFile(flag))
--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,253 @@
+#include "daemon/Daemon.h"
+
+#include "base/Log.h"
+#include "base/Metrics.h"
+#include "base/Timeline.h"
+#include "caller/CallerServer.h"
+#include "core/Control.h"
+#include "daemon/ControlThread.h"
+#include "daemon/PlatformIo.h"
+#include "daemon/Pollers.h"
+#include "daemon/Traffic.h"
+#include "operator/OperatorHandler.h"
+#include "peer/PeerServer.h"
+#include "peer/SettingsTransfer.h"
+#include "platform/InstanceList.h"
+#include <thread>
+
+namespace limpetpond {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds kDrainPollPeriod { 20 };
+    constexpr milliseconds kAbortGrace { 2'000 }; ///< For the last error events to be written.
+    constexpr milliseconds kTrafficGaugePeriod { 1'000 };
+
+    HttpEndpoint toHttp(const Endpoint& endpoint) { return { endpoint.host, endpoint.port }; }
+
+    HttpTimeouts timeoutsOf(const ProcessSettings& settings)
+    {
+        return { .connect = settings.connectTimeout, .read = settings.platformTimeout, .write = settings.platformTimeout };
+    }
+
+    /// Rises with each start of the process, as long as the system clock does.
+    Incarnation newIncarnation(const Clock& clock)
+    {
+        auto sinceEpoch = std::chrono::duration_cast<milliseconds>(clock.systemNow().time_since_epoch());
+        return Incarnation { static_cast<std::uint64_t>(sinceEpoch.count()) };
+    }
+
+    CallerServerOptions callerOptions(const ProcessSettings& settings)
+    {
+        return { .listen = { settings.callerHost, settings.callerPort },
+            .maxConnections = settings.trafficThreads,
+            .maxHeaders = settings.maxHeaders,
+            .maxBody = settings.maxBody,
+            .readTimeout = settings.readTimeout,
+            .writeTimeout = settings.writeTimeout,
+            .keepAliveTimeout = settings.keepAliveTimeout };
+    }
+
+    CallerServerOptions adminOptions(const ProcessSettings& settings)
+    {
+        constexpr int adminConnections = 16;
+        CallerServerOptions options = callerOptions(settings);
+        options.listen = { settings.adminHost.empty() ? settings.callerHost : settings.adminHost, settings.adminPort };
+        options.settingName = "--admin_port";
+        options.maxConnections = adminConnections;
+        return options;
+    }
+
+    ControlCore bindCore(Control& control)
+    {
+        return { .handle = [&control](const ControlEvent& event, SteadyTime now, ControlActions& out) { control.handle(event, now, out); },
+            .settings = [&control] { return control.settings(); },
+            .isReady = [&control](SteadyTime now) { return control.isReady(now); },
+            .isDrained = [&control] { return control.isDrained(); },
+            .status = [&control](SteadyTime now) { return control.status(now); } };
+    }
+
+} // namespace
+
+struct Daemon::Parts {
+    Parts(const ProcessSettings& given, const Clock& usedClock)
+        : settings(given)
+        , clock(usedClock)
+        , incarnation(newIncarnation(usedClock))
+        , timeline({ .capacity = static_cast<std::size_t>(given.timelineEvents), .process = given.instanceId }, usedClock)
+        , core({ .instance = InstanceId { given.instanceId }, .incarnation = incarnation, .seed = incarnation.value() }, usedClock.steadyNow())
+        , table({ .endpoint = toHttp(given.tableEndpoint), .timeouts = timeoutsOf(given) })
+        , store({ .table = tableAccess(table) })
+        , peers({ .secret = given.peerSecret, .limits = { .connectTimeout = given.peerTimeout, .callTimeout = given.peerTimeout, .maxMessage = given.maxPeerMessage } }, directory)
+        , instanceList(toHttp(given.instanceListEndpoint), timeoutsOf(given))
+        , control(
+              { .tickPeriod = given.tickPeriod }, bindCore(core), usedClock, [this](const ControlAction& action) { io.carryOut(action); }, timeline, metrics)
+        , io({ .threads = given.ioThreads }, makePlatformCalls(platformClients()), usedClock, [this](ControlEvent event) { control.post(std::move(event)); })
+        , traffic(trafficOptions(), control, usedClock, metrics, timeline, {})
+        , peerServer({ .listen = { given.peerHost, given.peerPort }, .maxMessage = given.maxPeerMessage })
+        , callerServer(callerOptions(given), traffic.handler(), traffic.refusalHandler())
+    {
+        peerServer.addService(kPeerServiceName, makePeerProcessor(peerOptions()));
+        peerServer.addService(kOperatorServiceName, makeOperatorProcessor(operatorOptions()));
+        if (given.adminPort)
+            adminServer = std::make_unique<CallerServer>(adminOptions(given), traffic.adminHandler(), traffic.refusalHandler());
+    }
+
+    PlatformClients platformClients()
+    {
+        return { .table = table, .store = store, .holder = holder, .peers = peers, .timeline = timeline, .clock = clock, .settings = [this] { return control.view()->settings; }, .raiseAlarm = [this](AlarmKind kind, const std::string& subject) { raiseAlarm(kind, subject); } };
+    }
+
+    TrafficOptions trafficOptions() const
+    {
+        return { .instanceId = settings.instanceId,
+            .incarnation = incarnation.value(),
+            .maxOpenStreams = settings.maxOpenStreams,
+            .maxWaitingRequests = settings.maxWaitingRequests,
+            .maxAnswer = settings.maxAnswer,
+            .maxStreamBuffer = settings.maxStreamBuffer,
+            .connectTimeout = settings.connectTimeout,
+            .servesAdmin = settings.adminPort == 0 };
+    }
+
+    PeerHandlerOptions peerOptions()
+    {
+        return { .secret = settings.peerSecret,
+            .heartbeat = [this](const Heartbeat& news) { return control.heartbeat(news, settings.peerTimeout); },
+            .fetchSettings = [this](SettingsVersion after) -> Result<rpc::SettingsUpdate> { return makeUpdate(holder, after); },
+            .observeLogicalTime = [this](std::uint64_t time) { timeline.observe(time); },
+            .logicalTime = [this] { return timeline.tick(); } };
+    }
+
+    OperatorHandlerOptions operatorOptions()
+    {
+        return { .secret = settings.operatorSecret, .holder = &holder, .store = &store, .clock = &clock, .status = [this] { return control.view()->status; }, .settingsArrived = [this](std::shared_ptr<const Settings> arrived) { control.post(SettingsArrived { std::move(arrived) }); }, .raiseAlarm = [this](AlarmKind kind, const std::string& subject) { raiseAlarm(kind, subject); }, .timeline = [this](std::uint64_t after, const RequestId& request) { return timeline.entries(after, request); }, .process = settings.instanceId, .processSettings = shownSettings(settings) };
+    }
+
+    void raiseAlarm(AlarmKind kind, const std::string& subject)
+    {
+        metrics.counter("limpetpond_alarms_total", "Alarms that were raised.", { { "kind", std::string(toString(kind)) } }).add();
+        logLine(LogLevel::Error, "alarm", { { "alarm", toString(kind) }, { "subject", subject } });
+        timeline.record({ .kind = "alarm", .fields = { { "alarm", std::string(toString(kind)) }, { "subject", subject } } });
+    }
+
+    void readList()
+    {
+        if (!settings.instanceListEndpoint.isSet()) {
+            takeList(listFromSettings(settings));
+            return;
+        }
+        boost::leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(list, readInstanceList(instanceList, {}));
+                hasReadList = true;
+                takeList(std::move(list));
+                return {};
+            },
+            [&](const CallError& error) {
+                logLine(LogLevel::Warning, "instance_list_failed", { { "detail", error.detail } });
+                // Later failures leave the list that was read in force.
+                if (!hasReadList && !settings.peers.empty())
+                    takeList(listFromSettings(settings));
+            },
+            [] {});
+    }
+
+    void takeList(InstanceListRead list)
+    {
+        followInstanceList(list, InstanceId { settings.instanceId }, directory);
+        control.post(std::move(list));
+    }
+
+    void countControlTraffic()
+    {
+        auto follow = [this](const char* direction, const ThriftTraffic& traffic) {
+            metrics.gauge("limpetpond_control_messages", "Messages sent between instances and operators since the start.", { { "side", direction } }).set(traffic.messages.load());
+            metrics.gauge("limpetpond_control_bytes", "Bytes of those messages, both ways.", { { "side", direction } }).set(traffic.bytes.load());
+        };
+        follow("client", peers.traffic());
+        follow("server", peerServer.traffic());
+    }
+
+    ProcessSettings settings;
+    const Clock& clock;
+    Incarnation incarnation;
+    Metrics metrics;
+    Timeline timeline;
+    Control core;
+    TableClient table;
+    SettingsStore store;
+    SettingsHolder holder;
+    PeerDirectory directory;
+    PeerClient peers;
+    HttpPool instanceList;
+    ControlThread control;
+    PlatformIo io;
+    Traffic traffic;
+    PeerServer peerServer;
+    CallerServer callerServer;
+    std::unique_ptr<CallerServer> adminServer;
+    std::unique_ptr<TargetPoller> targetPoller;
+    std::unique_ptr<Repeater> listReader;
+    std::unique_ptr<Repeater> trafficCounter;
+    bool hasReadList { false };
+};
+
+Daemon::Daemon(const ProcessSettings& settings, const Clock& clock)
+    : m_parts(std::make_unique<Parts>(settings, clock))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::start()
+{
+    Parts& parts = *m_parts;
+    BOOST_LEAF_CHECK(parts.peerServer.start());
+    if (parts.adminServer) {
+        BOOST_LEAF_CHECK(parts.adminServer->start());
+    }
+    BOOST_LEAF_CHECK(parts.callerServer.start());
+    parts.control.start();
+    parts.listReader = std::make_unique<Repeater>(parts.settings.instanceListPeriod, [&parts] { parts.readList(); });
+    parts.targetPoller = std::make_unique<TargetPoller>(
+        TargetPollerOptions { .period = parts.settings.loadReportPeriod, .timeouts = timeoutsOf(parts.settings) }, parts.control, parts.clock);
+    parts.trafficCounter = std::make_unique<Repeater>(kTrafficGaugePeriod, [&parts] { parts.countControlTraffic(); });
+    logLine(LogLevel::Info, "started", { { "caller_port", parts.settings.callerPort }, { "peer_port", parts.settings.peerPort }, { "incarnation", parts.incarnation.value() } });
+    return {};
+}
+
+void Daemon::drainAndStop()
+{
+    Parts& parts = *m_parts;
+    logLine(LogLevel::Info, "draining", { { "open_requests", parts.traffic.openRequests() } });
+    parts.traffic.beginDrain();
+    parts.control.post(ShutdownRequested {});
+    SteadyTime limit = parts.clock.steadyNow() + parts.settings.drainLimit;
+    auto isIdle = [&parts] { return parts.traffic.openRequests() == 0 && parts.traffic.runningDispatches() == 0 && parts.control.view()->drained; };
+    // The view that is published before the shutdown was taken in may be older than the last request.
+    std::this_thread::sleep_for(2 * parts.settings.tickPeriod);
+    while (!isIdle() && parts.clock.steadyNow() < limit)
+        std::this_thread::sleep_for(kDrainPollPeriod);
+    if (!isIdle()) {
+        logLine(LogLevel::Warning, "drain_limit_reached", { { "open_requests", parts.traffic.openRequests() } });
+        parts.traffic.abortAll();
+        SteadyTime graceEnd = parts.clock.steadyNow() + kAbortGrace;
+        while (parts.traffic.openRequests() && parts.clock.steadyNow() < graceEnd)
+            std::this_thread::sleep_for(kDrainPollPeriod);
+    }
+    parts.callerServer.stop();
+    if (parts.adminServer)
+        parts.adminServer->stop();
+    parts.listReader.reset();
+    parts.targetPoller.reset();
+    parts.trafficCounter.reset();
+    parts.peerServer.stop();
+    parts.io.stop();
+    parts.control.stop();
+    logLine(LogLevel::Info, "stopped");
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/daemon/PlatformIo.cpp
@@ -0,0 +1,226 @@
+#include "daemon/PlatformIo.h"
+
+#include "base/Log.h"
+#include "peer/PeerConversion.h"
+#include "peer/SettingsTransfer.h"
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace limpetpond {
+
+namespace {
+
+    using Seconds = std::chrono::seconds;
+
+    ClaimAnswered notSent(const WriteClaim& write)
+    {
+        return { .request = write.request, .attempt = write.row.attempt, .answer = StoreAnswer::NotSent };
+    }
+
+    /// Moves up to `most` writes of different keys out of `pending`, oldest first.
+    std::vector<WriteClaim> takeBatch(std::vector<WriteClaim>& pending, std::size_t most)
+    {
+        std::vector<WriteClaim> batch;
+        std::vector<WriteClaim> left;
+        std::set<std::pair<ClientAccountId, IdempotencyKey>> keys;
+        for (WriteClaim& write : pending) {
+            // One transaction may name a row once; the second write of a key waits for the next.
+            bool isTaken = batch.size() < most && keys.emplace(write.row.account, write.row.key).second;
+            (isTaken ? batch : left).push_back(std::move(write));
+        }
+        pending = std::move(left);
+        return batch;
+    }
+
+} // namespace
+
+PlatformIo::PlatformIo(PlatformIoOptions options, PlatformCalls calls, const Clock& clock, std::function<void(ControlEvent)> post)
+    : m_options(options)
+    , m_calls(std::move(calls))
+    , m_clock(clock)
+    , m_post(std::move(post))
+    , m_claims({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 4, 1)), .maxQueued = options.maxQueued })
+    , m_settings({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 4, 2)), .maxQueued = options.maxQueued })
+    , m_heartbeats({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 2, 2)), .maxQueued = options.maxQueued })
+{
+}
+
+PlatformIo::~PlatformIo() { stop(); }
+
+void PlatformIo::stop()
+{
+    m_claims.stop();
+    m_settings.stop();
+    m_heartbeats.stop();
+}
+
+void PlatformIo::carryOut(const ControlAction& action)
+{
+    std::visit([this](const auto& typed) { take(typed); }, action);
+}
+
+void PlatformIo::take(const WriteClaim& write)
+{
+    {
+        std::lock_guard lock(m_pendingMutex);
+        m_pendingWrites.push_back(write);
+    }
+    if (m_claims.submit([this] { writePendingClaims(); }))
+        return;
+    std::vector<WriteClaim> refused;
+    {
+        std::lock_guard lock(m_pendingMutex);
+        refused.swap(m_pendingWrites);
+    }
+    for (const WriteClaim& each : refused)
+        m_post(notSent(each));
+}
+
+/// Writes what has gathered while earlier writes were under way; each job may find its write done already.
+void PlatformIo::writePendingClaims()
+{
+    for (;;) {
+        std::vector<WriteClaim> batch;
+        {
+            std::lock_guard lock(m_pendingMutex);
+            batch = takeBatch(m_pendingWrites, m_options.maxBatch);
+        }
+        if (batch.empty())
+            return;
+        for (ClaimAnswered& answer : m_calls.writeClaims(batch))
+            m_post(std::move(answer));
+    }
+}
+
+void PlatformIo::take(const ReadClaim& read)
+{
+    if (!m_claims.submit([this, read] { m_post(m_calls.readClaim(read)); }))
+        m_post(ClaimAnswered { .request = read.request, .attempt = read.attempt, .wasRead = true, .answer = StoreAnswer::NotSent });
+}
+
+void PlatformIo::take(const ReadSettingsHead&)
+{
+    SteadyTime startedAt = m_clock.steadyNow();
+    // The age of the view counts from before the read leaves, queueing included.
+    if (!m_settings.submit([this, startedAt] { m_post(m_calls.readSettingsHead(startedAt)); }))
+        m_post(SettingsHeadRead { .answered = false, .readStartedAt = startedAt });
+}
+
+void PlatformIo::take(const FetchSettings& fetch)
+{
+    if (!m_settings.submit([this, fetch] { m_post(m_calls.fetchSettings(fetch)); }))
+        m_post(SettingsArrived {});
+}
+
+void PlatformIo::take(const MarkTarget& mark)
+{
+    if (!m_settings.submit([this, mark] { m_post(m_calls.markTarget(mark)); }))
+        m_post(MarkAnswered { .change = mark.change });
+}
+
+void PlatformIo::take(const SendHeartbeat& send)
+{
+    SteadyTime sentAt = m_clock.steadyNow();
+    if (!m_heartbeats.submit([this, send, sentAt] { m_post(m_calls.sendHeartbeat(send, sentAt)); }))
+        m_post(HeartbeatLost { send.to });
+}
+
+namespace {
+
+    std::int64_t claimExpiry(const PlatformClients& clients)
+    {
+        std::shared_ptr<const Settings> settings = clients.settings();
+        auto retention = settings ? settings->site.claimRetention : SiteSettings {}.claimRetention;
+        auto expiry = clients.clock.systemNow() + retention;
+        return std::chrono::duration_cast<Seconds>(expiry.time_since_epoch()).count();
+    }
+
+    std::vector<ClaimAnswered> writeClaimRows(const PlatformClients& clients, std::vector<WriteClaim> writes)
+    {
+        std::int64_t expiresAt = claimExpiry(clients);
+        for (WriteClaim& write : writes)
+            write.row.expiresAt = expiresAt;
+        return writeClaims(clients.table, writes);
+    }
+
+    SettingsHeadRead readHead(const PlatformClients& clients, SteadyTime startedAt)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<SettingsHeadRead> {
+                BOOST_LEAF_AUTO(version, clients.store.readHead());
+                return SettingsHeadRead { .answered = true, .version = version, .readStartedAt = startedAt };
+            },
+            [&] { return SettingsHeadRead { .answered = false, .readStartedAt = startedAt }; });
+    }
+
+    Result<std::shared_ptr<const Settings>> fetchFrom(const PlatformClients& clients, const FetchSettings& fetch)
+    {
+        if (fetch.peer.isEmpty())
+            return fetchFromStore(clients.holder, clients.store);
+        BOOST_LEAF_AUTO(update, clients.peers.fetchSettings(fetch.peer, clients.holder.tree()->version));
+        return takeUpdate(clients.holder, update);
+    }
+
+    SettingsArrived fetch(const PlatformClients& clients, const FetchSettings& wanted)
+    {
+        auto failed = [&](const std::string& detail) {
+            logLine(LogLevel::Warning, "settings_fetch_failed", { { "peer", wanted.peer.value() }, { "version", wanted.version.value() }, { "detail", detail } });
+            return SettingsArrived {};
+        };
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<SettingsArrived> {
+                BOOST_LEAF_AUTO(settings, fetchFrom(clients, wanted));
+                return SettingsArrived { settings };
+            },
+            [&](const StoreWentBack& back) {
+                clients.raiseAlarm(AlarmKind::SettingsWentBack, "version " + std::to_string(back.storeVersion.value()));
+                return failed("the store went back");
+            },
+            [&](const CallError& error) { return failed(error.detail); },
+            [&](const InvalidSetting& invalid) { return failed(invalid.name + " must be " + invalid.allowed); },
+            [&] { return failed("unexpected failure"); });
+    }
+
+    MarkAnswered mark(const PlatformClients& clients, const MarkTarget& wanted)
+    {
+        // A conflict means that the branch was edited since, so that this step is no longer wanted.
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<MarkAnswered> {
+                BOOST_LEAF_CHECK(acceptInto(clients.holder, clients.store, markChange(wanted), clients.clock.systemNow()));
+                return MarkAnswered { .change = wanted.change, .settled = true };
+            },
+            [&](const SettingsConflict&) { return MarkAnswered { .change = wanted.change, .settled = true }; },
+            [&] { return MarkAnswered { .change = wanted.change, .settled = false }; });
+    }
+
+    ControlEvent heartbeat(const PlatformClients& clients, const SendHeartbeat& send, SteadyTime sentAt)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<ControlEvent> {
+                rpc::Heartbeat wire = toThrift(send.news);
+                wire.logicalTime = static_cast<std::int64_t>(clients.timeline.tick());
+                BOOST_LEAF_AUTO(answer, clients.peers.heartbeat(send.to, wire));
+                clients.timeline.observe(static_cast<std::uint64_t>(std::max<std::int64_t>(answer.logicalTime, 0)));
+                return ControlEvent(HeartbeatAnswered { .news = fromThrift(answer), .sentAt = sentAt });
+            },
+            [&](const CallError& error) {
+                logLine(LogLevel::Debug, "heartbeat_lost", { { "peer", send.to.value() }, { "detail", error.detail } });
+                return ControlEvent(HeartbeatLost { send.to });
+            },
+            [&] { return ControlEvent(HeartbeatLost { send.to }); });
+    }
+
+} // namespace
+
+PlatformCalls makePlatformCalls(const PlatformClients& clients)
+{
+    return { .writeClaims = [clients](const std::vector<WriteClaim>& writes) { return writeClaimRows(clients, writes); },
+        .readClaim = [clients](const ReadClaim& read) { return readClaim(clients.table, read); },
+        .readSettingsHead = [clients](SteadyTime startedAt) { return readHead(clients, startedAt); },
+        .fetchSettings = [clients](const FetchSettings& wanted) { return fetch(clients, wanted); },
+        .markTarget = [clients](const MarkTarget& wanted) { return mark(clients, wanted); },
+        .sendHeartbeat = [clients](const SendHeartbeat& send, SteadyTime sentAt) { return heartbeat(clients, send, sentAt); } };
+}
+
+} // namespace limpetpond
--- a/test/ProcessSettingsTest.cpp
+++ b/test/ProcessSettingsTest.cpp
@@ -96,6 +96,11 @@
     STRCMP_EQUAL("LIMPETPOND_CALER_PORT", refusal(kLeast, { { "LIMPETPOND_CALER_PORT", "1" } }).name.c_str());
 }
 
+TEST(ProcessSettings, variablesOfTheToolAreNoneOfOurs)
+{
+    STRCMP_EQUAL("", refusal(kLeast, { { "LIMPETPOND_INSTANCES", "127.0.0.1:9090" } }).name.c_str());
+}
+
 TEST(ProcessSettings, unknownFlagIsRefused)
 {
     STRCMP_EQUAL("--caler_port", commandLineRefusal({ "--caler_port=1" }).name.c_str());
