--- a/src/core/ControlStatus.cpp
+++ b/src/core/ControlStatus.cpp
@@ -16,7 +16,7 @@
     case AlarmKind::InvariantViolated:
         return "invariant_violated";
     }
-    return "unknown";
+    return "invariant_violated";
 }
 
 std::string_view toString(MemberState state)
@@ -29,7 +29,7 @@
     case MemberState::Departed:
         return "departed";
     }
-    return "unknown";
+    return "departed";
 }
 
 } // namespace limpetpond
