--- a/src/tool/main.cpp
+++ b/src/tool/program/main.cpp
@@ -26,17 +26,17 @@
     using namespace limpetpond::tool;
     if (command.version) {
         std::cout << "limpetpond " LIMPETPOND_VERSION "\n";
-        return exitDone;
+        return static_cast<int>(ExitCode::Done);
     }
     if (!command.help)
         return runTool(command, std::cout, std::cerr);
     std::string help = helpText(command.words);
     if (help.empty()) {
         std::cerr << "limpetpond: usage: there is no such command; see limpetpond --help\n";
-        return exitUsage;
+        return static_cast<int>(ExitCode::Usage);
     }
     std::cout << help;
-    return exitDone;
+    return static_cast<int>(ExitCode::Done);
 }
 
 } // namespace
@@ -53,10 +53,10 @@
         },
         [](const InvalidSetting& error) {
             std::cerr << "limpetpond: " << error.name << ": \"" << error.value << "\" is refused; allowed is " << error.allowed << "\n";
-            return static_cast<int>(tool::exitUsage);
+            return static_cast<int>(tool::ExitCode::Usage);
         },
         [] {
             std::cerr << "limpetpond: an unknown failure\n";
-            return static_cast<int>(tool::exitRefused);
+            return static_cast<int>(tool::ExitCode::Refused);
         });
 }
