--- a/src/daemon/PlatformIo.cpp
+++ b/src/daemon/PlatformIo.cpp
@@ -1,8 +1,11 @@
 #include "daemon/PlatformIo.h"
 
 #include "base/Log.h"
+#include "core/Guard.h"
+#include "engine/EngineClient.h"
 #include "peer/PeerConversion.h"
 #include "peer/SettingsTransfer.h"
+#include "platform/LeaseStore.h"
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -43,6 +46,7 @@
     , m_claims({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 4, 1)), .maxQueued = options.maxQueued })
     , m_settings({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 4, 2)), .maxQueued = options.maxQueued })
     , m_heartbeats({ .maxThreads = static_cast<std::size_t>(std::max(options.threads / 2, 2)), .maxQueued = options.maxQueued })
+    , m_orders({ .maxThreads = 2, .maxQueued = options.maxQueued })
 {
 }
 
@@ -53,6 +57,7 @@
     m_claims.stop();
     m_settings.stop();
     m_heartbeats.stop();
+    m_orders.stop();
 }
 
 void PlatformIo::carryOut(const ControlAction& action)
@@ -126,6 +131,23 @@
         m_post(HeartbeatLost { send.to });
 }
 
+void PlatformIo::take(const AccessLease& access)
+{
+    if (!m_settings.submit([this, access] { m_post(m_calls.accessLease(access)); }))
+        m_post(LeaseAnswered { .lease = access.lease, .operation = access.step.operation, .answer = LeaseAnswer::NoAnswer });
+}
+
+void PlatformIo::take(const GiveOrder& order)
+{
+    auto give = [this, order] {
+        // The lease may have run out while the order waited for its thread.
+        bool isLate = m_clock.steadyNow() > order.fence.notAfter && !isGuardDisabled(GuardId::HolderStopsEarly);
+        m_post(OrderAnswered { order.target, order.desired, isLate ? OrderProgress::Failed : m_calls.giveOrder(order) });
+    };
+    if (!m_orders.submit(give))
+        m_post(OrderAnswered { order.target, order.desired, OrderProgress::Failed });
+}
+
 namespace {
 
     std::int64_t claimExpiry(const PlatformClients& clients)
@@ -213,6 +235,42 @@
 
 } // namespace
 
+namespace {
+
+    OrderProgress progressOf(OrderState state)
+    {
+        switch (state) {
+        case OrderState::Reached:
+            return OrderProgress::Reached;
+        case OrderState::InProgress:
+            return OrderProgress::InProgress;
+        case OrderState::RefusedOldFencing:
+            return OrderProgress::RefusedOldFencing;
+        }
+        return OrderProgress::Failed;
+    }
+
+    OrderProgress order(const PlatformClients& clients, const GiveOrder& wanted)
+    {
+        std::shared_ptr<const Settings> settings = clients.settings();
+        auto target = settings ? settings->targets.find(wanted.target) : std::map<TargetId, TargetSettings>::const_iterator {};
+        if (!settings || target == settings->targets.end())
+            return OrderProgress::Failed;
+        EngineAddress address { wanted.target, { target->second.host, target->second.port } };
+        return boost::leaf::try_handle_all(
+            [&]() -> Result<OrderProgress> {
+                BOOST_LEAF_AUTO(answer, limpetpond::giveOrder(address, { .fencing = wanted.fence.number, .desired = wanted.desired }, clients.orderTimeouts));
+                return progressOf(answer.state);
+            },
+            [&](const CallError& error) {
+                logLine(LogLevel::Warning, "order_failed", { { "target", wanted.target.value() }, { "detail", error.detail } });
+                return OrderProgress::Failed;
+            },
+            [] { return OrderProgress::Failed; });
+    }
+
+} // namespace
+
 PlatformCalls makePlatformCalls(const PlatformClients& clients)
 {
     return { .writeClaims = [clients](const std::vector<WriteClaim>& writes) { return writeClaimRows(clients, writes); },
@@ -220,7 +278,9 @@
         .readSettingsHead = [clients](SteadyTime startedAt) { return readHead(clients, startedAt); },
         .fetchSettings = [clients](const FetchSettings& wanted) { return fetch(clients, wanted); },
         .markTarget = [clients](const MarkTarget& wanted) { return mark(clients, wanted); },
-        .sendHeartbeat = [clients](const SendHeartbeat& send, SteadyTime sentAt) { return heartbeat(clients, send, sentAt); } };
+        .sendHeartbeat = [clients](const SendHeartbeat& send, SteadyTime sentAt) { return heartbeat(clients, send, sentAt); },
+        .accessLease = [clients](const AccessLease& access) { return accessLease(clients.table, access); },
+        .giveOrder = [clients](const GiveOrder& wanted) { return order(clients, wanted); } };
 }
 
 } // namespace limpetpond
--- a/src/daemon/PlatformIo.h
+++ b/src/daemon/PlatformIo.h
@@ -28,6 +28,8 @@
     std::function<SettingsArrived(const FetchSettings&)> fetchSettings;
     std::function<MarkAnswered(const MarkTarget&)> markTarget;
     std::function<ControlEvent(const SendHeartbeat&, SteadyTime sentAt)> sendHeartbeat;
+    std::function<LeaseAnswered(const AccessLease&)> accessLease;
+    std::function<OrderProgress(const GiveOrder&)> giveOrder;
 };
 
 struct PlatformIoOptions {
@@ -59,10 +61,14 @@
     void take(const FetchSettings&);
     void take(const MarkTarget&);
     void take(const SendHeartbeat&);
-    template <typename Other>
-    void take(const Other&)
-    {
-    }
+    void take(const AccessLease&);
+    void take(const GiveOrder&);
+    // These are for the control thread itself to carry out.
+    void take(const Dispatch&) { }
+    void take(const CancelDispatch&) { }
+    void take(const FinalAnswer&) { }
+    void take(const AnswerHeartbeat&) { }
+    void take(const RaiseAlarm&) { }
     void writePendingClaims();
 
     PlatformIoOptions m_options;
@@ -74,6 +80,7 @@
     WorkerPool m_claims;
     WorkerPool m_settings;
     WorkerPool m_heartbeats;
+    WorkerPool m_orders;
 };
 
 /// What the real calls need. All outlive the calls.
@@ -84,6 +91,7 @@
     PeerClient& peers;
     Timeline& timeline;
     const Clock& clock;
+    HttpTimeouts orderTimeouts;
     std::function<std::shared_ptr<const Settings>()> settings; ///< In force; may be null.
     std::function<void(AlarmKind, std::string)> raiseAlarm;
 };
--- a/src/daemon/Traffic.cpp
+++ b/src/daemon/Traffic.cpp
@@ -498,8 +498,9 @@
 
     Result<void> parseModelCall(ParsedCall& call, const Settings& settings, const httplib::Request& request)
     {
-        if (call.routed.route == CallRoute::ChatCompletions && request.body.find("\"messages\"") == std::string::npos)
-            return refuse(Reason::BadRequest, false, "The field messages must be given.", "messages");
+        const char* needed = call.routed.route == CallRoute::ChatCompletions ? "messages" : "prompt";
+        if (request.body.find('"' + std::string(needed) + '"') == std::string::npos)
+            return refuse(Reason::BadRequest, false, "The field " + std::string(needed) + " must be given.", needed);
         ApiError refusal;
         PromptRequest prompt = boost::leaf::try_handle_all(
             [&]() -> Result<PromptRequest> { return parsePrompt(request.body); },
@@ -727,7 +728,14 @@
             .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted } };
     }
 
-    AttemptResult runEngineAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls, ControlThread& control)
+    /// The first byte leaves when the connection stands, which may not be after `notAfter` either.
+    milliseconds connectLimit(const Dispatch& dispatch, const TrafficOptions& options, const Clock& clock)
+    {
+        auto left = std::chrono::duration_cast<milliseconds>(dispatch.notAfter - clock.steadyNow());
+        return std::clamp(left, milliseconds(1), options.connectTimeout);
+    }
+
+    AttemptResult runEngineAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls, ControlThread& control, const Clock& clock)
     {
         const Dispatch& dispatch = attempt.dispatch;
         const ParsedCall& parsed = *attempt.call;
@@ -735,7 +743,7 @@
             .path = parsed.routed.route == CallRoute::ChatCompletions ? "/v1/chat/completions" : "/v1/completions",
             .body = parsed.body,
             .timeout = parsed.pool.callTimeout,
-            .connectTimeout = options.connectTimeout };
+            .connectTimeout = connectLimit(dispatch, options, clock) };
         bool started = false;
         std::int64_t answerBytes = 0;
         EngineCallHandlers handlers;
@@ -759,11 +767,11 @@
             .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end, .answerTokens = end.answerTokens, .answerPassedOn = end.answerPassedOn } };
     }
 
-    AttemptResult runServiceAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls)
+    AttemptResult runServiceAttempt(detail::Attempt& attempt, const TargetSettings& target, const TrafficOptions& options, const TargetCalls& calls, const Clock& clock)
     {
         const Dispatch& dispatch = attempt.dispatch;
         const ParsedCall& parsed = *attempt.call;
-        ServiceCall call { .endpoint = { target.host, target.port }, .attempt = dispatch.attempt, .key = parsed.arrival.key, .request = parsed.serviceRequest, .connectTimeout = options.connectTimeout, .timeout = parsed.pool.callTimeout, .maxAnswer = options.maxAnswer };
+        ServiceCall call { .endpoint = { target.host, target.port }, .attempt = dispatch.attempt, .key = parsed.arrival.key, .request = parsed.serviceRequest, .connectTimeout = connectLimit(dispatch, options, clock), .timeout = parsed.pool.callTimeout, .maxAnswer = options.maxAnswer };
         ServiceCallEnd end = calls.service(call, attempt.stop);
         AttemptResult result { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .detail = std::move(end.detail) },
             .forControl = { .request = dispatch.request, .attempt = dispatch.attempt, .end = end.end } };
@@ -787,9 +795,9 @@
     else if (m_clock.steadyNow() > dispatch.notAfter && !isGuardDisabled(GuardId::DispatchNotAfterChecked))
         result = notStarted(dispatch, "the dispatch came too late");
     else if (target->second.kind == TargetKind::ModelEngine)
-        result = runEngineAttempt(attempt, target->second, m_options, m_calls, m_control);
+        result = runEngineAttempt(attempt, target->second, m_options, m_calls, m_control, m_clock);
     else
-        result = runServiceAttempt(attempt, target->second, m_options, m_calls);
+        result = runServiceAttempt(attempt, target->second, m_options, m_calls, m_clock);
     if (result.forTicket.end != DispatchEnd::Completed) {
         logLine(LogLevel::Warning, "dispatch_failed", { { "request", dispatch.request.value() }, { "attempt", dispatch.attempt.value() }, { "target", dispatch.target.value() }, { "detail", result.forTicket.detail } });
     }
