--- a/src/tool/Commands.h
+++ b/src/tool/Commands.h
@@ -23,16 +23,16 @@
 };
 
 /// `settings ...`; `words` are those after `settings`. Errors: UsageError, InvalidSetting and those of OperatorClient.
-Result<int> runSettings(CommandContext&, const std::vector<std::string>& words);
+Result<ExitCode> runSettings(CommandContext&, const std::vector<std::string>& words);
 
 /// `target ...`.
-Result<int> runTarget(CommandContext&, const std::vector<std::string>& words);
+Result<ExitCode> runTarget(CommandContext&, const std::vector<std::string>& words);
 
 /// `status`.
-Result<int> runStatus(CommandContext&);
+Result<ExitCode> runStatus(CommandContext&);
 
 /// `timeline`.
-Result<int> runTimeline(CommandContext&);
+Result<ExitCode> runTimeline(CommandContext&);
 
 /// Runs a parsed command and prints failures, one line each, to `errors`.
 ///
--- a/test/SettingsTransferTest.cpp
+++ b/test/SettingsTransferTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-void adopt(SettingsHolder& holder, std::uint64_t version, std::string name, bool withChange = true)
+void adopt(SettingsHolder& holder, std::uint64_t version, const std::string& name, bool withChange = true)
 {
     SettingsEdit edit { .path = "site", .field = "name", .value = boost::json::value(name) };
     AcceptedChange change { .version = SettingsVersion(version), .change = ChangeId(name), .author = "ana", .acceptedAtMs = 7, .edits = { edit } };
