Run the process tests against the real daemons

Change: a site passes its secrets by the environment, a failed start fails its test and ends its programs. AllTests also warms the HTTP library's tables for ranges, which counted as a leak of the first test with one.

--- a/test/AllTests.cpp
+++ b/test/AllTests.cpp
@@ -13,7 +13,7 @@
     server.Get("/", [](const httplib::Request&, httplib::Response& response) { response.set_content("", "text/plain"); });
     int port = server.bind_to_any_port("127.0.0.1");
     std::thread thread([&] { server.listen_after_bind(); });
-    httplib::Client("127.0.0.1", port).Get("/");
+    httplib::Client("127.0.0.1", port).Get("/", { httplib::make_range_header({ { 0, 0 } }) });
     server.stop();
     thread.join();
 }
--- a/test/process/Processes.cpp
+++ b/test/process/Processes.cpp
@@ -7,12 +7,13 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
-#include <stdexcept>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
 
+#include <CppUTest/TestHarness.h>
+
 extern char** environ;
 
 namespace limpetpond {
@@ -56,7 +57,7 @@
 {
     int pipe[2];
     if (::pipe2(pipe, O_CLOEXEC))
-        throw std::runtime_error("no pipe");
+        failTest("no pipe");
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
@@ -74,7 +75,7 @@
     ::close(pipe[1]);
     m_output = pipe[0];
     if (error)
-        throw std::runtime_error("can't start " + path);
+        failTest("can't start " + path);
 }
 
 Process::~Process()
@@ -130,6 +131,12 @@
     return WIFEXITED(m_status) ? WEXITSTATUS(m_status) : 128 + WTERMSIG(m_status);
 }
 
+void failTest(const std::string& text)
+{
+    FAIL(text.c_str());
+    std::abort();
+}
+
 int freePort()
 {
     int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/test/process/Site.cpp
+++ b/test/process/Site.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Hash.h"
 #include "peer/ThriftConnection.h"
-#include <stdexcept>
+#include <thrift/Thrift.h>
 
 namespace limpetpond {
 
@@ -30,14 +30,14 @@
     {
         auto answer = callLocal(port, { .method = "POST", .path = path, .contentType = "application/json", .body = json::serialize(body) });
         if (!answer || answer->status != 200)
-            throw std::runtime_error("a control call failed: " + path);
+            failTest("a control call failed: " + path);
     }
 
     json::object getLocal(int port, const std::string& path)
     {
         auto answer = callLocal(port, { .path = path });
         if (!answer || answer->status != 200)
-            throw std::runtime_error("no answer from a stand-in: " + path);
+            failTest("no answer from a stand-in: " + path);
         return json::parse(answer->body).as_object();
     }
 
@@ -47,9 +47,15 @@
         ThriftLimits limits { .connectTimeout = 1s, .callTimeout = 10s };
         Result<ThriftConnection> connection = connectThrift({ "127.0.0.1", port }, kOperatorServiceName, limits);
         if (!connection)
-            throw std::runtime_error("no connection to a daemon");
+            failTest("no connection to a daemon");
         rpc::OperatorServiceClient client(connection->protocol);
-        return call(client);
+        try {
+            return call(client);
+        } catch (const rpc::OperatorRefused&) {
+            throw;
+        } catch (const apache::thrift::TException& error) {
+            failTest(std::string("a daemon didn't answer: ") + error.what());
+        }
     }
 
     std::string changeId()
@@ -139,7 +145,7 @@
     seedSettings();
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
         if (!eventually(startPatience, [&] { return startsServing(i); }))
-            throw std::runtime_error("a daemon doesn't become ready");
+            failTest("a daemon doesn't become ready");
     }
 }
 
@@ -176,7 +182,7 @@
 
 void Site::startDaemons()
 {
-    std::vector<std::string> environment;
+    std::vector<std::string> environment { "LIMPETPOND_PEER_SECRET=" + peerSecret, "LIMPETPOND_OPERATOR_SECRET=" + operatorSecret };
     if (m_options.disabledGuard != GuardId::None)
         environment.push_back("POND_TEST_DISABLED_GUARD=" + std::to_string(static_cast<int>(m_options.disabledGuard)));
     json::array instances;
@@ -191,8 +197,6 @@
             "--object_store_endpoint=" + localAddress(m_platformPort),
             "--instance_list_endpoint=" + localAddress(m_platformPort),
             "--instance_list_period=200ms",
-            "--peer_secret=" + peerSecret,
-            "--operator_secret=" + operatorSecret,
         };
         flags.insert(flags.end(), m_options.daemonFlags.begin(), m_options.daemonFlags.end());
         m_daemons.push_back(std::make_unique<Process>("limpetpondd", flags, environment));
@@ -230,6 +234,14 @@
         }
         branch("target/" + (isService ? std::string("fees-1") : "engine-" + std::to_string(i + 1)), target);
     }
+    for (const DaemonPorts& ports : m_ports) {
+        auto isAlive = [&] {
+            auto answer = callLocal(ports.caller, { .path = "/healthz" });
+            return answer && answer->status == 200;
+        };
+        if (!eventually(startPatience, isAlive))
+            failTest("a daemon doesn't start");
+    }
     std::string last = "no try";
     bool seeded = eventually(startPatience, [&] {
         try {
@@ -241,13 +253,11 @@
             return true;
         } catch (const rpc::OperatorRefused& refused) {
             last = refused.code + ": " + refused.detail;
-        } catch (const std::exception& error) {
-            last = error.what();
         }
         return false;
     });
     if (!seeded)
-        throw std::runtime_error("the settings can't be seeded: " + last);
+        failTest("the settings can't be seeded: " + last);
 }
 
 bool Site::startsServing(std::size_t daemon) const
