--- a/test/PlatformIoTest.cpp
+++ b/test/PlatformIoTest.cpp
@@ -1,6 +1,7 @@
 #include "daemon/PlatformIo.h"
 #include <atomic>
 #include <condition_variable>
+#include <set>
 #include <thread>
 
 #include <CppUTest/TestHarness.h>
@@ -25,6 +26,7 @@
     std::condition_variable wake;
     std::vector<ControlEvent> events;
     std::vector<std::size_t> batches;
+    std::size_t repeatedKeys { 0 };
     bool mayWrite { true };
 
     void setup() override
@@ -32,6 +34,10 @@
         calls.writeClaims = [this](const std::vector<WriteClaim>& writes) {
             std::unique_lock lock(mutex);
             batches.push_back(writes.size());
+            std::set<IdempotencyKey> keys;
+            for (const WriteClaim& write : writes)
+                keys.insert(write.row.key);
+            repeatedKeys += writes.size() - keys.size();
             wake.notify_all();
             wake.wait(lock, [this] { return mayWrite; });
             std::vector<ClaimAnswered> answers;
@@ -86,14 +92,15 @@
             std::unique_lock lock(mutex);
             wake.wait(lock, [this] { return !batches.empty(); });
         }
+        io.carryOut(writeOf("k1", "r13"));
         for (int i = 1; i <= 12; ++i)
             io.carryOut(writeOf("k" + std::to_string(i), "r" + std::to_string(i)));
-        io.carryOut(writeOf("k1", "r13"));
         std::lock_guard lock(mutex);
         mayWrite = true;
         wake.notify_all();
     }
     CHECK((batches == std::vector<std::size_t> { 1, 10, 3 }));
+    LONGS_EQUAL(0, repeatedKeys);
     LONGS_EQUAL(14, events.size());
 }
 
