--- a/src/tool/CommandLine.cpp
+++ b/src/tool/CommandLine.cpp
@@ -70,10 +70,10 @@
             return boost::leaf::new_error(InvalidSetting { .name = std::move(name), .value = std::move(value), .allowed = std::move(allowed) });
         }
 
-        std::string valueOr(const TextMap& map, const std::string& name, std::string otherwise)
+        std::string valueOr(const TextMap& map, const std::string& name, const std::string& otherwise)
         {
             auto found = map.find(name);
-            return found == map.end() ? std::move(otherwise) : found->second;
+            return found == map.end() ? otherwise : found->second;
         }
 
         bool startsWithWords(std::string_view command, const std::vector<std::string>& words)
@@ -183,7 +183,9 @@
                 std::string value = hasValue ? argument.substr(equals + 1) : "true";
                 if (isSwitch(name) && value != "true" && value != "false")
                     return invalid("--" + name, value, "true or false");
-                arguments.push_back("--" + name + "=" + value);
+                std::string flag = "--" + name;
+                flag.append("=").append(value);
+                arguments.push_back(std::move(flag));
             }
             return arguments;
         }
@@ -198,8 +200,8 @@
 
         Result<void> checkNumber(const std::vector<std::string>& arguments, const std::string& name)
         {
+            const std::string prefix = "--" + name + "=";
             for (const std::string& argument : arguments) {
-                std::string prefix = "--" + name + "=";
                 if (!argument.starts_with(prefix))
                     continue;
                 std::string_view text = std::string_view(argument).substr(prefix.size());
@@ -291,6 +293,7 @@
     BOOST_LEAF_CHECK(detail::checkNumber(arguments, "read_version"));
     BOOST_LEAF_CHECK(detail::checkNumber(arguments, "after"));
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size());
     for (std::string& argument : arguments)
         pointers.push_back(argument.data());
     std::vector<char*> words = absl::ParseCommandLine(static_cast<int>(pointers.size()), pointers.data());
--- a/src/tool/CommandLine.h
+++ b/src/tool/CommandLine.h
@@ -14,13 +14,13 @@
 namespace limpetpond::tool {
 
 /// How the tool ends.
-enum ExitCode : int {
-    exitDone = 0,
-    exitRefused = 1, ///< The instance refused, or what was asked for did not come about.
-    exitUsage = 2,
-    exitConflict = 3, ///< Another operator changed the branch.
-    exitUnreachable = 4, ///< No instance answered.
-    exitUnknown = 5, ///< The change may have taken effect; repeat it with its change id.
+enum class ExitCode {
+    Done = 0,
+    Refused = 1, ///< The instance refused, or what was asked for did not come about.
+    Usage = 2,
+    Conflict = 3, ///< Another operator changed the branch.
+    Unreachable = 4, ///< No instance answered.
+    Unknown = 5, ///< The change may have taken effect; repeat it with its change id.
 };
 
 /// Where an instance listens for operators.
--- a/src/tool/SettingsCommands.cpp
+++ b/src/tool/SettingsCommands.cpp
@@ -96,15 +96,15 @@
             return json::serialize(json::value(text));
         }
 
-        Result<int> sendChange(CommandContext& context, std::vector<rpc::Edit> edits)
+        Result<ExitCode> sendChange(CommandContext& context, std::vector<rpc::Edit> edits)
         {
             rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
             BOOST_LEAF_AUTO(reply, context.client.change(request));
             printChange(context, request, reply);
-            return exitDone;
+            return ExitCode::Done;
         }
 
-        Result<int> set(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> set(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() < 2)
                 return usage("settings set needs PATH FIELD=VALUE...");
@@ -125,7 +125,7 @@
             return sendChange(context, std::move(edits));
         }
 
-        Result<int> unset(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> unset(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.empty())
                 return usage("settings unset needs PATH [FIELD...]");
@@ -152,19 +152,19 @@
                 out << "  " << name << " = " << valueToJson(stored.value) << "\n";
         }
 
-        Result<int> getField(CommandContext& context, const std::string& path, const std::string& field)
+        Result<ExitCode> getField(CommandContext& context, const std::string& path, const std::string& field)
         {
             BOOST_LEAF_AUTO(values, context.client.explain(path));
             for (const rpc::ExplainedValue& value : values) {
                 if (value.field != field)
                     continue;
                 context.out << value.value << "\n";
-                return exitDone;
+                return ExitCode::Done;
             }
             return boost::leaf::new_error(InvalidSetting { .name = path + " " + field, .value = "", .allowed = "a field of the branch; see limpetpond settings schema" });
         }
 
-        Result<int> get(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> get(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() > 2)
                 return usage("settings get takes [PATH [FIELD]]");
@@ -173,13 +173,13 @@
             BOOST_LEAF_AUTO(text, context.client.tree(words.empty() ? "" : words[0]));
             if (context.options.json) {
                 context.out << text << "\n";
-                return exitDone;
+                return ExitCode::Done;
             }
             BOOST_LEAF_AUTO(tree, treeFromJson(text));
             context.out << "# version " << tree.version.value() << "\n";
             for (const auto& [path, branch] : tree.branches)
                 printBranch(context.out, path, branch);
-            return exitDone;
+            return ExitCode::Done;
         }
 
         json::object asJson(const rpc::ExplainedValue& value)
@@ -194,7 +194,7 @@
             return value.inheritedFrom + ", version " + std::to_string(value.version) + " by " + value.author + " at " + timeText(value.acceptedAtMs);
         }
 
-        Result<int> explain(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> explain(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() > 1)
                 return usage("settings explain takes [PATH]");
@@ -213,10 +213,10 @@
             }
             if (context.options.json)
                 context.out << json::serialize(list) << "\n";
-            return exitDone;
+            return ExitCode::Done;
         }
 
-        Result<int> history(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> history(CommandContext& context, const std::vector<std::string>& words)
         {
             if (!words.empty())
                 return usage("settings history takes no arguments");
@@ -234,7 +234,7 @@
             }
             if (context.options.json)
                 context.out << json::serialize(list) << "\n";
-            return exitDone;
+            return ExitCode::Done;
         }
 
         Result<std::string> readFile(const std::string& name)
@@ -267,19 +267,19 @@
             return wires;
         }
 
-        Result<int> import(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> import(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() != 1)
                 return usage("settings import needs FILE, or - for the standard input");
             BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
             if (edits.empty()) {
                 context.out << "nothing to change\n";
-                return exitDone;
+                return ExitCode::Done;
             }
             return sendChange(context, std::move(edits));
         }
 
-        Result<int> exportTree(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> exportTree(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() > 1)
                 return usage("settings export takes [PATH]");
@@ -287,13 +287,13 @@
             std::string text = exportBranches(tree, "") + "\n";
             if (context.options.output.empty()) {
                 context.out << text;
-                return exitDone;
+                return ExitCode::Done;
             }
             std::ofstream file(context.options.output);
             file << text;
             if (!file.flush())
                 return boost::leaf::new_error(InvalidSetting { .name = "--output", .value = context.options.output, .allowed = "a file that can be written" });
-            return exitDone;
+            return ExitCode::Done;
         }
 
         std::string sideText(const std::optional<json::value>& value)
@@ -332,16 +332,16 @@
             return tree;
         }
 
-        Result<int> diffVersions(CommandContext& context, std::uint64_t from, std::uint64_t to)
+        Result<ExitCode> diffVersions(CommandContext& context, std::uint64_t from, std::uint64_t to)
         {
             BOOST_LEAF_AUTO(changes, context.client.history(0));
             BOOST_LEAF_AUTO(before, treeAt(changes, from));
             BOOST_LEAF_AUTO(after, treeAt(changes, to));
             printEffects(context.out, effects(before, after));
-            return exitDone;
+            return ExitCode::Done;
         }
 
-        Result<int> diff(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> diff(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.size() == 2 && asVersion(words[0]) && asVersion(words[1]))
                 return diffVersions(context, *asVersion(words[0]), *asVersion(words[1]));
@@ -349,12 +349,12 @@
                 return usage("settings diff needs FILE, or two versions");
             BOOST_LEAF_AUTO(edits, importEditsOf(context, words[0]));
             if (edits.empty())
-                return exitDone;
+                return ExitCode::Done;
             rpc::ChangeRequest request = makeChange(context.options, std::move(edits));
             request.dryRun = true;
             BOOST_LEAF_AUTO(reply, context.client.change(request));
             printChange(context, request, reply);
-            return exitDone;
+            return ExitCode::Done;
         }
 
     } // namespace
@@ -388,7 +388,7 @@
         context.out << "  " << effect.path << " " << effect.field << ": " << (effect.before.empty() ? "(none)" : effect.before) << " -> " << (effect.after.empty() ? "(none)" : effect.after) << "\n";
 }
 
-Result<int> runSettings(CommandContext& context, const std::vector<std::string>& words)
+Result<ExitCode> runSettings(CommandContext& context, const std::vector<std::string>& words)
 {
     if (words.empty())
         return detail::usage("settings needs a command; see limpetpond settings --help");
@@ -412,7 +412,7 @@
         return detail::import(context, rest);
     if (command == "schema") {
         context.out << schemaAsMarkdown();
-        return exitDone;
+        return ExitCode::Done;
     }
     return detail::usage("settings has no command \"" + command + "\"; see limpetpond settings --help");
 }
--- a/src/tool/TargetCommands.cpp
+++ b/src/tool/TargetCommands.cpp
@@ -48,7 +48,7 @@
         }
 
         /// Waits until the target is empty and shows the progress. Exit code 1 when the time is over first.
-        Result<int> waitUntilEmpty(CommandContext& context, const std::string& target)
+        Result<ExitCode> waitUntilEmpty(CommandContext& context, const std::string& target)
         {
             auto until = std::chrono::steady_clock::now() + context.options.timeout;
             std::string shown;
@@ -60,16 +60,16 @@
                 shown = progress;
                 context.out.flush();
                 if (status.mark == "empty")
-                    return exitDone;
+                    return ExitCode::Done;
                 if (std::chrono::steady_clock::now() >= until) {
                     context.out << target << " is not empty after the time of --timeout; it stays marked as leaving\n";
-                    return exitRefused;
+                    return ExitCode::Refused;
                 }
                 std::this_thread::sleep_for(context.options.period);
             }
         }
 
-        Result<int> mark(CommandContext& context, const std::string& target, const std::string& value)
+        Result<ExitCode> mark(CommandContext& context, const std::string& target, const std::string& value)
         {
             // The target must exist: a mark makes no branch.
             BOOST_LEAF_AUTO(text, context.client.tree(branchPath(BranchKind::Target, target)));
@@ -82,18 +82,18 @@
             rpc::ChangeRequest request = makeChange(context.options, { edit });
             BOOST_LEAF_AUTO(reply, context.client.change(request));
             printChange(context, request, reply);
-            return exitDone;
+            return ExitCode::Done;
         }
 
-        Result<int> leave(CommandContext& context, const std::string& target)
+        Result<ExitCode> leave(CommandContext& context, const std::string& target)
         {
             BOOST_LEAF_AUTO(code, mark(context, target, "leaving"));
-            if (code != exitDone || !context.options.wait)
+            if (code != ExitCode::Done || !context.options.wait)
                 return code;
             return waitUntilEmpty(context, target);
         }
 
-        Result<int> showAll(CommandContext& context)
+        Result<ExitCode> showAll(CommandContext& context)
         {
             BOOST_LEAF_AUTO(text, context.client.tree("target"));
             BOOST_LEAF_AUTO(tree, treeFromJson(text));
@@ -101,14 +101,14 @@
                 BOOST_LEAF_AUTO(status, context.client.targetStatus(path.substr(path.find('/') + 1)));
                 print(context, status);
             }
-            return exitDone;
+            return ExitCode::Done;
         }
 
     } // namespace
 
 } // namespace detail
 
-Result<int> runTarget(CommandContext& context, const std::vector<std::string>& words)
+Result<ExitCode> runTarget(CommandContext& context, const std::vector<std::string>& words)
 {
     if (words.empty())
         return detail::usage("target needs a command; see limpetpond target --help");
@@ -128,7 +128,7 @@
         return detail::usage("target has no command \"" + command + "\"; see limpetpond target --help");
     BOOST_LEAF_AUTO(status, context.client.targetStatus(target));
     detail::print(context, status);
-    return exitDone;
+    return ExitCode::Done;
 }
 
 } // namespace limpetpond::tool
--- a/test/SettingsHolderTest.cpp
+++ b/test/SettingsHolderTest.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-AcceptedChange change(std::uint64_t version, std::string name)
+AcceptedChange change(std::uint64_t version, const std::string& name)
 {
     SettingsEdit edit { .path = "site", .field = "name", .value = boost::json::value(name) };
     return { .version = SettingsVersion(version), .change = ChangeId(name), .edits = { edit } };
@@ -19,9 +19,9 @@
 {
     SettingsHolder holder;
 
-    void adopt(std::uint64_t version, std::string name)
+    void adopt(std::uint64_t version, const std::string& name)
     {
-        AcceptedChange next = change(version, std::move(name));
+        AcceptedChange next = change(version, name);
         holder.adopt(replayChange(*holder.tree(), next), { next });
     }
 };
