Keep prefixes at their targets: wait for a warm target, and one home for a known prompt

A trial that compared each dispatch with the engines' true caches showed: a warm target without room, so that the next one computed the prompt again and evicted another; and prompts that one instance had sent somewhere without the others knowing. Change: a request waits for a target that holds its prefix, for up to 20 times the prompt time that it saves and at most 0.55 of its longest wait; lower tiers may go on meanwhile. A prompt that was asked for before has one home by rendezvous hash of its longest known block. Pressure now begins at a quarter of the wait left. What routing reads of targets is worked out once for a decision.

--- a/bench/policies/PolicyBench.cpp
+++ b/bench/policies/PolicyBench.cpp
@@ -380,7 +380,8 @@
     {
         std::printf("%-8s %-17s %-18s %8s %6s %6s %6s %6s %9s %9s %9s %10s %5s\n", "mix", "scenario", "policy", "goodput", "top", "middle", "low", "shed",
             "ttft p50", "ttft p95", "itl p95", "wasted", "inv");
-        for (const auto& [key, runs] : results) {
+        for (const auto& [key, list] : results) {
+            const std::vector<RunResult>& runs = list;
             auto median = [&](const Measure& measure) { return spreadOf(measured(runs, measure)).median; };
             auto useful = [&](std::size_t tier) { return median([&](const RunResult& run) { return static_cast<double>(run.tiers[tier].useful); }); };
             double shed = median([](const RunResult& run) { return static_cast<double>(run.tiers[0].shed + run.tiers[1].shed + run.tiers[2].shed); });
--- a/bench/policies/PolicyRun.cpp
+++ b/bench/policies/PolicyRun.cpp
@@ -340,7 +340,7 @@
     void onReachesEngine(Simulation& run, const Event& event)
     {
         SimRequest& request = run.requests[event.subject];
-        if (request.state != RequestState::InProgress)
+        if (request.state != RequestState::InProgress || request.engine != event.other)
             return;
         EngineFake& engine = run.engines[event.other];
         if (engine.isDown) {
@@ -662,7 +662,8 @@
     run.requests.reserve(arrivals.size() * 4);
     for (Arrival& arrival : arrivals) {
         post(run, run.start + arrival.at, EventKind::Arrival, run.requests.size());
-        run.requests.push_back({ .arrival = std::move(arrival), .arrivedAt = run.start + arrival.at });
+        SteadyTime arrivedAt = run.start + arrival.at;
+        run.requests.push_back({ .arrival = std::move(arrival), .arrivedAt = arrivedAt });
     }
     postStart(run);
     while (!run.events.empty()) {
--- a/src/core/FairQueue.cpp
+++ b/src/core/FairQueue.cpp
@@ -66,6 +66,7 @@
     waiting.queued = std::move(request);
     waiting.giveUpAt = giveUpAt;
     waiting.givenUpFor.reset();
+    waiting.warm = {};
     waiting.generation += 1;
     waiting.inUse = true;
     waiting.account = accountOf(queue, waiting.queued.account);
--- a/src/core/FairQueue.h
+++ b/src/core/FairQueue.h
@@ -11,6 +11,7 @@
 #include "limpetpond/Ids.h"
 #include "limpetpond/Outcome.h"
 #include "limpetpond/Units.h"
+#include <array>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
 #include <limits>
@@ -31,6 +32,8 @@
     SteadyTime arrivedAt;
     int dispatchesSoFar { 0 };
     std::optional<TargetId> excludedTarget; ///< Failed this request before; taken only where no other is left.
+    std::uint64_t homeBlock { 0 }; ///< Set by `enqueue`: the last block that was asked for before; 0 for none.
+    TokenCount homeTokens; ///< Set by `enqueue`: prompt tokens up to that block.
     bool cancellable { true }; ///< False for non-idempotent calls: they are never cancelled once dispatched.
 };
 
@@ -44,10 +47,19 @@
 
 constexpr WaitingIndex noWaitingIndex = std::numeric_limits<WaitingIndex>::max();
 
+/// The targets whose caches make them the ones to wait for.
+struct WarmTargets {
+    std::array<std::uint32_t, 2> targets {};
+    std::uint32_t count { 0 };
+    double savedSeconds { 0 }; ///< Prompt time that they save over a target without the prefix.
+    SteadyTime checkedAt;
+};
+
 /// A waiting request with its place in its account's list.
 struct WaitingRequest {
     QueuedRequest queued;
     SteadyTime giveUpAt; ///< The deadline, or the end of the longest wait.
+    WarmTargets warm;
     std::optional<Reason> givenUpFor; ///< Set once it is only waiting to be shed.
     std::uint32_t account { 0 };
     std::uint32_t generation { 0 }; ///< Counts the uses of this slot.
@@ -96,6 +108,7 @@
     double virtualTime { 0 };
     int waiting { 0 }; ///< Includes those given up.
     TokenCount waitingTokens;
+    double meanWait { 0 }; ///< Seconds, of those dispatched lately.
 };
 
 /// Queues a request behind its account's others and returns its index.
--- a/src/core/PrefixIndex.cpp
+++ b/src/core/PrefixIndex.cpp
@@ -1,5 +1,6 @@
 #include "core/PrefixIndex.h"
 
+#include "core/Hash.h"
 #include <algorithm>
 #include <bit>
 
@@ -8,6 +9,8 @@
 namespace {
 
     constexpr std::size_t bitsPerWord = 64;
+    constexpr std::size_t seenWords = 8'192;
+    constexpr std::size_t seenPerGeneration = 65'536; // blocks
 
     std::size_t wordOf(const PrefixIndex& index, std::uint32_t entry, std::size_t target)
     {
@@ -80,6 +83,18 @@
         }
     }
 
+    // Writes the depth of the targets that are set in the word.
+    void writeMatched(std::uint64_t targets, std::size_t word, int depth, std::vector<int>& matched)
+    {
+        if (!depth)
+            return;
+        for (; targets; targets &= targets - 1) {
+            std::size_t target = word * bitsPerWord + static_cast<std::size_t>(std::countr_zero(targets));
+            if (target < matched.size())
+                matched[target] = depth;
+        }
+    }
+
     void widen(PrefixIndex& index, std::size_t words)
     {
         auto widened = [&](const std::vector<std::uint64_t>& old) {
@@ -97,6 +112,25 @@
 
 } // namespace
 
+void noteSeen(SeenBlocks& seen, std::uint64_t block)
+{
+    if (seen.current.empty() || seen.added >= seenPerGeneration) {
+        seen.previous.swap(seen.current);
+        seen.current.assign(seenWords, 0);
+        seen.added = 0;
+    }
+    std::size_t bit = mixed(block) % (seenWords * bitsPerWord);
+    seen.current[bit / bitsPerWord] |= bitOf(bit);
+    seen.added += 1;
+}
+
+bool wasSeen(const SeenBlocks& seen, std::uint64_t block)
+{
+    std::size_t bit = mixed(block) % (seenWords * bitsPerWord);
+    auto holds = [&](const std::vector<std::uint64_t>& words) { return !words.empty() && (words[bit / bitsPerWord] & bitOf(bit)); };
+    return holds(seen.current) || holds(seen.previous);
+}
+
 void resizeTargets(PrefixIndex& index, std::size_t targets)
 {
     std::size_t words = std::max<std::size_t>(1, (targets + bitsPerWord - 1) / bitsPerWord);
@@ -153,20 +187,22 @@
 {
     matched.assign(index.rings.size(), 0);
     std::fill(index.scratch.begin(), index.scratch.end(), ~std::uint64_t { 0 });
+    int depth = 0;
     for (std::uint64_t block : blocks) {
         auto found = index.entryOf.find(block);
-        if (found == index.entryOf.end())
-            return;
         std::uint64_t left = 0;
         for (std::size_t word = 0; word < index.wordsPerBlock; ++word) {
-            index.scratch[word] &= index.holders[found->second * index.wordsPerBlock + word];
+            std::uint64_t holders = found == index.entryOf.end() ? 0 : index.holders[found->second * index.wordsPerBlock + word];
+            writeMatched(index.scratch[word] & ~holders, word, depth, matched);
+            index.scratch[word] &= holders;
             left |= index.scratch[word];
-            for (std::uint64_t bits = index.scratch[word]; bits; bits &= bits - 1)
-                matched[word * bitsPerWord + static_cast<std::size_t>(std::countr_zero(bits))] += 1;
         }
         if (!left)
             return;
+        depth += 1;
     }
+    for (std::size_t word = 0; word < index.wordsPerBlock; ++word)
+        writeMatched(index.scratch[word], word, depth, matched);
 }
 
 } // namespace limpetpond
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -35,6 +35,21 @@
     std::vector<std::uint64_t> scratch;
 };
 
+/// Which blocks were asked for lately, whether a cache holds them or not; two generations of a
+/// bit set, so that memory stays bounded. A few blocks are taken for seen that were not.
+struct SeenBlocks {
+    std::vector<std::uint64_t> current;
+    std::vector<std::uint64_t> previous;
+    std::size_t added { 0 }; ///< Blocks noted in the current generation.
+};
+
+/// Notes a block; tells whether a block was noted lately.
+///
+///     noteSeen(seen, block);
+///     wasSeen(seen, block) == true;
+void noteSeen(SeenBlocks&, std::uint64_t block);
+bool wasSeen(const SeenBlocks&, std::uint64_t block);
+
 /// Makes room for `targets` targets; targets keep their numbers.
 ///
 ///     resizeTargets(index, 20);
--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -1,6 +1,8 @@
 #include "core/Routing.h"
 
+#include "core/Hash.h"
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <pcg_random.hpp>
 
@@ -9,65 +11,55 @@
 namespace {
 
     // Weights of the parts of a target's score, all in seconds.
-    constexpr double recomputeWeight = 1.5; // of computing prompt tokens that another target's cache holds or would hold
+    constexpr double recomputeWeight = 2; // of computing prompt tokens that another target's cache holds or would hold
     constexpr double decodeWeight = 0.3; // of the time from the first token to the last
     constexpr double spreadWeight = 0.5; // of the load, so that like targets fill evenly
-    constexpr double homeWeight = 0.5; // of the prompt's time, for the targets that aren't its home
+    constexpr double homeWeight = 12; // of the prompt's time, for the targets that aren't its home
 
     constexpr double unstartedShareOfOthers = 0.15; // of others' tokens, without own work to compare with
-    constexpr double headroomPerTier = 0.08; // of a limit, left free for each tier above
+    constexpr double headroomPerTier = 0.12; // of a limit, left free for each tier above
     constexpr double overshoot = 1.25; // of a limit, counting others' work, which is known late
-    constexpr std::size_t homeBlocks = 16; // blocks that choose a prompt's home
+    constexpr double warmShare = 0.8; // of the longest prefix that any target holds
+    constexpr double patienceOfSaved = 20; // of the prompt time that a warm target saves
+    constexpr double patienceOfWait = 0.5; // of what requests of the tier wait lately
+    constexpr double mostPatience = 0.55; // of a request's longest wait
+    constexpr Duration warmRecheck = std::chrono::milliseconds(500);
+    constexpr std::size_t homeBlocks = 16; // blocks by which the baseline of prefix hashes chooses
 
     double count(TokenCount tokens)
     {
         return static_cast<double>(tokens.count());
     }
 
-    bool isPlain(const TargetModel& target)
+    bool hasRoom(const PoolScheduler& pool, const TargetView& target, double tokens, double tierShare)
     {
-        return target.settings.kind == TargetKind::PlainService;
-    }
-
-    double ownRequestLimit(const PoolScheduler& pool, const TargetModel& target, double tierShare)
-    {
-        return std::max(1.0, target.settings.maxRequestsInProgress * pool.limitShare * target.weight * tierShare);
-    }
-
-    bool hasRequestRoom(const PoolScheduler& pool, const TargetModel& target, double tierShare)
-    {
-        if (target.requests + 1 > ownRequestLimit(pool, target, tierShare))
+        double ownRequests = std::max(1.0, target.requestLimit * pool.limitShare * tierShare);
+        if (target.ownRequests + 1 > ownRequests || target.allRequests + 1 > target.requestLimit * overshoot)
             return false;
-        return requestsInProgress(target) + 1 <= target.settings.maxRequestsInProgress * overshoot;
-    }
-
-    // A request larger than this instance's part goes to a target that has no other work of this instance.
-    bool hasTokenRoom(const PoolScheduler& pool, const TargetModel& target, TokenCount tokens, double tierShare)
-    {
-        if (isPlain(target))
+        if (pool.settings.kind != TargetKind::ModelEngine)
             return true;
-        double limit = count(target.settings.maxTokensInProgress) * target.weight * tierShare;
-        double all = count(tokensInProgress(target)) + count(tokens);
-        if (!target.requests)
-            return all <= limit || !requestsInProgress(target);
-        return count(target.tokens + tokens) <= limit * pool.limitShare && all <= limit * overshoot;
+        double limit = target.tokenLimit * tierShare;
+        double all = target.allTokens + tokens;
+        // A request larger than this instance's part goes to a target that has no other work of this instance.
+        if (target.ownRequests < 1)
+            return all <= limit || target.allRequests < 1;
+        return target.ownTokens + tokens <= limit * pool.limitShare && all <= limit * overshoot;
     }
 
-    bool isExcluded(const PoolScheduler& pool, const QueuedRequest& request, const TargetModel& target)
+    bool isExcluded(const PoolScheduler& pool, const QueuedRequest& request, std::size_t target)
     {
-        if (request.excludedTarget != target.settings.id)
+        if (request.excludedTarget != pool.targets[target].settings.id)
             return false;
         auto others = std::count_if(pool.targets.begin(), pool.targets.end(), takesWork);
         return others > 1;
     }
 
-    TokenCount cachedAt(const PoolScheduler& pool, const QueuedRequest& request, std::size_t target)
+    double cachedAt(const PoolScheduler& pool, const QueuedRequest& request, std::size_t target)
     {
-        if (request.prefixBlocks.empty() || target >= pool.matchedBlocks.size())
-            return {};
+        if (!pool.matchedBlocks[target])
+            return 0;
         double share = pool.matchedBlocks[target] / static_cast<double>(request.prefixBlocks.size());
-        double trusted = count(request.promptTokens) * share * pool.targets[target].cacheTrust;
-        return TokenCount(static_cast<std::int64_t>(trusted));
+        return count(request.promptTokens) * share * pool.views[target].cacheTrust;
     }
 
     // Prompt tokens that the target has still to compute, its own guess for the work of others included.
@@ -78,84 +70,111 @@
         return count(target.unstartedPrompt) + others * std::min(share, 1.0);
     }
 
-    // The finalizer of SplitMix64: every bit of the input changes half of the output's bits.
-    std::uint64_t mixed(std::uint64_t value)
+    // A number that all instances compute alike: the target with the lowest is the block's home.
+    std::uint64_t distanceFromHome(std::uint64_t block, std::uint64_t targetHash)
     {
-        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
-        value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
-        return value ^ (value >> 31);
+        return mixed(targetHash ^ block);
     }
 
-    // A number in [0, 1) that all instances compute alike: the target with the lowest is the prompt's home.
-    double distanceFromHome(const QueuedRequest& request, const TargetModel& target)
+    double tierShareOf(int tiersAbove)
     {
-        if (request.prefixBlocks.empty())
-            return 0;
-        std::size_t block = std::min(homeBlocks, request.prefixBlocks.size()) - 1;
-        std::uint64_t hash = mixed(target.idHash ^ request.prefixBlocks[block]);
-        return static_cast<double>(hash >> 11) / static_cast<double>(std::uint64_t { 1 } << 53);
+        return std::max(0.5, 1 - headroomPerTier * tiersAbove);
     }
 
-    double loadShare(const TargetModel& target)
+    // The target to which all instances send a known prompt that no cache holds; past the end for a new prompt.
+    std::size_t homeOf(const PoolScheduler& pool, const QueuedRequest& request)
     {
-        if (isPlain(target))
-            return requestsInProgress(target) / static_cast<double>(std::max(1, target.settings.maxRequestsInProgress));
-        return count(tokensInProgress(target)) / std::max(1.0, count(target.settings.maxTokensInProgress));
+        std::size_t home = pool.views.size();
+        if (!request.homeBlock)
+            return home;
+        std::uint64_t nearest = std::numeric_limits<std::uint64_t>::max();
+        for (std::size_t index = 0; index < pool.views.size(); ++index) {
+            if (!pool.views[index].takesWork)
+                continue;
+            std::uint64_t distance = distanceFromHome(request.homeBlock, pool.views[index].idHash);
+            if (distance >= nearest)
+                continue;
+            home = index;
+            nearest = distance;
+        }
+        return home;
     }
 
-    struct Score {
-        double value { std::numeric_limits<double>::infinity() };
-        RouteChoice choice;
-    };
-
-    Score scoreModel(const PoolScheduler& pool, const QueuedRequest& request, std::size_t index)
+    double scoreModel(const PoolScheduler& pool, const QueuedRequest& request, std::size_t index, std::size_t home)
     {
-        const TargetModel& target = pool.targets[index];
-        TokenCount cached = cachedAt(pool, request, index);
-        double uncached = count(request.promptTokens - cached);
-        double work = promptBacklog(target) + uncached;
-        double firstToken = target.firstTokenBase + work / target.prefillRate;
-        double decode = count(request.answerTokens) / target.decodeRate;
-        double recompute = uncached / target.prefillRate;
-        double value = firstToken + recomputeWeight * recompute + decodeWeight * decode + spreadWeight * loadShare(target)
-            + homeWeight * recompute * distanceFromHome(request, target);
-        return { .value = value,
-            .choice = { .target = index, .expectedCached = cached, .workBefore = work, .secondsToEnd = firstToken + decode } };
+        const TargetView& target = pool.views[index];
+        double recompute = (count(request.promptTokens) - cachedAt(pool, request, index)) * target.secondsPerPromptToken;
+        double homeRecompute = std::max(0.0, count(request.homeTokens) - cachedAt(pool, request, index)) * target.secondsPerPromptToken;
+        double awayFromHome = index == home ? 0 : homeWeight * homeRecompute;
+        double decode = decodeWeight * count(request.answerTokens) * target.secondsPerAnswerToken;
+        return target.backlogSeconds + (1 + recomputeWeight) * recompute + awayFromHome + decode + spreadWeight * target.load;
     }
 
-    Score scorePlain(const PoolScheduler& pool, std::size_t index)
+    RouteChoice choiceOf(const PoolScheduler& pool, const QueuedRequest& request, std::size_t index)
     {
-        const TargetModel& target = pool.targets[index];
-        double work = requestsInProgress(target) + 1.0;
-        return { .value = work / std::max(target.weight, 0.01), .choice = { .target = index } };
+        RouteChoice choice { .target = index };
+        if (pool.settings.kind != TargetKind::ModelEngine)
+            return choice;
+        const TargetView& view = pool.views[index];
+        double cached = cachedAt(pool, request, index);
+        double uncached = count(request.promptTokens) - cached;
+        double cachedSomewhere = 0;
+        for (std::size_t other = 0; other < pool.views.size(); ++other) {
+            if (pool.views[other].takesWork)
+                cachedSomewhere = std::max(cachedSomewhere, cachedAt(pool, request, other));
+        }
+        choice.expectedCached = TokenCount(static_cast<std::int64_t>(cached));
+        choice.cachedSomewhere = TokenCount(static_cast<std::int64_t>(cachedSomewhere));
+        choice.workBefore = promptBacklog(pool.targets[index]) + uncached;
+        choice.secondsToEnd = view.backlogSeconds + uncached * view.secondsPerPromptToken + count(request.answerTokens) * view.secondsPerAnswerToken;
+        return choice;
     }
 
     std::optional<RouteChoice> pickBest(PoolScheduler& pool, const QueuedRequest& request, int tiersAbove)
     {
-        double tierShare = std::max(0.5, 1 - headroomPerTier * tiersAbove);
-        TokenCount tokens = tokensOf(request);
+        double tierShare = tierShareOf(tiersAbove);
+        double tokens = count(tokensOf(request));
         bool isModel = pool.settings.kind == TargetKind::ModelEngine;
         if (isModel)
             matchAll(pool.prefixes, request.prefixBlocks, pool.matchedBlocks);
-        Score best;
-        TokenCount cachedSomewhere;
-        for (std::size_t index = 0; index < pool.targets.size(); ++index) {
-            const TargetModel& target = pool.targets[index];
-            if (!takesWork(target))
+        std::size_t home = homeOf(pool, request);
+        std::optional<std::size_t> best;
+        double bestScore = std::numeric_limits<double>::infinity();
+        for (std::size_t index = 0; index < pool.views.size(); ++index) {
+            const TargetView& target = pool.views[index];
+            if (!target.takesWork || !hasRoom(pool, target, tokens, tierShare) || isExcluded(pool, request, index))
                 continue;
-            if (isModel)
-                cachedSomewhere = std::max(cachedSomewhere, cachedAt(pool, request, index));
-            bool hasRoom = hasRequestRoom(pool, target, tierShare) && hasTokenRoom(pool, target, tokens, tierShare);
-            if (!hasRoom || isExcluded(pool, request, target))
+            double score = isModel ? scoreModel(pool, request, index, home) : target.load;
+            if (score >= bestScore)
                 continue;
-            Score score = isModel ? scoreModel(pool, request, index) : scorePlain(pool, index);
-            if (score.value < best.value)
-                best = score;
+            best = index;
+            bestScore = score;
         }
-        if (best.value == std::numeric_limits<double>::infinity())
+        if (!best)
             return std::nullopt;
-        best.choice.cachedSomewhere = cachedSomewhere;
-        return best.choice;
+        return choiceOf(pool, request, *best);
+    }
+
+    // Finds the targets that hold most of what any holds, or the home of a known prompt that none holds.
+    void findWarmTargets(PoolScheduler& pool, const QueuedRequest& request, WarmTargets& warm)
+    {
+        matchAll(pool.prefixes, request.prefixBlocks, pool.matchedBlocks);
+        warm.count = 0;
+        double most = 0;
+        for (std::size_t index = 0; index < pool.views.size(); ++index) {
+            if (pool.views[index].takesWork)
+                most = std::max(most, cachedAt(pool, request, index));
+        }
+        std::size_t home = homeOf(pool, request);
+        bool isHeld = most > 0 && most >= warmShare * count(request.homeTokens);
+        if (home < pool.views.size() && (!isHeld || cachedAt(pool, request, home) >= warmShare * most))
+            warm.targets[warm.count++] = static_cast<std::uint32_t>(home);
+        for (std::size_t index = 0; isHeld && index < pool.views.size() && warm.count < warm.targets.size(); ++index) {
+            if (index != home && pool.views[index].takesWork && cachedAt(pool, request, index) >= warmShare * most)
+                warm.targets[warm.count++] = static_cast<std::uint32_t>(index);
+        }
+        if (warm.count)
+            warm.savedSeconds = std::max(most, count(request.homeTokens)) * pool.views[warm.targets[0]].secondsPerPromptToken;
     }
 
     // ---- Baselines ----
@@ -209,11 +228,12 @@
     std::optional<std::size_t> pickByPrefix(const PoolScheduler& pool, const QueuedRequest& request)
     {
         std::optional<std::size_t> best;
-        double bestDistance = 0;
+        std::uint64_t bestDistance = 0;
+        std::uint64_t block = request.prefixBlocks.empty() ? 0 : request.prefixBlocks[std::min(homeBlocks, request.prefixBlocks.size()) - 1];
         for (std::size_t index = 0; index < pool.targets.size(); ++index) {
             if (!hasBaselineRoom(pool.targets[index]))
                 continue;
-            double distance = distanceFromHome(request, pool.targets[index]);
+            std::uint64_t distance = distanceFromHome(block, pool.targets[index].idHash);
             if (best && distance >= bestDistance)
                 continue;
             best = index;
@@ -251,6 +271,70 @@
     return target.isListed && target.settings.mark == TargetMark::Serving && target.weight > 0;
 }
 
+void viewTarget(PoolScheduler& pool, std::size_t index)
+{
+    const TargetModel& target = pool.targets[index];
+    TargetView& view = pool.views[index];
+    view.takesWork = takesWork(target);
+    view.tokenLimit = count(target.settings.maxTokensInProgress) * target.weight;
+    view.ownTokens = count(target.tokens);
+    view.allTokens = count(tokensInProgress(target));
+    view.requestLimit = target.settings.maxRequestsInProgress * target.weight;
+    view.ownRequests = target.requests;
+    view.allRequests = requestsInProgress(target);
+    view.secondsPerPromptToken = 1 / target.prefillRate;
+    view.secondsPerAnswerToken = 1 / target.decodeRate;
+    view.backlogSeconds = target.firstTokenBase + promptBacklog(target) * view.secondsPerPromptToken;
+    view.cacheTrust = target.cacheTrust;
+    view.idHash = target.idHash;
+    bool isModel = pool.settings.kind == TargetKind::ModelEngine;
+    view.load = isModel ? view.allTokens / std::max(1.0, view.tokenLimit) : (view.allRequests + 1) / std::max(0.01, target.weight);
+}
+
+void viewTargets(PoolScheduler& pool)
+{
+    pool.views.resize(pool.targets.size());
+    for (std::size_t index = 0; index < pool.targets.size(); ++index)
+        viewTarget(pool, index);
+}
+
+void findHome(PoolScheduler& pool, QueuedRequest& request)
+{
+    request.homeBlock = 0;
+    request.homeTokens = {};
+    for (std::size_t depth = 1; depth <= request.prefixBlocks.size(); depth *= 2) {
+        std::uint64_t block = request.prefixBlocks[depth - 1];
+        if (wasSeen(pool.seenBlocks, block)) {
+            request.homeBlock = block;
+            request.homeTokens = TokenCount(request.promptTokens.count() * static_cast<std::int64_t>(depth) / static_cast<std::int64_t>(request.prefixBlocks.size()));
+        }
+        noteSeen(pool.seenBlocks, block);
+    }
+}
+
+bool waitsForWarmTarget(PoolScheduler& pool, WaitingRequest& waiting, int tiersAbove, double meanWait, SteadyTime now)
+{
+    if (waiting.queued.prefixBlocks.empty() || pool.settings.kind != TargetKind::ModelEngine)
+        return false;
+    if (now - waiting.warm.checkedAt > warmRecheck) {
+        findWarmTargets(pool, waiting.queued, waiting.warm);
+        waiting.warm.checkedAt = now;
+    }
+    double longest = std::chrono::duration<double>(waiting.giveUpAt - waiting.queued.arrivedAt).count();
+    double patience = std::min(patienceOfSaved * waiting.warm.savedSeconds + patienceOfWait * meanWait, longest * mostPatience);
+    double waited = std::chrono::duration<double>(now - waiting.queued.arrivedAt).count();
+    if (waited > patience)
+        return false;
+    double tokens = count(tokensOf(waiting.queued));
+    double tierShare = tierShareOf(tiersAbove);
+    for (std::uint32_t i = 0; i < waiting.warm.count; ++i) {
+        const TargetView& target = pool.views[waiting.warm.targets[i]];
+        if (target.takesWork && hasRoom(pool, target, tokens, tierShare))
+            return false;
+    }
+    return waiting.warm.count > 0;
+}
+
 std::optional<RouteChoice> pickTarget(PoolScheduler& pool, const QueuedRequest& request, int tiersAbove)
 {
     switch (pool.policy) {
@@ -279,7 +363,7 @@
         const TargetModel& target = pool.targets[index];
         if (!takesWork(target))
             continue;
-        double uncached = count(request.promptTokens - cachedAt(pool, request, index));
+        double uncached = count(request.promptTokens) - cachedAt(pool, request, index);
         double prefillRate = std::max(target.prefillRate, target.settings.prefillRate.perSecond);
         double decodeRate = std::max(target.decodeRate, target.settings.decodeRate.perSecond);
         shortest = std::min(shortest, uncached / prefillRate + count(request.answerTokens) / decodeRate);
--- a/src/core/Routing.h
+++ b/src/core/Routing.h
@@ -17,13 +17,34 @@
     double secondsToEnd { 0 }; ///< Expected time from dispatch to the last token.
 };
 
+/// Works out what routing reads of all targets, or of one whose work changed.
+///
+///     viewTargets(pool);
+///     std::optional<RouteChoice> choice = pickTarget(pool, request, 0);
+void viewTargets(PoolScheduler&);
+void viewTarget(PoolScheduler&, std::size_t target);
+
+/// Finds the part of the prompt that was asked for before, and notes the prompt.
+///
+///     findHome(pool, request);
+///     request.homeTokens;
+void findHome(PoolScheduler&, QueuedRequest&);
+
 /// Picks by the pool's policy among the targets that have room; none where no target has room.
 /// `tiersAbove` counts the tiers above the request's: lower tiers leave a part of each limit free for them.
+/// Reads what `viewTargets` worked out.
 ///
 ///     std::optional<RouteChoice> choice = pickTarget(pool, request, 0);
 ///     if (choice) dispatch(pool.targets[choice->target].settings.id);
 std::optional<RouteChoice> pickTarget(PoolScheduler&, const QueuedRequest&, int tiersAbove);
 
+/// True where the request should rather wait for a target that holds its prefix, none of which has room now,
+/// than have its prompt computed again elsewhere. `meanWait` is what requests of its tier wait lately, in seconds.
+///
+///     if (waitsForWarmTarget(pool, waiting, 0, queue.meanWait, now))
+///         continue;
+bool waitsForWarmTarget(PoolScheduler&, WaitingRequest&, int tiersAbove, double meanWait, SteadyTime now);
+
 /// The shortest time in which any target that serves could complete the request if it had no other work.
 ///
 ///     if (now + shortestTime(pool, request) > *request.deadline)
--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -10,11 +10,14 @@
 
     constexpr Duration refreshPeriod = std::chrono::milliseconds(50);
     constexpr double pressedQueueShare = 0.75; // of the pool's bound
-    constexpr double pressedWaitShare = 0.4; // of a request's longest wait, counted from its end
+    constexpr double pressedWaitShare = 0.25; // of a request's longest wait, counted from its end
     constexpr int confirmationHeartbeats = 4; // that a floor may take to be confirmed
     constexpr int floorHoldHeartbeats = 10; // without pressure before a floor is lowered
     constexpr int preemptionGraceHeartbeats = 3; // that lower work may go on under a new floor
-    constexpr std::size_t headsTried = 4; // accounts whose next request may be tried for room
+    constexpr std::size_t accountsTried = 8; // in one tier for one decision
+    constexpr int requestsTried = 12; // of one account, that may rather wait for a warm target
+    constexpr std::size_t overdueChecks = 128; // running requests at a time
+    constexpr double waitGain = 0.05;
     constexpr double shareBase = 2'000; // tokens of demand that every instance is granted
     constexpr double smallestShareOfEven = 0.25;
     constexpr double overdueFactor = 1.5; // of the expected time to the first token
@@ -147,9 +150,13 @@
             eject(target, now);
     }
 
+    // Looks at a few running requests at a time, so that no single decision pays for all.
     void learnFromOverdue(PoolScheduler& pool, SteadyTime now)
     {
-        for (const RunningRequest& running : pool.running.slots) {
+        std::size_t checks = std::min(overdueChecks, pool.running.slots.size());
+        for (std::size_t i = 0; i < checks; ++i) {
+            pool.nextOverdueCheck = (pool.nextOverdueCheck + 1) % pool.running.slots.size();
+            const RunningRequest& running = pool.running.slots[pool.nextOverdueCheck];
             if (!running.inUse || running.startedAt)
                 continue;
             TargetModel& target = pool.targets[running.target];
@@ -436,40 +443,81 @@
         return now + needed > *request.deadline && now + shortestTime(pool, request) > *request.deadline;
     }
 
+    enum class TurnResult {
+        Dispatched,
+        GivenUp,
+        WaitsForWarmTarget,
+        NoRoom,
+    };
+
+    void dispatchWaiting(PoolScheduler& pool, FairQueue& queue, WaitingIndex index, const RouteChoice& choice, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    {
+        charge(queue, pool.waiting.slots[index]);
+        QueuedRequest request = take(pool.waiting, queue, index);
+        pool.waitingCount -= 1;
+        double waited = std::chrono::duration<double>(now - request.arrivedAt).count();
+        queue.meanWait += waitGain * (waited - queue.meanWait);
+        decisions.emplace_back(DispatchDecision { .request = request.request, .target = pool.targets[choice.target].settings.id });
+        startWork(pool, std::move(request), choice, now);
+        viewTarget(pool, choice.target);
+    }
+
+    TurnResult takeTurn(PoolScheduler& pool, TierState& tier, int above, WaitingIndex index, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    {
+        WaitingRequest& waiting = pool.waiting.slots[index];
+        if (!isBaseline(pool) && waitsForWarmTarget(pool, waiting, above, tier.queue.meanWait, now))
+            return TurnResult::WaitsForWarmTarget;
+        std::optional<RouteChoice> choice = pickTarget(pool, waiting.queued, above);
+        if (!choice)
+            return TurnResult::NoRoom;
+        if (!isTooLate(pool, waiting.queued, *choice, now)) {
+            dispatchWaiting(pool, tier.queue, index, *choice, now, decisions);
+            return TurnResult::Dispatched;
+        }
+        if (isImpossible(pool, waiting.queued))
+            shed(pool, tier, index, Reason::DeadlineExceeded, now, decisions);
+        else
+            giveUp(pool.waiting, tier.queue, index, Reason::DeadlineExceeded);
+        return TurnResult::GivenUp;
+    }
+
+    // Tries an account's requests in order until one leaves the queue or one fits nowhere.
+    TurnResult takeAccountsTurn(PoolScheduler& pool, TierState& tier, int above, WaitingIndex first, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    {
+        WaitingIndex index = first;
+        for (int tried = 0; tried < requestsTried && index != noWaitingIndex; ++tried) {
+            WaitingIndex next = pool.waiting.slots[index].next;
+            TurnResult result = takeTurn(pool, tier, above, index, now, decisions);
+            if (result != TurnResult::WaitsForWarmTarget)
+                return result;
+            index = next;
+        }
+        return TurnResult::WaitsForWarmTarget;
+    }
+
     // Dispatches the tier's requests in turn; false where one is left that fits nowhere.
     bool dispatchTier(PoolScheduler& pool, TierLevel level, TierState& tier, SteadyTime now, std::vector<SchedulerDecision>& decisions)
     {
         int above = tiersAbove(pool, level);
+        bool isBlocked = false;
         pool.skippedAccounts.clear();
-        while (pool.skippedAccounts.size() < headsTried) {
-            WaitingIndex next = nextInTurn(tier.queue, pool.skippedAccounts);
-            if (next == noWaitingIndex)
+        while (pool.skippedAccounts.size() < accountsTried) {
+            WaitingIndex first = nextInTurn(tier.queue, pool.skippedAccounts);
+            if (first == noWaitingIndex)
                 break;
-            WaitingRequest& waiting = pool.waiting.slots[next];
-            std::optional<RouteChoice> choice = pickTarget(pool, waiting.queued, above);
-            if (!choice) {
-                pool.skippedAccounts.push_back(waiting.account);
-                continue;
-            }
-            if (isTooLate(pool, waiting.queued, *choice, now)) {
-                if (isImpossible(pool, waiting.queued)) {
-                    shed(pool, tier, next, Reason::DeadlineExceeded, now, decisions);
-                    continue;
-                }
-                giveUp(pool.waiting, tier.queue, next, Reason::DeadlineExceeded);
-                continue;
-            }
-            charge(tier.queue, waiting);
-            QueuedRequest request = take(pool.waiting, tier.queue, next);
-            pool.waitingCount -= 1;
-            decisions.emplace_back(DispatchDecision { .request = request.request, .target = pool.targets[choice->target].settings.id });
-            startWork(pool, std::move(request), *choice, now);
+            std::uint32_t account = pool.waiting.slots[first].account;
+            TurnResult result = takeAccountsTurn(pool, tier, above, first, now, decisions);
+            if (result == TurnResult::NoRoom)
+                isBlocked = true;
+            if (result == TurnResult::NoRoom || result == TurnResult::WaitsForWarmTarget)
+                pool.skippedAccounts.push_back(account);
         }
-        return tier.queue.active.empty();
+        return !isBlocked;
     }
 
     void dispatchAll(PoolScheduler& pool, SteadyTime now, std::vector<SchedulerDecision>& decisions)
     {
+        viewTargets(pool);
         bool onlyHighest = hasUnheardPeer(pool.floors);
         bool isFirst = true;
         for (auto entry = pool.tiers.rbegin(); entry != pool.tiers.rend(); ++entry) {
@@ -528,6 +576,8 @@
     SteadyTime giveUpAt = request.arrivedAt + pool.settings.maxWait;
     if (request.deadline)
         giveUpAt = std::min(giveUpAt, *request.deadline);
+    if (pool.settings.kind == TargetKind::ModelEngine && !isBaseline(pool))
+        findHome(pool, request);
     FairQueue& queue = pool.tiers[request.tier].queue;
     push(pool.waiting, queue, std::move(request), share, giveUpAt);
     pool.waitingCount += 1;
@@ -619,6 +669,8 @@
     auto found = pool.targetIndex.find(change.target);
     if (found == pool.targetIndex.end())
         return;
+    for (std::uint64_t block : change.added)
+        noteSeen(pool.seenBlocks, block);
     insert(pool.prefixes, found->second, change.added);
     erase(pool.prefixes, found->second, change.evicted);
 }
--- a/src/core/SchedulerState.h
+++ b/src/core/SchedulerState.h
@@ -63,6 +63,23 @@
     bool isListed { false }; ///< In the settings.
 };
 
+/// What routing reads of one target, worked out once for all requests of one decision.
+struct TargetView {
+    bool takesWork { false };
+    double tokenLimit { 0 }; ///< Of all instances, at the target's weight.
+    double ownTokens { 0 };
+    double allTokens { 0 };
+    double requestLimit { 0 }; ///< Of all instances, at the target's weight.
+    double ownRequests { 0 };
+    double allRequests { 0 };
+    double backlogSeconds { 0 }; ///< Until a prompt that is sent now begins to be computed.
+    double secondsPerPromptToken { 0 };
+    double secondsPerAnswerToken { 0 };
+    double load { 0 }; ///< Share of its limit in progress.
+    double cacheTrust { 1 };
+    std::uint64_t idHash { 0 };
+};
+
 struct SchedulerCounters {
     TokenCount computedPrefill;
     TokenCount wastedPrefill;
@@ -87,6 +104,7 @@
     std::vector<TargetModel> targets; ///< A target keeps its place.
     std::map<TargetId, std::size_t> targetIndex;
     PrefixIndex prefixes;
+    SeenBlocks seenBlocks;
 
     FloorState floors;
     RetryBudget retries;
@@ -97,7 +115,9 @@
     std::size_t nextRoundRobin { 0 };
     double limitShare { 1 }; ///< This instance's part of each target's limits.
     SteadyTime refreshedAt;
+    std::size_t nextOverdueCheck { 0 }; ///< The running slot that is looked at next.
 
+    std::vector<TargetView> views; ///< Scratch: what routing reads of each target, in the same order.
     std::vector<int> matchedBlocks; ///< Scratch: blocks of the request at hand by target.
     std::vector<std::uint32_t> skippedAccounts; ///< Scratch: accounts whose next request fits nowhere now.
 };
--- a/src/core/TargetModel.cpp
+++ b/src/core/TargetModel.cpp
@@ -1,5 +1,6 @@
 #include "core/TargetModel.h"
 
+#include "core/Hash.h"
 #include <algorithm>
 #include <chrono>
 
@@ -32,15 +33,6 @@
         return std::clamp(rate, expected * slowestRateShare, expected * fastestRateShare);
     }
 
-    // FNV-1a.
-    std::uint64_t stableHash(const std::string& text)
-    {
-        std::uint64_t hash = 0xcbf29ce484222325;
-        for (char c : text)
-            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
-        return hash;
-    }
-
     WorkSample ownWorkAt(const TargetModel& target, SteadyTime at)
     {
         WorkSample best;
--- /dev/null
+++ b/test/RoutingTest.cpp
@@ -0,0 +1,106 @@
+#include "core/Routing.h"
+#include "core/Scheduler.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using std::chrono::seconds;
+
+TEST_GROUP(Routing)
+{
+    SteadyTime now { seconds(3600) };
+    Settings settings;
+    PoolScheduler pool = makePoolScheduler(PoolId("drafts"), InstanceId("a"), 1);
+    std::vector<std::uint64_t> document = std::vector<std::uint64_t>(40);
+
+    void setup() override
+    {
+        settings.pools[PoolId("drafts")] = { .id = PoolId("drafts") };
+        settings.tiers = { { .name = "only", .level = { 0 } } };
+        for (const char* id : { "engine-1", "engine-2", "engine-3" })
+            settings.targets[TargetId(id)] = { .id = TargetId(id), .pool = PoolId("drafts"), .maxRequestsInProgress = 1 };
+        applySettings(pool, settings, now);
+        viewTargets(pool);
+        for (std::size_t i = 0; i < document.size(); ++i)
+            document[i] = 1'000 + i;
+    }
+
+    WaitingRequest ask()
+    {
+        WaitingRequest waiting { .queued = { .request = RequestId("r"), .promptTokens = TokenCount(2'560), .answerTokens = TokenCount(100), .prefixBlocks = document, .arrivedAt = now }, .giveUpAt = now + seconds(20) };
+        findHome(pool, waiting.queued);
+        return waiting;
+    }
+
+    void occupy(const char* id)
+    {
+        std::size_t place = pool.targetIndex.at(TargetId(id));
+        addOwnWork(pool.targets[place], TokenCount(100), 1, now);
+        viewTarget(pool, place);
+    }
+};
+
+TEST(Routing, aPromptIsKnownFromItsSecondArrivalOn)
+{
+    CHECK(ask().queued.homeTokens == TokenCount(0));
+    CHECK(ask().queued.homeTokens > TokenCount(2'000));
+}
+
+TEST(Routing, aBlockIsKnownFromACacheEventOfAnotherInstancesWork)
+{
+    cacheChanged(pool, { .target = TargetId("engine-1"), .added = document });
+    CHECK(ask().queued.homeTokens > TokenCount(2'000));
+}
+
+TEST(Routing, instancesAgreeOnTheHomeOfAKnownPrompt)
+{
+    PoolScheduler other = makePoolScheduler(PoolId("drafts"), InstanceId("b"), 2);
+    applySettings(other, settings, now);
+    viewTargets(other);
+    ask();
+    WaitingRequest known = ask();
+    LONGS_EQUAL(pickTarget(pool, known.queued, 0)->target, pickTarget(other, known.queued, 0)->target);
+}
+
+TEST(Routing, waitsForABusyTargetThatHoldsThePrefixButNotForever)
+{
+    cacheChanged(pool, { .target = TargetId("engine-2"), .added = document });
+    WaitingRequest waiting = ask();
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now));
+    occupy("engine-2");
+    CHECK(waitsForWarmTarget(pool, waiting, 0, 0, now));
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now + seconds(15)));
+}
+
+TEST(Routing, aNewPromptWaitsForNoTarget)
+{
+    WaitingRequest waiting = ask();
+    occupy("engine-1");
+    occupy("engine-2");
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now));
+}
+
+TEST(Routing, noTargetWithRoomMeansNoChoice)
+{
+    for (const char* id : { "engine-1", "engine-2", "engine-3" })
+        occupy(id);
+    CHECK_FALSE(pickTarget(pool, ask().queued, 0).has_value());
+}
+
+TEST(Routing, theExcludedTargetIsTakenOnlyWhereNoOtherServes)
+{
+    WaitingRequest waiting = ask();
+    waiting.queued.excludedTarget = TargetId("engine-1");
+    CHECK(pickTarget(pool, waiting.queued, 0)->target != pool.targetIndex.at(TargetId("engine-1")));
+    for (const char* id : { "engine-2", "engine-3" })
+        settings.targets[TargetId(id)].mark = TargetMark::Leaving;
+    applySettings(pool, settings, now);
+    viewTargets(pool);
+    LONGS_EQUAL(pool.targetIndex.at(TargetId("engine-1")), pickTarget(pool, waiting.queued, 0)->target);
+}
+
+TEST(Routing, anUnknownPolicyNameMeansOurs)
+{
+    CHECK(routingPolicyOf("nonsense") == RoutingPolicy::Limpetpond);
+    CHECK(routingPolicyOf("two_choices") == RoutingPolicy::TwoChoices);
+}
