Cleaning marks: a conflict is proposed anew instead of counted as settled

Cause: an operator's edit of the target's branch between the schedule's look and its write made the return of the target 'settled', so that it would have stayed out of service until the next window.

--- a/src/daemon/PlatformIo.cpp
+++ b/src/daemon/PlatformIo.cpp
@@ -206,13 +206,12 @@
 
     MarkAnswered mark(const PlatformClients& clients, const MarkTarget& wanted)
     {
-        // A conflict means that the branch was edited since, so that this step is no longer wanted.
+        // After a conflict the schedule proposes the step anew, based on the branch as it is by then.
         return boost::leaf::try_handle_all(
             [&]() -> Result<MarkAnswered> {
                 BOOST_LEAF_CHECK(acceptInto(clients.holder, clients.store, markChange(wanted), clients.clock.systemNow()));
                 return MarkAnswered { .change = wanted.change, .settled = true };
             },
-            [&](const SettingsConflict&) { return MarkAnswered { .change = wanted.change, .settled = true }; },
             [&] { return MarkAnswered { .change = wanted.change, .settled = false }; });
     }
 
