Tests of the operators' service and the tool; effects of new branches show their own values only

Cause: a new branch listed every default in its effects (25 lines for one edit, seen against real daemons). The status test found that a long instance id cut off the state of a suspected peer; ids now keep to their column. The tool's flags stand apart from its commands: the daemon has flags of the same names.

--- a/src/core/SettingsResolve.cpp
+++ b/src/core/SettingsResolve.cpp
@@ -432,16 +432,19 @@
             return all;
         }
 
-        using EffectMap = std::map<std::pair<std::string, std::string>, json::value>;
+        using EffectMap = std::map<std::pair<std::string, std::string>, ExplainedField>;
 
         EffectMap valuesByField(const SettingsTree& tree)
         {
             EffectMap values;
             for (ExplainedField& field : explainAll(tree))
-                values.emplace(std::pair(field.path, field.field), std::move(field.value));
+                values.emplace(std::pair(field.path, field.field), std::move(field));
             return values;
         }
 
+        /// Of a branch that comes or goes, only the values that it sets itself are worth telling.
+        bool isOwn(const ExplainedField& field) { return field.inheritedFrom == field.path; }
+
     } // namespace
 
 } // namespace detail
@@ -497,18 +500,21 @@
 {
     detail::EffectMap old = detail::valuesByField(before);
     std::vector<SettingsEffect> list;
-    for (auto& [key, value] : detail::valuesByField(after)) {
+    for (const auto& [key, field] : detail::valuesByField(after)) {
         auto was = old.find(key);
         if (was == old.end()) {
-            list.push_back({ .path = key.first, .field = key.second, .after = value });
+            if (detail::isOwn(field))
+                list.push_back({ .path = field.path, .field = field.field, .after = field.value });
             continue;
         }
-        if (was->second != value)
-            list.push_back({ .path = key.first, .field = key.second, .before = was->second, .after = value });
+        if (was->second.value != field.value)
+            list.push_back({ .path = field.path, .field = field.field, .before = was->second.value, .after = field.value });
         old.erase(was);
     }
-    for (auto& [key, value] : old)
-        list.push_back({ .path = key.first, .field = key.second, .before = value });
+    for (const auto& [key, field] : old) {
+        if (detail::isOwn(field))
+            list.push_back({ .path = field.path, .field = field.field, .before = field.value });
+    }
     std::ranges::sort(list, {}, [](const SettingsEffect& effect) { return std::tie(effect.path, effect.field); });
     return list;
 }
--- a/src/tool/CommandLine.h
+++ b/src/tool/CommandLine.h
@@ -5,7 +5,6 @@
 #include "limpetpond/Errors.h"
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -61,15 +60,12 @@
     bool version { false };
 };
 
-/// Parses the command line by Abseil flags, with the environment for what no flag gives.
-/// Hyphens and underscores in flag names are the same. Errors: InvalidSetting.
-///
-///     Result<ToolCommand> command = parseToolCommand(argc, argv, { { "LIMPETPOND_INSTANCES", "127.0.0.1:9090" } });
-Result<ToolCommand> parseToolCommand(int argc, char** argv, const std::map<std::string, std::string>& environment);
-
 /// Parses `IP:PORT,IP:PORT`. Errors: InvalidSetting.
 Result<std::vector<Address>> parseAddresses(const std::string& name, std::string_view text);
 
+/// Whether any command has this flag; names with underscores, without dashes.
+bool isToolFlag(const std::string& name);
+
 /// The help of a command such as `settings set`; the commands below it for a group; empty for an unknown one.
 std::string helpText(const std::vector<std::string>& words);
 
--- a/src/tool/StatusView.cpp
+++ b/src/tool/StatusView.cpp
@@ -85,7 +85,7 @@
                 const json::object& peer = item.as_object();
                 if (textOf(peer, "state") == "live")
                     continue;
-                addLine(out, "  " + textOf(peer, "instance") + " is " + textOf(peer, "state") + ", last heard " + textOf(peer, "lastHeardMs") + " ms ago");
+                addLine(out, "  " + cell(textOf(peer, "instance"), 16) + "is " + textOf(peer, "state") + ", last heard " + textOf(peer, "lastHeardMs") + " ms ago");
             }
         }
 
@@ -124,7 +124,7 @@
             for (const InstanceAnswer& answer : answers) {
                 json::object status = answer.status ? parseObject(*answer.status) : json::object();
                 for (const json::value& item : listOf(status, "alarms"))
-                    lines.insert("ALARM " + textOf(status, "instance") + " " + textOf(item.as_object(), "alarm") + ": " + textOf(item.as_object(), "subject"));
+                    lines.insert("ALARM " + cell(textOf(status, "instance"), 16) + textOf(item.as_object(), "alarm") + ": " + textOf(item.as_object(), "subject"));
             }
             if (!lines.empty())
                 out += "\n";
--- a/src/tool/program/main.cpp
+++ b/src/tool/program/main.cpp
@@ -1,6 +1,7 @@
 /// The operators' command-line tool.
 
 #include "tool/Commands.h"
+#include "tool/program/ParseToolCommand.h"
 
 #include <iostream>
 #include <thrift/TOutput.h>
--- a/test/SettingsReplicaTest.cpp
+++ b/test/SettingsReplicaTest.cpp
@@ -1,5 +1,5 @@
-#include "core/Guard.h"
 #include "core/SettingsReplica.h"
+#include "core/Guard.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/SettingsTreeTest.cpp
+++ b/test/SettingsTreeTest.cpp
@@ -306,6 +306,15 @@
     STRCMP_EQUAL("pool/drafts 64>10;site 64>10;target/e1 64>10;target/e2 64>10;", text.c_str());
 }
 
+TEST(SettingsTree, effectsOfANewBranchAreItsOwnValues)
+{
+    SettingsTree before = smallTree();
+    std::vector<SettingsEffect> list = effects(before, accept(before, { edit("pool/new", "maxWaiting", "7") }));
+    LONGS_EQUAL(1, list.size());
+    STRCMP_EQUAL("maxWaiting", list[0].field.c_str());
+    CHECK_FALSE(list[0].before.has_value());
+}
+
 TEST(SettingsTree, jsonRoundTripGivesEqualBytes)
 {
     SettingsTree tree = accept(smallTree(), { edit("pool/drafts", "retryBudget", "0.25"), edit("account/ana", "weight", "3") }, "bo\"ris");
