--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -25,7 +25,7 @@
 
     TargetNews news(std::uint64_t mark, int requests) const
     {
-        return { .target = target, .tokensInProgress = TokenCount(100 * requests), .requestsInProgress = requests, .leavingMarkVersion = SettingsVersion(mark) };
+        return { .target = target, .tokensInProgress = TokenCount(100L * requests), .requestsInProgress = requests, .leavingMarkVersion = SettingsVersion(mark) };
     }
 
     void own(std::uint64_t mark, int requests) { noteOwnWork(tracker, Incarnation(1), { news(mark, requests) }, now); }
--- a/test/SettingsReplicaTest.cpp
+++ b/test/SettingsReplicaTest.cpp
@@ -15,7 +15,7 @@
     void setup() override { list({ "a", "b", "c", "d" }); }
     void teardown() override { disableGuard(GuardId::None); }
 
-    void list(std::vector<std::string> names)
+    void list(const std::vector<std::string>& names)
     {
         InstanceListRead read;
         for (const std::string& name : names)
