Traffic: cancel also while a slow caller is written to; abort running dispatches

Cause: a cancel waited in the ticket while the traffic thread was blocked in a write to its caller, for up to the write timeout; and the end of a drain's time left claimed dispatches running, whose end nobody recorded. Change: the control thread marks the ticket as well, which the dispatch's thread looks at between pieces; abortAll breaks off what runs, so that the claim is recorded as lost. Red without either: cancelReachesTheDispatchOfACallerThatReadsNothing and abortBreaksTheDispatchOfAClaimedCallOff; green with both.

--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -159,8 +159,11 @@
 void ControlThread::toTicket(const RequestId& request, TicketMessage message)
 {
     auto found = m_tickets.find(request);
-    if (found != m_tickets.end())
-        found->second->mailbox.post(std::move(message));
+    if (found == m_tickets.end())
+        return;
+    if (std::holds_alternative<CancelDispatch>(message))
+        found->second->cancelRequested = true;
+    found->second->mailbox.post(std::move(message));
 }
 
 void ControlThread::publish(SteadyTime now)
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -235,7 +235,7 @@
         logLine(LogLevel::Warning, "drain_limit_reached", { { "open_requests", parts.traffic.openRequests() } });
         parts.traffic.abortAll();
         SteadyTime graceEnd = parts.clock.steadyNow() + kAbortGrace;
-        while (parts.traffic.openRequests() && parts.clock.steadyNow() < graceEnd)
+        while (!isIdle() && parts.clock.steadyNow() < graceEnd)
             std::this_thread::sleep_for(kDrainPollPeriod);
     }
     parts.callerServer.stop();
--- a/src/daemon/Ticket.h
+++ b/src/daemon/Ticket.h
@@ -37,6 +37,7 @@
 /// One request's mailbox. The control thread and the dispatch's thread post, the traffic thread receives.
 struct Ticket {
     Mailbox<TicketMessage> mailbox;
+    std::atomic<bool> cancelRequested { false }; ///< Of the dispatch under way, also while the traffic thread waits for a slow caller.
     std::atomic<std::int64_t> heldBytes { 0 }; ///< Bytes of pieces that the caller hasn't been sent yet.
 };
 
--- a/src/daemon/Traffic.cpp
+++ b/src/daemon/Traffic.cpp
@@ -205,6 +205,7 @@
             if (m_final)
                 return;
             m_waiting.release();
+            m_ticket->cancelRequested = false;
             m_attempt = std::make_shared<Attempt>();
             m_attempt->dispatch = dispatch;
             m_attempt->ticket = m_ticket;
@@ -699,16 +700,37 @@
         [&] { Conversation::fillError(response, { .status = 500, .outcome = Outcome::Unknown, .reason = Reason::AnswerLost }, id); });
 }
 
+int Traffic::runningDispatches() const
+{
+    std::lock_guard lock(m_attemptsMutex);
+    return static_cast<int>(m_attempts.size());
+}
+
+void Traffic::abortAll()
+{
+    m_aborting = true;
+    std::lock_guard lock(m_attemptsMutex);
+    for (const auto& attempt : m_attempts)
+        attempt->stop.request();
+}
+
 void Traffic::startAttempt(const std::shared_ptr<detail::Attempt>& attempt)
 {
-    m_dispatching.fetch_add(1);
-    bool isTaken = m_workers.submit([this, attempt] {
+    {
+        std::lock_guard lock(m_attemptsMutex);
+        m_attempts.insert(attempt);
+    }
+    auto forget = [this, attempt] {
+        std::lock_guard lock(m_attemptsMutex);
+        m_attempts.erase(attempt);
+    };
+    bool isTaken = m_workers.submit([this, attempt, forget] {
         runAttempt(*attempt);
-        m_dispatching.fetch_sub(1);
+        forget();
     });
     if (isTaken)
         return;
-    m_dispatching.fetch_sub(1);
+    forget();
     const Dispatch& dispatch = attempt->dispatch;
     attempt->ticket->mailbox.post(AttemptEnded { .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted, .detail = "no thread is free" });
     m_control.post(DispatchEnded { .request = dispatch.request, .attempt = dispatch.attempt, .end = DispatchEnd::NotStarted });
@@ -758,9 +780,10 @@
                 return false;
             attempt.ticket->heldBytes += bytes;
             attempt.ticket->mailbox.post(StreamedChunk { dispatch.attempt, chunk });
-            while (attempt.ticket->heldBytes > options.maxStreamBuffer.count() && !attempt.stop.isRequested() && !attempt.isAbandoned)
+            auto isCancelled = [&attempt] { return attempt.stop.isRequested() || attempt.ticket->cancelRequested; };
+            while (attempt.ticket->heldBytes > options.maxStreamBuffer.count() && !isCancelled() && !attempt.isAbandoned)
                 std::this_thread::sleep_for(kBackpressureSlice);
-            return true;
+            return !isCancelled();
         };
         EngineCallEnd end = calls.engine({ target.id, { target.host, target.port } }, call, handlers, attempt.stop);
         return { .forTicket = { .attempt = dispatch.attempt, .end = end.end, .answer = std::move(end.error), .promptTokens = end.promptTokens, .cachedPromptTokens = end.cachedPromptTokens, .started = started, .detail = std::move(end.detail) },
--- a/src/daemon/Traffic.h
+++ b/src/daemon/Traffic.h
@@ -14,6 +14,8 @@
 #include <functional>
 #include <httplib.h>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace limpetpond {
@@ -64,13 +66,13 @@
     int openRequests() const { return m_open.load(); }
 
     /// Dispatches that still run; a claimed one may outlive its caller.
-    int runningDispatches() const { return m_dispatching.load(); }
+    int runningDispatches() const;
 
     /// From now on `/readyz` says no.
     void beginDrain() { m_draining = true; }
 
-    /// Ends every running request with an explicit error, since the time for draining is over.
-    void abortAll() { m_aborting = true; }
+    /// Ends every running request with an explicit error and breaks off its dispatch, since the time for draining is over.
+    void abortAll();
 
 private:
     friend class detail::Conversation;
@@ -91,7 +93,8 @@
     std::atomic<std::uint64_t> m_lastRequest { 0 };
     std::atomic<int> m_open { 0 };
     std::atomic<int> m_waiting { 0 };
-    std::atomic<int> m_dispatching { 0 };
+    mutable std::mutex m_attemptsMutex;
+    std::set<std::shared_ptr<detail::Attempt>> m_attempts; ///< Those that run.
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_aborting { false };
     WorkerPool m_workers;
--- a/test/TrafficTest.cpp
+++ b/test/TrafficTest.cpp
@@ -439,3 +439,48 @@
     connection.readUntil("[DONE]");
     LONGS_EQUAL(chunks, given);
 }
+
+TEST(Traffic, cancelReachesTheDispatchOfACallerThatReadsNothing)
+{
+    options.maxStreamBuffer = ByteCount { 16 * 1024 };
+    calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
+        const EngineChunk large = chunkOf(std::string(4096, 'x'));
+        for (int i = 0; i < 4000; ++i) {
+            if (!handlers.chunk(large))
+                return EngineCallEnd { .end = DispatchEnd::Cancelled };
+        }
+        return EngineCallEnd { .end = DispatchEnd::Completed };
+    };
+    RequestId request;
+    core.onArrival = [&](const RequestArrived& arrival, SteadyTime, ControlActions& out) {
+        request = arrival.request;
+        out.push_back(Dispatch { arrival.request, AttemptId { "a" }, kEngine, SteadyTime::max() });
+    };
+    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { "a" }, kEngine }); };
+    start();
+    RawConnection connection(port);
+    connection.send(chat(true));
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK_FALSE(core.hasEvent("ended 2"));
+    // Stands for any cause of a cancel, such as the floor of a tier.
+    control->post(CallerGone { request });
+    CHECK(core.waitForEvent("ended 2"));
+    connection.close();
+}
+
+TEST(Traffic, abortBreaksTheDispatchOfAClaimedCallOff)
+{
+    calls.service = [](const ServiceCall&, CallStop& stop) {
+        for (int i = 0; i < 500 && !stop.isRequested(); ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return ServiceCallEnd { .end = DispatchEnd::Lost };
+    };
+    start();
+    RawConnection connection(port);
+    connection.send(request("POST", "/services/fees/pay", "Idempotency-Key: k1\r\n", "x"));
+    while (!traffic->runningDispatches())
+        std::this_thread::sleep_for(milliseconds(1));
+    traffic->abortAll();
+    STRCMP_CONTAINS("\"outcome\":\"unknown\"", connection.readAnswer().c_str());
+    CHECK(core.waitForEvent("ended 3"));
+}
