--- a/test/ClaimStoreTest.cpp
+++ b/test/ClaimStoreTest.cpp
@@ -31,7 +31,7 @@
 }
 
 // Fails the condition of the rows whose key is in the list, else commits.
-ScriptedServer::Handler holding(std::string heldKey)
+ScriptedServer::Handler holding(const std::string& heldKey)
 {
     return [=](const httplib::Request& request, httplib::Response& response) {
         boost::json::array reasons;
--- a/test/EngineClientTest.cpp
+++ b/test/EngineClientTest.cpp
@@ -23,7 +23,7 @@
 }
 
 // Sends the text as a stream and then breaks the connection, or ends it well.
-void answerStream(httplib::Response& response, std::string text, bool breaks = false)
+void answerStream(httplib::Response& response, const std::string& text, bool breaks = false)
 {
     response.set_chunked_content_provider("text/event-stream", [=](std::size_t, httplib::DataSink& sink) {
         sink.write(text.data(), text.size());
@@ -61,8 +61,9 @@
     std::string text;
     int startedCalls { 0 };
 
-    EngineCallEnd run(int port, EngineCall call = { .attempt = AttemptId("a1"), .body = body })
+    EngineCallEnd run(int port, const EngineCall& given = { .attempt = AttemptId("a1"), .body = body })
     {
+        EngineCall call = given;
         EngineCallHandlers handlers;
         handlers.started = [this](std::optional<TokenCount>) { ++startedCalls; };
         handlers.chunk = [this](const EngineChunk& chunk) {
@@ -73,7 +74,7 @@
         return callEngine({ TargetId("t"), { "127.0.0.1", port } }, call, handlers, stop);
     }
 
-    EngineCallEnd runScript(EngineCall call = { .attempt = AttemptId("a1"), .body = body })
+    EngineCallEnd runScript(const EngineCall& call = { .attempt = AttemptId("a1"), .body = body })
     {
         ScriptedServer server(engine.handler());
         return run(server.port(), call);
--- a/test/TableClientTest.cpp
+++ b/test/TableClientTest.cpp
@@ -15,7 +15,7 @@
     return TableClient({ .endpoint = { "127.0.0.1", server.port() }, .table = "t" });
 }
 
-ScriptedServer::Handler answering(int status, std::string body)
+ScriptedServer::Handler answering(int status, const std::string& body)
 {
     return [=](const httplib::Request&, httplib::Response& response) {
         response.status = status;
--- a/test/fakes/load/main.cpp
+++ b/test/fakes/load/main.cpp
@@ -324,6 +324,7 @@
             }
         };
         std::vector<std::thread> workers;
+        workers.reserve(static_cast<std::size_t>(absl::GetFlag(FLAGS_concurrency)));
         for (int i = 0; i < absl::GetFlag(FLAGS_concurrency); ++i)
             workers.emplace_back(work);
         for (std::thread& worker : workers)
--- a/test/fakes/relay/main.cpp
+++ b/test/fakes/relay/main.cpp
@@ -50,8 +50,8 @@
         constexpr int backlog = 128;
         int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address = addressOf("127.0.0.1:0");
-        ::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        ::listen(listener, backlog);
+        if (::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) || ::listen(listener, backlog))
+            std::exit(2);
         socklen_t length = sizeof(address);
         ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
         port = ntohs(address.sin_port);
