Make decisions cheaper, and the home of a prompt firmer; add limpetpond-bench slopes

Its profile (perf) showed the check for room at 100 targets repeated for each of up to 96 requests, and up to 96 searches for warm targets in one decision. Change: room is worked out once for a tier; 2 searches for warm targets and 8 requests of an account in one decision; the weight of a prompt's home from 12 to 16. The thread's processor time stands beside the wall time. slopes measures how state, messages and processor time of each role grow.

--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <pcg_random.hpp>
 #include <vector>
 
@@ -88,6 +89,14 @@
         }
     }
 
+    // Leaves out the time in which other programs had the processor.
+    double processorMicroseconds()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+    }
+
     double quantileOf(std::vector<double>& values, double share)
     {
         std::sort(values.begin(), values.end());
@@ -101,6 +110,7 @@
     DecisionRun run;
     applySettings(run.pool, makeSettings(), run.now);
     std::vector<double> microseconds;
+    std::vector<double> processorTimes;
     std::uint64_t allocated = 0;
     std::uint64_t dispatched = 0;
     for (int i = 0; i < warmUp + samples; ++i) {
@@ -109,11 +119,14 @@
         endOne(run);
         run.decisions.clear();
         std::uint64_t allocatedBefore = allocationsSoFar();
+        double processorStart = processorMicroseconds();
         auto start = std::chrono::steady_clock::now();
         decide(run.pool, run.now, run.decisions);
         std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - start;
+        double processor = processorMicroseconds() - processorStart;
         if (i >= warmUp) {
             microseconds.push_back(elapsed.count());
+            processorTimes.push_back(processor);
             allocated += allocationsSoFar() - allocatedBefore;
             dispatched += run.decisions.size();
         }
@@ -124,6 +137,7 @@
     bool isMet = p99 < boundMicroseconds;
     std::printf("decide, %d targets, %d waiting: p50 %.2f us, p99 %.2f us, most %.2f us; %.3f allocations and %.3f decisions a call\n",
         targetCount, waitingTarget, p50, p99, microseconds.back(), static_cast<double>(allocated) / samples, static_cast<double>(dispatched) / samples);
+    std::printf("processor time of the thread, reading its clock included: p50 %.2f us, p99 %.2f us\n", quantileOf(processorTimes, 0.5), quantileOf(processorTimes, 0.99));
     std::printf("%s  p99 of decide, bound < %.0f us\n", isMet ? "PASS" : "FAIL", boundMicroseconds);
     return isMet ? 0 : 1;
 }
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -1,6 +1,7 @@
 /// The benchmarks of the decision core: `limpetpond-bench policies|decision|slopes`.
 
 #include "bench/DecisionBench.h"
+#include "bench/SlopesBench.h"
 #include "bench/policies/PolicyBench.h"
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -47,13 +48,15 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("limpetpond-bench policies|decision [flags]");
+    absl::SetProgramUsageMessage("limpetpond-bench policies|decision|slopes [flags]");
     std::vector<char*> words = absl::ParseCommandLine(argc, argv);
     std::string command = words.size() == 2 ? words[1] : "";
     if (command == "policies")
         return runPolicies();
     if (command == "decision")
         return limpetpond::bench::runDecisionBench();
-    std::fprintf(stderr, "expected one command: policies or decision\n");
+    if (command == "slopes")
+        return limpetpond::bench::runSlopesBench();
+    std::fprintf(stderr, "expected one command: policies, decision or slopes\n");
     return usageError;
 }
--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -14,15 +14,17 @@
     constexpr double recomputeWeight = 2; // of computing prompt tokens that another target's cache holds or would hold
     constexpr double decodeWeight = 0.3; // of the time from the first token to the last
     constexpr double spreadWeight = 0.5; // of the load, so that like targets fill evenly
-    constexpr double homeWeight = 12; // of the prompt's time, for the targets that aren't its home
+    constexpr double homeWeight = 16; // of the prompt's time, for the targets that aren't its home
 
     constexpr double unstartedShareOfOthers = 0.15; // of others' tokens, without own work to compare with
     constexpr double headroomPerTier = 0.12; // of a limit, left free for each tier above
+    constexpr double noRoom = -1;
     constexpr double overshoot = 1.25; // of a limit, counting others' work, which is known late
     constexpr double warmShare = 0.8; // of the longest prefix that any target holds
     constexpr double patienceOfSaved = 20; // of the prompt time that a warm target saves
     constexpr double patienceOfWait = 0.5; // of what requests of the tier wait lately
     constexpr double mostPatience = 0.55; // of a request's longest wait
+    constexpr int warmChecks = 2; // searches in one decision
     constexpr Duration warmRecheck = std::chrono::milliseconds(500);
     constexpr std::size_t homeBlocks = 16; // blocks by which the baseline of prefix hashes chooses
 
@@ -31,19 +33,27 @@
         return static_cast<double>(tokens.count());
     }
 
-    bool hasRoom(const PoolScheduler& pool, const TargetView& target, double tokens, double tierShare)
+    // The largest request, in tokens, that the target takes from this instance now; negative for none.
+    double roomAt(const PoolScheduler& pool, const TargetView& target)
     {
-        double ownRequests = std::max(1.0, target.requestLimit * pool.limitShare * tierShare);
-        if (target.ownRequests + 1 > ownRequests || target.allRequests + 1 > target.requestLimit * overshoot)
-            return false;
-        if (pool.settings.kind != TargetKind::ModelEngine)
-            return true;
-        double limit = target.tokenLimit * tierShare;
-        double all = target.allTokens + tokens;
+        double ownRequests = std::max(1.0, target.requestLimit * pool.limitShare * pool.tierShare);
+        bool isFull = target.ownRequests + 1 > ownRequests || target.allRequests + 1 > target.requestLimit * overshoot;
+        if (!target.takesWork || isFull)
+            return noRoom;
+        if (pool.settings.kind != TargetKind::ModelEngine || target.allRequests < 1)
+            return std::numeric_limits<double>::infinity();
+        double limit = target.tokenLimit * pool.tierShare;
         // A request larger than this instance's part goes to a target that has no other work of this instance.
         if (target.ownRequests < 1)
-            return all <= limit || target.allRequests < 1;
-        return target.ownTokens + tokens <= limit * pool.limitShare && all <= limit * overshoot;
+            return limit - target.allTokens;
+        return std::min(limit * pool.limitShare - target.ownTokens, limit * overshoot - target.allTokens);
+    }
+
+    void findLargestRoom(PoolScheduler& pool)
+    {
+        pool.largestRoom = noRoom;
+        for (const TargetView& target : pool.views)
+            pool.largestRoom = std::max(pool.largestRoom, target.room);
     }
 
     bool isExcluded(const PoolScheduler& pool, const QueuedRequest& request, std::size_t target)
@@ -130,9 +140,8 @@
         return choice;
     }
 
-    std::optional<RouteChoice> pickBest(PoolScheduler& pool, const QueuedRequest& request, int tiersAbove)
+    std::optional<RouteChoice> pickBest(PoolScheduler& pool, const QueuedRequest& request)
     {
-        double tierShare = tierShareOf(tiersAbove);
         double tokens = count(tokensOf(request));
         bool isModel = pool.settings.kind == TargetKind::ModelEngine;
         if (isModel)
@@ -142,7 +151,7 @@
         double bestScore = std::numeric_limits<double>::infinity();
         for (std::size_t index = 0; index < pool.views.size(); ++index) {
             const TargetView& target = pool.views[index];
-            if (!target.takesWork || !hasRoom(pool, target, tokens, tierShare) || isExcluded(pool, request, index))
+            if (target.room < tokens || isExcluded(pool, request, index))
                 continue;
             double score = isModel ? scoreModel(pool, request, index, home) : target.load;
             if (score >= bestScore)
@@ -177,6 +186,26 @@
             warm.savedSeconds = std::max(most, count(request.homeTokens)) * pool.views[warm.targets[0]].secondsPerPromptToken;
     }
 
+    void viewWork(PoolScheduler& pool, std::size_t index)
+    {
+        const TargetModel& target = pool.targets[index];
+        TargetView& view = pool.views[index];
+        view.takesWork = takesWork(target);
+        view.tokenLimit = count(target.settings.maxTokensInProgress) * target.weight;
+        view.ownTokens = count(target.tokens);
+        view.allTokens = count(tokensInProgress(target));
+        view.requestLimit = target.settings.maxRequestsInProgress * target.weight;
+        view.ownRequests = target.requests;
+        view.allRequests = requestsInProgress(target);
+        view.secondsPerPromptToken = 1 / target.prefillRate;
+        view.secondsPerAnswerToken = 1 / target.decodeRate;
+        view.backlogSeconds = target.firstTokenBase + promptBacklog(target) * view.secondsPerPromptToken;
+        view.cacheTrust = target.cacheTrust;
+        view.idHash = target.idHash;
+        bool isModel = pool.settings.kind == TargetKind::ModelEngine;
+        view.load = isModel ? view.allTokens / std::max(1.0, view.tokenLimit) : (view.allRequests + 1) / std::max(0.01, target.weight);
+    }
+
     // ---- Baselines ----
 
     bool hasBaselineRoom(const TargetModel& target)
@@ -271,31 +300,19 @@
     return target.isListed && target.settings.mark == TargetMark::Serving && target.weight > 0;
 }
 
-void viewTarget(PoolScheduler& pool, std::size_t index)
-{
-    const TargetModel& target = pool.targets[index];
-    TargetView& view = pool.views[index];
-    view.takesWork = takesWork(target);
-    view.tokenLimit = count(target.settings.maxTokensInProgress) * target.weight;
-    view.ownTokens = count(target.tokens);
-    view.allTokens = count(tokensInProgress(target));
-    view.requestLimit = target.settings.maxRequestsInProgress * target.weight;
-    view.ownRequests = target.requests;
-    view.allRequests = requestsInProgress(target);
-    view.secondsPerPromptToken = 1 / target.prefillRate;
-    view.secondsPerAnswerToken = 1 / target.decodeRate;
-    view.backlogSeconds = target.firstTokenBase + promptBacklog(target) * view.secondsPerPromptToken;
-    view.cacheTrust = target.cacheTrust;
-    view.idHash = target.idHash;
-    bool isModel = pool.settings.kind == TargetKind::ModelEngine;
-    view.load = isModel ? view.allTokens / std::max(1.0, view.tokenLimit) : (view.allRequests + 1) / std::max(0.01, target.weight);
-}
-
 void viewTargets(PoolScheduler& pool)
 {
+    pool.warmChecksLeft = warmChecks;
     pool.views.resize(pool.targets.size());
     for (std::size_t index = 0; index < pool.targets.size(); ++index)
-        viewTarget(pool, index);
+        viewWork(pool, index);
+}
+
+void viewTarget(PoolScheduler& pool, std::size_t index)
+{
+    viewWork(pool, index);
+    pool.views[index].room = roomAt(pool, pool.views[index]);
+    findLargestRoom(pool);
 }
 
 void findHome(PoolScheduler& pool, QueuedRequest& request)
@@ -312,13 +329,33 @@
     }
 }
 
-bool waitsForWarmTarget(PoolScheduler& pool, WaitingRequest& waiting, int tiersAbove, double meanWait, SteadyTime now)
+void viewRooms(PoolScheduler& pool, int tiersAbove)
+{
+    pool.tierShare = tierShareOf(tiersAbove);
+    for (TargetView& target : pool.views)
+        target.room = roomAt(pool, target);
+    findLargestRoom(pool);
+}
+
+bool hasRoomSomewhere(const PoolScheduler& pool, const QueuedRequest& request)
+{
+    return count(tokensOf(request)) <= pool.largestRoom;
+}
+
+bool waitsForWarmTarget(PoolScheduler& pool, WaitingRequest& waiting, double meanWait, SteadyTime now)
 {
     if (waiting.queued.prefixBlocks.empty() || pool.settings.kind != TargetKind::ModelEngine)
         return false;
-    if (now - waiting.warm.checkedAt > warmRecheck) {
-        findWarmTargets(pool, waiting.queued, waiting.warm);
-        waiting.warm.checkedAt = now;
+    bool isUnchecked = waiting.warm.checkedAt == SteadyTime();
+    if (isUnchecked || now - waiting.warm.checkedAt > warmRecheck) {
+        // The rest of the queue has its turn in a later decision.
+        if (pool.warmChecksLeft <= 0 && isUnchecked)
+            return true;
+        if (pool.warmChecksLeft > 0) {
+            pool.warmChecksLeft -= 1;
+            findWarmTargets(pool, waiting.queued, waiting.warm);
+            waiting.warm.checkedAt = now;
+        }
     }
     double longest = std::chrono::duration<double>(waiting.giveUpAt - waiting.queued.arrivedAt).count();
     double patience = std::min(patienceOfSaved * waiting.warm.savedSeconds + patienceOfWait * meanWait, longest * mostPatience);
@@ -326,21 +363,20 @@
     if (waited > patience)
         return false;
     double tokens = count(tokensOf(waiting.queued));
-    double tierShare = tierShareOf(tiersAbove);
     for (std::uint32_t i = 0; i < waiting.warm.count; ++i) {
         const TargetView& target = pool.views[waiting.warm.targets[i]];
-        if (target.takesWork && hasRoom(pool, target, tokens, tierShare))
+        if (tokens <= target.room)
             return false;
     }
     return waiting.warm.count > 0;
 }
 
-std::optional<RouteChoice> pickTarget(PoolScheduler& pool, const QueuedRequest& request, int tiersAbove)
+std::optional<RouteChoice> pickTarget(PoolScheduler& pool, const QueuedRequest& request)
 {
     switch (pool.policy) {
     case RoutingPolicy::Limpetpond:
     case RoutingPolicy::NoTiers:
-        return pickBest(pool, request, tiersAbove);
+        return pickBest(pool, request);
     case RoutingPolicy::RoundRobin:
         return asChoice(pickRoundRobin(pool));
     case RoutingPolicy::LeastOutstanding:
--- a/src/core/Routing.h
+++ b/src/core/Routing.h
@@ -17,11 +17,21 @@
     double secondsToEnd { 0 }; ///< Expected time from dispatch to the last token.
 };
 
-/// Works out what routing reads of all targets, or of one whose work changed.
+/// Works out what routing reads of all targets; each decision begins with it.
 ///
 ///     viewTargets(pool);
-///     std::optional<RouteChoice> choice = pickTarget(pool, request, 0);
+///     viewRooms(pool, 0);
 void viewTargets(PoolScheduler&);
+
+/// Works out what room the targets have for a tier: lower tiers leave a part of each limit free for those above.
+///
+///     viewRooms(pool, 2);
+///     std::optional<RouteChoice> choice = pickTarget(pool, request);
+void viewRooms(PoolScheduler&, int tiersAbove);
+
+/// Works out again what `viewTargets` and `viewRooms` did, for a target whose work changed.
+///
+///     viewTarget(pool, choice.target);
 void viewTarget(PoolScheduler&, std::size_t target);
 
 /// Finds the part of the prompt that was asked for before, and notes the prompt.
@@ -31,19 +41,24 @@
 void findHome(PoolScheduler&, QueuedRequest&);
 
 /// Picks by the pool's policy among the targets that have room; none where no target has room.
-/// `tiersAbove` counts the tiers above the request's: lower tiers leave a part of each limit free for them.
-/// Reads what `viewTargets` worked out.
+/// Reads what `viewTargets` and `viewRooms` worked out.
 ///
-///     std::optional<RouteChoice> choice = pickTarget(pool, request, 0);
+///     std::optional<RouteChoice> choice = pickTarget(pool, request);
 ///     if (choice) dispatch(pool.targets[choice->target].settings.id);
-std::optional<RouteChoice> pickTarget(PoolScheduler&, const QueuedRequest&, int tiersAbove);
+std::optional<RouteChoice> pickTarget(PoolScheduler&, const QueuedRequest&);
+
+/// True where some target has room for the request.
+///
+///     if (!hasRoomSomewhere(pool, request))
+///         return;
+bool hasRoomSomewhere(const PoolScheduler&, const QueuedRequest&);
 
 /// True where the request should rather wait for a target that holds its prefix, none of which has room now,
 /// than have its prompt computed again elsewhere. `meanWait` is what requests of its tier wait lately, in seconds.
 ///
-///     if (waitsForWarmTarget(pool, waiting, 0, queue.meanWait, now))
+///     if (waitsForWarmTarget(pool, waiting, queue.meanWait, now))
 ///         continue;
-bool waitsForWarmTarget(PoolScheduler&, WaitingRequest&, int tiersAbove, double meanWait, SteadyTime now);
+bool waitsForWarmTarget(PoolScheduler&, WaitingRequest&, double meanWait, SteadyTime now);
 
 /// The shortest time in which any target that serves could complete the request if it had no other work.
 ///
--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -15,7 +15,7 @@
     constexpr int floorHoldHeartbeats = 10; // without pressure before a floor is lowered
     constexpr int preemptionGraceHeartbeats = 3; // that lower work may go on under a new floor
     constexpr std::size_t accountsTried = 8; // in one tier for one decision
-    constexpr int requestsTried = 12; // of one account, that may rather wait for a warm target
+    constexpr int requestsTried = 8; // of one account, that may rather wait for a warm target
     constexpr std::size_t overdueChecks = 128; // running requests at a time
     constexpr double waitGain = 0.05;
     constexpr double shareBase = 2'000; // tokens of demand that every instance is granted
@@ -462,12 +462,14 @@
         viewTarget(pool, choice.target);
     }
 
-    TurnResult takeTurn(PoolScheduler& pool, TierState& tier, int above, WaitingIndex index, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    TurnResult takeTurn(PoolScheduler& pool, TierState& tier, WaitingIndex index, SteadyTime now, std::vector<SchedulerDecision>& decisions)
     {
         WaitingRequest& waiting = pool.waiting.slots[index];
-        if (!isBaseline(pool) && waitsForWarmTarget(pool, waiting, above, tier.queue.meanWait, now))
+        if (!isBaseline(pool) && !hasRoomSomewhere(pool, waiting.queued))
+            return TurnResult::NoRoom;
+        if (!isBaseline(pool) && waitsForWarmTarget(pool, waiting, tier.queue.meanWait, now))
             return TurnResult::WaitsForWarmTarget;
-        std::optional<RouteChoice> choice = pickTarget(pool, waiting.queued, above);
+        std::optional<RouteChoice> choice = pickTarget(pool, waiting.queued);
         if (!choice)
             return TurnResult::NoRoom;
         if (!isTooLate(pool, waiting.queued, *choice, now)) {
@@ -482,12 +484,12 @@
     }
 
     // Tries an account's requests in order until one leaves the queue or one fits nowhere.
-    TurnResult takeAccountsTurn(PoolScheduler& pool, TierState& tier, int above, WaitingIndex first, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    TurnResult takeAccountsTurn(PoolScheduler& pool, TierState& tier, WaitingIndex first, SteadyTime now, std::vector<SchedulerDecision>& decisions)
     {
         WaitingIndex index = first;
         for (int tried = 0; tried < requestsTried && index != noWaitingIndex; ++tried) {
             WaitingIndex next = pool.waiting.slots[index].next;
-            TurnResult result = takeTurn(pool, tier, above, index, now, decisions);
+            TurnResult result = takeTurn(pool, tier, index, now, decisions);
             if (result != TurnResult::WaitsForWarmTarget)
                 return result;
             index = next;
@@ -498,7 +500,9 @@
     // Dispatches the tier's requests in turn; false where one is left that fits nowhere.
     bool dispatchTier(PoolScheduler& pool, TierLevel level, TierState& tier, SteadyTime now, std::vector<SchedulerDecision>& decisions)
     {
-        int above = tiersAbove(pool, level);
+        if (tier.queue.active.empty())
+            return true;
+        viewRooms(pool, tiersAbove(pool, level));
         bool isBlocked = false;
         pool.skippedAccounts.clear();
         while (pool.skippedAccounts.size() < accountsTried) {
@@ -506,7 +510,7 @@
             if (first == noWaitingIndex)
                 break;
             std::uint32_t account = pool.waiting.slots[first].account;
-            TurnResult result = takeAccountsTurn(pool, tier, above, first, now, decisions);
+            TurnResult result = takeAccountsTurn(pool, tier, first, now, decisions);
             if (result == TurnResult::NoRoom)
                 isBlocked = true;
             if (result == TurnResult::NoRoom || result == TurnResult::WaitsForWarmTarget)
--- a/test/RoutingTest.cpp
+++ b/test/RoutingTest.cpp
@@ -21,6 +21,7 @@
             settings.targets[TargetId(id)] = { .id = TargetId(id), .pool = PoolId("drafts"), .maxRequestsInProgress = 1 };
         applySettings(pool, settings, now);
         viewTargets(pool);
+        viewRooms(pool, 0);
         for (std::size_t i = 0; i < document.size(); ++i)
             document[i] = 1'000 + i;
     }
@@ -57,19 +58,20 @@
     PoolScheduler other = makePoolScheduler(PoolId("drafts"), InstanceId("b"), 2);
     applySettings(other, settings, now);
     viewTargets(other);
+    viewRooms(other, 0);
     ask();
     WaitingRequest known = ask();
-    LONGS_EQUAL(pickTarget(pool, known.queued, 0)->target, pickTarget(other, known.queued, 0)->target);
+    LONGS_EQUAL(pickTarget(pool, known.queued)->target, pickTarget(other, known.queued)->target);
 }
 
 TEST(Routing, waitsForABusyTargetThatHoldsThePrefixButNotForever)
 {
     cacheChanged(pool, { .target = TargetId("engine-2"), .added = document });
     WaitingRequest waiting = ask();
-    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now));
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, now));
     occupy("engine-2");
-    CHECK(waitsForWarmTarget(pool, waiting, 0, 0, now));
-    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now + seconds(15)));
+    CHECK(waitsForWarmTarget(pool, waiting, 0, now));
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, now + seconds(15)));
 }
 
 TEST(Routing, aNewPromptWaitsForNoTarget)
@@ -77,26 +79,27 @@
     WaitingRequest waiting = ask();
     occupy("engine-1");
     occupy("engine-2");
-    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, 0, now));
+    CHECK_FALSE(waitsForWarmTarget(pool, waiting, 0, now));
 }
 
 TEST(Routing, noTargetWithRoomMeansNoChoice)
 {
     for (const char* id : { "engine-1", "engine-2", "engine-3" })
         occupy(id);
-    CHECK_FALSE(pickTarget(pool, ask().queued, 0).has_value());
+    CHECK_FALSE(pickTarget(pool, ask().queued).has_value());
 }
 
 TEST(Routing, theExcludedTargetIsTakenOnlyWhereNoOtherServes)
 {
     WaitingRequest waiting = ask();
     waiting.queued.excludedTarget = TargetId("engine-1");
-    CHECK(pickTarget(pool, waiting.queued, 0)->target != pool.targetIndex.at(TargetId("engine-1")));
+    CHECK(pickTarget(pool, waiting.queued)->target != pool.targetIndex.at(TargetId("engine-1")));
     for (const char* id : { "engine-2", "engine-3" })
         settings.targets[TargetId(id)].mark = TargetMark::Leaving;
     applySettings(pool, settings, now);
     viewTargets(pool);
-    LONGS_EQUAL(pool.targetIndex.at(TargetId("engine-1")), pickTarget(pool, waiting.queued, 0)->target);
+    viewRooms(pool, 0);
+    LONGS_EQUAL(pool.targetIndex.at(TargetId("engine-1")), pickTarget(pool, waiting.queued)->target);
 }
 
 TEST(Routing, anUnknownPolicyNameMeansOurs)
