Tests of cancel and abort that fail without what they test

With a larger buffer and a longer dispatch both are red without the change (TrafficTest.cpp:467 and :485) and green with it.

--- a/test/TrafficTest.cpp
+++ b/test/TrafficTest.cpp
@@ -442,7 +442,7 @@
 
 TEST(Traffic, cancelReachesTheDispatchOfACallerThatReadsNothing)
 {
-    options.maxStreamBuffer = ByteCount { 16 * 1024 };
+    options.maxStreamBuffer = ByteCount { 256 * 1024 };
     calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
         const EngineChunk large = chunkOf(std::string(4096, 'x'));
         for (int i = 0; i < 4000; ++i) {
@@ -471,7 +471,7 @@
 TEST(Traffic, abortBreaksTheDispatchOfAClaimedCallOff)
 {
     calls.service = [](const ServiceCall&, CallStop& stop) {
-        for (int i = 0; i < 500 && !stop.isRequested(); ++i)
+        for (int i = 0; i < 2000 && !stop.isRequested(); ++i)
             std::this_thread::sleep_for(milliseconds(10));
         return ServiceCallEnd { .end = DispatchEnd::Lost };
     };
