Test the whole daemon in one process: health, admin port, ports in use

Red on a broken variant: with cpp-httplib's own socket options, which share the port, portInUseIsRefusedBeforeAnythingIsServed and CallerServer's test of it fail.

--- /dev/null
+++ b/test/DaemonTest.cpp
@@ -0,0 +1,103 @@
+#include "daemon/Daemon.h"
+#include "base/ProcessSettings.h"
+#include "http/HttpClient.h"
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+
+namespace {
+
+int freePort()
+{
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(socket);
+    return ntohs(address.sin_port);
+}
+
+int statusOf(int port, const std::string& path)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(answer, httpCall({ "127.0.0.1", port }, { .path = path }, {}));
+            return answer.status;
+        },
+        [] { return 0; });
+}
+
+std::string refusedSetting(Daemon& daemon)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(daemon.start());
+            return std::string();
+        },
+        [](const InvalidSetting& invalid) { return invalid.name; },
+        [] { return std::string("untyped"); });
+}
+
+} // namespace
+
+TEST_GROUP(Daemon)
+{
+    SystemClock clock;
+    // Nothing listens at the table service's port.
+    std::map<std::string, std::string> flags { { "instance_id", "i1" }, { "table_endpoint", "127.0.0.1:" + std::to_string(freePort()) }, { "platform_timeout", "100ms" } };
+
+    ProcessSettings settings()
+    {
+        for (const char* port : { "caller_port", "peer_port" })
+            flags.try_emplace(port, std::to_string(freePort()));
+        return *resolveProcessSettings(flags, {});
+    }
+};
+
+TEST(Daemon, isHealthyButNotReadyWithoutSettings)
+{
+    ProcessSettings given = settings();
+    Daemon daemon(given, clock);
+    STRCMP_EQUAL("", refusedSetting(daemon).c_str());
+    LONGS_EQUAL(200, statusOf(given.callerPort, "/healthz"));
+    LONGS_EQUAL(503, statusOf(given.callerPort, "/readyz"));
+    LONGS_EQUAL(503, statusOf(given.callerPort, "/v1/models"));
+    daemon.drainAndStop();
+    LONGS_EQUAL(0, statusOf(given.callerPort, "/healthz"));
+}
+
+TEST(Daemon, adminPortTakesHealthAndMetricsAway)
+{
+    flags["admin_port"] = std::to_string(freePort());
+    ProcessSettings given = settings();
+    Daemon daemon(given, clock);
+    STRCMP_EQUAL("", refusedSetting(daemon).c_str());
+    LONGS_EQUAL(200, statusOf(given.adminPort, "/metrics"));
+    LONGS_EQUAL(404, statusOf(given.adminPort, "/v1/models"));
+    LONGS_EQUAL(404, statusOf(given.callerPort, "/metrics"));
+    daemon.drainAndStop();
+}
+
+TEST(Daemon, portInUseIsRefusedBeforeAnythingIsServed)
+{
+    ProcessSettings first = settings();
+    Daemon holder(first, clock);
+    STRCMP_EQUAL("", refusedSetting(holder).c_str());
+    ProcessSettings second = first;
+    second.peerPort = freePort();
+    Daemon sameCaller(second, clock);
+    STRCMP_EQUAL("--caller_port", refusedSetting(sameCaller).c_str());
+    second.callerPort = freePort();
+    second.peerPort = first.peerPort;
+    Daemon samePeer(second, clock);
+    STRCMP_EQUAL("--peer_port", refusedSetting(samePeer).c_str());
+    LONGS_EQUAL(0, statusOf(second.callerPort, "/healthz"));
+    holder.drainAndStop();
+}
