--- a/src/core/ControlStatus.cpp
+++ b/src/core/ControlStatus.cpp
@@ -16,7 +16,7 @@
     case AlarmKind::InvariantViolated:
         return "invariant_violated";
     }
-    return "invariant_violated";
+    return "unknown";
 }
 
 std::string_view toString(MemberState state)
@@ -29,7 +29,7 @@
     case MemberState::Departed:
         return "departed";
     }
-    return "departed";
+    return "unknown";
 }
 
 } // namespace limpetpond
--- a/src/tool/RunTool.cpp
+++ b/src/tool/RunTool.cpp
@@ -9,7 +9,7 @@
 
     namespace {
 
-        Result<int> dispatch(CommandContext& context, const std::vector<std::string>& words)
+        Result<ExitCode> dispatch(CommandContext& context, const std::vector<std::string>& words)
         {
             if (words.empty())
                 return boost::leaf::new_error(UsageError { .detail = "a command is needed; see limpetpond --help" });
@@ -28,7 +28,7 @@
             return boost::leaf::new_error(UsageError { .detail = "there is no command \"" + words.front() + "\"; see limpetpond --help" });
         }
 
-        int report(const CommandContext& context, std::ostream& errors, int code, const std::string& kind, const std::string& detail)
+        ExitCode report(const CommandContext& context, std::ostream& errors, ExitCode code, const std::string& kind, const std::string& detail)
         {
             if (context.options.json)
                 context.out << boost::json::serialize(boost::json::object { { "error", kind }, { "detail", detail } }) << "\n";
@@ -36,10 +36,10 @@
             return code;
         }
 
-        int reportRefusal(const CommandContext& context, std::ostream& errors, const rpc::OperatorRefused& refused)
+        ExitCode reportRefusal(const CommandContext& context, std::ostream& errors, const rpc::OperatorRefused& refused)
         {
-            int code = refused.code == "conflict" ? exitConflict : refused.code == "unknown_outcome" ? exitUnknown
-                                                                                                     : exitRefused;
+            ExitCode code = refused.code == "conflict" ? ExitCode::Conflict : refused.code == "unknown_outcome" ? ExitCode::Unknown
+                                                                                                                : ExitCode::Refused;
             report(context, errors, code, refused.code, refused.detail);
             if (refused.code == "conflict")
                 errors << "  the branch is now " << refused.currentValue << "\n";
@@ -54,14 +54,15 @@
 {
     OperatorClient client(command.options);
     CommandContext context { command.options, client, out };
-    return boost::leaf::try_handle_all(
+    ExitCode code = boost::leaf::try_handle_all(
         [&] { return detail::dispatch(context, command.words); },
-        [&](const UsageError& error) { return detail::report(context, errors, exitUsage, "usage", error.detail); },
-        [&](const InvalidSetting& error) { return detail::report(context, errors, exitUsage, "invalid_setting", error.name + ": " + error.value + " is refused; allowed is " + error.allowed); },
+        [&](const UsageError& error) { return detail::report(context, errors, ExitCode::Usage, "usage", error.detail); },
+        [&](const InvalidSetting& error) { return detail::report(context, errors, ExitCode::Usage, "invalid_setting", error.name + ": " + error.value + " is refused; allowed is " + error.allowed); },
         [&](const rpc::OperatorRefused& refused) { return detail::reportRefusal(context, errors, refused); },
-        [&](const ChangeUnknown& unknown) { return detail::report(context, errors, exitUnknown, "unknown_outcome", unknown.detail + "; repeat with --change-id " + unknown.changeId); },
-        [&](const Unreachable& unreachable) { return detail::report(context, errors, exitUnreachable, "unreachable", unreachable.detail); },
-        [&] { return detail::report(context, errors, exitRefused, "failed", "an unknown failure"); });
+        [&](const ChangeUnknown& unknown) { return detail::report(context, errors, ExitCode::Unknown, "unknown_outcome", unknown.detail + "; repeat with --change-id " + unknown.changeId); },
+        [&](const Unreachable& unreachable) { return detail::report(context, errors, ExitCode::Unreachable, "unreachable", unreachable.detail); },
+        [&] { return detail::report(context, errors, ExitCode::Refused, "failed", "an unknown failure"); });
+    return static_cast<int>(code);
 }
 
 } // namespace limpetpond::tool
--- a/src/tool/ViewCommands.cpp
+++ b/src/tool/ViewCommands.cpp
@@ -94,7 +94,7 @@
 
 } // namespace detail
 
-Result<int> runStatus(CommandContext& context)
+Result<ExitCode> runStatus(CommandContext& context)
 {
     while (true) {
         BOOST_LEAF_AUTO(answers, detail::askAll(context));
@@ -103,12 +103,12 @@
         context.out << (context.options.json ? statusJson(answers) + "\n" : statusText(answers));
         context.out.flush();
         if (!context.options.watch)
-            return detail::hasAnswer(answers) ? exitDone : exitUnreachable;
+            return detail::hasAnswer(answers) ? ExitCode::Done : ExitCode::Unreachable;
         std::this_thread::sleep_for(context.options.period);
     }
 }
 
-Result<int> runTimeline(CommandContext& context)
+Result<ExitCode> runTimeline(CommandContext& context)
 {
     std::vector<rpc::TimelineEvent> events;
     std::size_t unreachable = 0;
@@ -126,10 +126,10 @@
             }));
     }
     if (unreachable == context.options.instances.size())
-        return exitUnreachable;
+        return ExitCode::Unreachable;
     sortCausally(events);
     BOOST_LEAF_CHECK(detail::write(context, detail::render(context.options, events)));
-    return exitDone;
+    return ExitCode::Done;
 }
 
 } // namespace limpetpond::tool
