--- /dev/null
+++ b/models/claims.pml
@@ -0,0 +1,271 @@
+/*
+ * Claims of one idempotency key (src/core/Claims.h).
+ *
+ * Up to four attempts of one key run as processes; an attempt that is not scheduled for a long time
+ * is a frozen instance. The store applies a write at any time after it was sent, also after its
+ * sender stopped waiting, answers or loses the answer, and may be out of reach. Attempts 0 and 1 carry
+ * no retry token; attempts 2 and 3 carry the token of the "not run" answer that the caller got last.
+ *
+ * Checked: the key runs at most once, and no attempt runs whose caller was told "not run", before or after.
+ */
+
+#ifndef ATTEMPTS
+#define ATTEMPTS 4
+#endif
+#ifndef TRIES
+#define TRIES 1 /* Writes of one attempt for each purpose. */
+#endif
+
+mtype = { ABSENT, CLAIMED, COMPLETED, CLOSED, LOST };
+mtype = { NOTHING, DONE, FAILED }; /* How an operation went; NOTHING for an unknown fate. */
+
+/* The row of the key. */
+mtype rowState = ABSENT;
+byte rowOwner = ATTEMPTS;
+byte rowGeneration = 0;
+
+/* A write of each attempt that its sender gave up on and that may yet take effect; NOTHING for none. */
+mtype lateState[ATTEMPTS] = NOTHING;
+bool lateIsFirst[ATTEMPTS];
+
+byte runs = 0;
+byte ranToken = 0; /* Of the attempt that ran. */
+bool toldNotRun = false;
+byte toldToken = 0; /* The highest generation that an answer "not run" gave. */
+byte started = 0;
+
+/* Applies a write under its condition; `isFirst` stands for Absent or ClosedAtGeneration, else OwnedByAttempt. */
+inline apply(me, token, newState, isFirst) {
+    if
+#ifdef CLAIM_UNCONDITIONAL
+    :: isFirst -> holds = true
+#else
+    :: isFirst && token == 0 -> holds = (rowState == ABSENT)
+#ifdef GENERATION_NOT_CHECKED
+    :: isFirst && token > 0 -> holds = (rowState == CLOSED)
+#else
+    :: isFirst && token > 0 -> holds = (rowState == CLOSED && rowGeneration == token)
+#endif
+#endif
+    :: !isFirst -> holds = (rowState == CLAIMED && rowOwner == me)
+    fi;
+    if
+    :: holds ->
+        rowState = newState;
+        rowOwner = me;
+        if
+        :: isFirst -> rowGeneration = token + 1
+        :: else -> skip
+        fi
+    :: else -> skip
+    fi;
+    holds = false
+}
+
+/* Lets a late write take effect now, or later. */
+inline land(me, token) {
+    if
+    :: lateState[me] != NOTHING ->
+        apply(me, token, lateState[me], lateIsFirst[me]);
+        lateState[me] = NOTHING
+    :: true
+    fi
+}
+
+/* Writes the row; `result` is DONE, FAILED, or NOTHING for an unknown fate. */
+inline write(me, token, newState, isFirst) {
+    atomic {
+        land(me, token);
+        if
+        :: true ->
+            apply(me, token, newState, isFirst);
+            if
+            :: result = (rowState == newState && rowOwner == me -> DONE : FAILED)
+            :: result = NOTHING /* The answer is lost. */
+            fi
+        :: lateState[me] == NOTHING ->
+            lateState[me] = newState;
+            lateIsFirst[me] = isFirst;
+            result = NOTHING
+        fi
+    }
+}
+
+/* Reads the row; `result` is NOTHING when the store is silent. */
+inline read(me, token) {
+    atomic {
+        land(me, token);
+        if
+        :: result = DONE; seenState = rowState; seenOwner = rowOwner; seenGeneration = rowGeneration
+        :: result = NOTHING
+        fi
+    }
+}
+
+inline sayNotRun(generation) {
+    atomic {
+        assert(runs == 0 || ranToken >= generation);
+        toldNotRun = true;
+        if
+        :: generation > toldToken -> toldToken = generation
+        :: else -> skip
+        fi
+    }
+}
+
+inline dispatch(token) {
+    atomic {
+        runs++;
+        ranToken = token;
+        assert(runs <= 1);
+        assert(!toldNotRun || token >= toldToken)
+    }
+}
+
+proctype Attempt(byte me; byte token) {
+    byte tries = 0, seenOwner, seenGeneration;
+    mtype result = NOTHING, seenState = ABSENT;
+    bool holds, isGivenUp;
+
+    /* Refused at once, or accepted. */
+    if
+    :: isGivenUp = true
+    :: isGivenUp = false
+    fi;
+#ifdef NOT_RUN_UNWON
+    if
+    :: isGivenUp -> sayNotRun(token + 1); goto finish
+    :: else -> skip
+    fi;
+#endif
+#ifdef NOT_RUN_BY_LOOKING
+    read(me, token);
+    if
+    :: isGivenUp && result == DONE && seenState == ABSENT -> sayNotRun(token + 1); goto finish
+    :: else -> skip
+    fi;
+#endif
+
+claiming:
+    if
+    :: tries >= TRIES -> goto finish /* Unknown: the store is silent. */
+    :: else -> tries++
+    fi;
+    if
+    :: true -> /* The store is out of reach; the write provably had no effect. */
+#ifdef STORE_DOWN_NOT_RUN
+        sayNotRun(token + 1);
+#endif
+        goto finish
+    :: isGivenUp -> write(me, token, CLOSED, true)
+    :: !isGivenUp -> write(me, token, CLAIMED, true)
+    fi;
+    if
+    :: result == DONE && isGivenUp -> sayNotRun(token + 1); goto finish
+    :: result == DONE && !isGivenUp -> goto owned
+    :: result != DONE -> skip
+    fi;
+    /* Lost or refused: reads back what stands. */
+#ifdef LOST_WRITE_AS_WON
+    if
+    :: result == NOTHING && !isGivenUp -> goto owned
+    :: else -> skip
+    fi;
+#endif
+#ifdef LOST_WRITE_AS_FAILED
+    if
+    :: result == NOTHING -> sayNotRun(token + 1); goto finish
+    :: else -> skip
+    fi;
+#endif
+    read(me, token);
+    if
+    :: result == NOTHING -> goto claiming
+    :: result == DONE && seenState == ABSENT && token == 0 -> goto claiming
+    :: result == DONE && seenState == ABSENT && token > 0 -> goto finish /* Unknown: the key was forgotten. */
+    :: result == DONE && seenState != ABSENT && seenOwner == me ->
+        if
+        :: seenState == CLAIMED && !isGivenUp -> goto owned
+        :: seenState == CLAIMED && isGivenUp -> goto closing
+        :: seenState == CLOSED -> sayNotRun(seenGeneration); goto finish
+        :: else -> goto finish
+        fi
+    :: result == DONE && seenState != ABSENT && seenOwner != me ->
+        if
+        :: seenState == CLAIMED ->
+#ifdef CLAIM_STOLEN
+            goto owned
+#else
+            goto finish /* Unknown: in progress. */
+#endif
+        :: seenState == CLOSED && token == seenGeneration && token > 0 -> goto claiming
+        :: seenState == CLOSED && !(token == seenGeneration && token > 0) ->
+#ifdef TOKEN_IGNORED
+            token = seenGeneration;
+            goto claiming
+#else
+            sayNotRun(seenGeneration);
+            goto finish
+#endif
+        :: seenState == COMPLETED || seenState == LOST -> goto finish /* The stored answer, or unknown. */
+        fi
+    fi;
+
+owned:
+    if
+    :: dispatch(token);
+        if
+        :: tries = 0; write(me, token, COMPLETED, false)
+        :: true -> /* The target's answer was lost. */
+#ifdef LOST_ANSWER_AS_FAILED
+            goto closing;
+#endif
+            tries = 0; write(me, token, LOST, false)
+        fi;
+        goto finish
+    :: goto closing /* Given up while it waited. */
+    fi;
+
+closing:
+    tries = 0;
+    do
+    :: tries < TRIES ->
+        tries++;
+        write(me, token, CLOSED, false);
+        if
+        :: result == DONE -> sayNotRun(token + 1); goto finish
+        :: else -> skip
+        fi;
+        read(me, token);
+        if
+        :: result == DONE && seenOwner == me && seenState == CLOSED -> sayNotRun(seenGeneration); goto finish
+        :: else -> skip
+        fi
+    :: tries >= TRIES -> break /* Unknown; goes on in the background. */
+    od;
+
+finish:
+    atomic {
+        tries = 0;
+        seenOwner = 0;
+        seenGeneration = 0;
+        result = NOTHING;
+        seenState = ABSENT;
+        isGivenUp = false
+    }
+    if
+    :: lateState[me] != NOTHING -> atomic { land(me, token) }
+    :: true
+    fi
+}
+
+active proctype Caller() {
+    /* Two arrivals without a token, then two with the token that the caller was told. */
+    atomic { run Attempt(0, 0); run Attempt(1, 0) }
+endFirst:
+    atomic { toldToken > 0 -> run Attempt(2, toldToken) };
+#if ATTEMPTS > 3
+endSecond:
+    atomic { toldToken > 0 -> run Attempt(3, toldToken) }
+#endif
+}
