--- a/src/core/Floors.cpp
+++ b/src/core/Floors.cpp
@@ -1,5 +1,6 @@
 #include "core/Floors.h"
 
+#include "core/Guard.h"
 #include <algorithm>
 
 namespace limpetpond {
@@ -54,8 +55,12 @@
 {
     if (!tier.level || (served.lowestKnown && tier <= *served.lowestKnown))
         return true;
+    if (isGuardDisabled(GuardId::LowerTierShedFirst))
+        return true;
     if (served.lowest && *served.lowest < tier)
         return false;
+    if (isGuardDisabled(GuardId::FloorConfirmedBeforeShed))
+        return true;
     auto level = floors.levels.find(tier);
     if (level == floors.levels.end() || !level->second.wantedSince || floors.inForce < tier)
         return false;
--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -1,5 +1,6 @@
 #include "core/Routing.h"
 
+#include "core/Guard.h"
 #include "core/Hash.h"
 #include <algorithm>
 #include <cmath>
@@ -268,7 +269,8 @@
 
 bool takesWork(const TargetModel& target)
 {
-    return target.isListed && target.settings.mark == TargetMark::Serving && target.weight > 0;
+    bool isServing = target.settings.mark == TargetMark::Serving || isGuardDisabled(GuardId::LeavingMarkRespected);
+    return target.isListed && isServing && target.weight > 0;
 }
 
 void viewTarget(PoolScheduler& pool, std::size_t index)
