--- a/models/lease.pml
+++ b/models/lease.pml
@@ -2,7 +2,7 @@
  * The lease of an engine's orders and its fencing number (src/core/Lease.h).
  *
  * Two instances want to give orders to one engine. Time is discrete and the same for both, but the
- * clock of each may run fast by one tick in a term. An instance that is not scheduled is frozen: it
+ * clock of each may run fast by DRIFT ticks in a term. An instance that is not scheduled is frozen: it
  * goes on from where it stood, with what it knew. Answers of the table service may be lost.
  * With CHECKING, the engine refuses a lower fencing number, and an order may reach it any time after it was
  * stamped. Without, the sender checks its clock as it sends (Dispatch::notAfter), and an order works for at most
@@ -13,13 +13,14 @@
  */
 
 #define TERM 3
-#define MARGIN 1
+#define MARGIN 2
 #define LONGEST 2
 #ifndef HORIZON
-#define HORIZON 8
+#define HORIZON 5
 #endif
-#define DRIFT 1 /* How much an instance overestimates a term at most. */
+#define DRIFT 2 /* How much an instance overestimates a term at most. */
 #define NOBODY 2
+#define HOLDERS 4 /* Changes of the holder in one run. */
 
 byte now = 0;
 
@@ -173,7 +174,7 @@
 endLoop:
     do
     :: now < HORIZON -> readRow()
-    :: now < HORIZON && hasSeen && !isHeld && isTakeable -> startedAt = now; take()
+    :: now < HORIZON && hasSeen && !isHeld && isTakeable && number < HOLDERS -> startedAt = now; take()
     :: now < HORIZON && isHeld && now > renewedAt -> startedAt = now; renew()
 #ifdef CHECKING
     :: now < HORIZON && isHeld && inLease -> orderNumber = myNumber; deliver(orderNumber); orderNumber = 0
