--- a/test/soak/World.h
+++ b/test/soak/World.h
@@ -148,6 +148,8 @@
         LateEffect };
     StoreFate drawStoreFate(int instance);
     Duration storeDelay();
+    /// Until another thread of the process takes up an action.
+    Duration threadDelay();
     bool applyClaim(const WriteClaim&);
     std::optional<ClaimRow> standingRow(const ClientAccountId&, const IdempotencyKey&);
 
