--- a/src/gen/OperatorService.cpp
+++ b/src/gen/OperatorService.cpp
@@ -455,6 +455,245 @@
 }
 
 
+OperatorService_raiseStore_args::~OperatorService_raiseStore_args() noexcept {
+}
+
+
+uint32_t OperatorService_raiseStore_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->secret);
+          this->__isset.secret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->author);
+          this->__isset.author = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_raiseStore_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_raiseStore_args");
+
+  xfer += oprot->writeFieldBegin("secret", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->secret);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->author);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_raiseStore_pargs::~OperatorService_raiseStore_pargs() noexcept {
+}
+
+
+uint32_t OperatorService_raiseStore_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OperatorService_raiseStore_pargs");
+
+  xfer += oprot->writeFieldBegin("secret", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->secret)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->changeId)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("author", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString((*(this->author)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_raiseStore_result::~OperatorService_raiseStore_result() noexcept {
+}
+
+
+uint32_t OperatorService_raiseStore_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refused.read(iprot);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OperatorService_raiseStore_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("OperatorService_raiseStore_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->refused.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+OperatorService_raiseStore_presult::~OperatorService_raiseStore_presult() noexcept {
+}
+
+
+uint32_t OperatorService_raiseStore_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refused.read(iprot);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 OperatorService_explain_args::~OperatorService_explain_args() noexcept {
 }
 
@@ -1789,6 +2028,69 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "change failed: unknown result");
 }
 
+void OperatorServiceClient::raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author)
+{
+  send_raiseStore(secret, changeId, author);
+  recv_raiseStore(_return);
+}
+
+void OperatorServiceClient::send_raiseStore(const std::string& secret, const std::string& changeId, const std::string& author)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("raiseStore", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_raiseStore_pargs args;
+  args.secret = &secret;
+  args.changeId = &changeId;
+  args.author = &author;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void OperatorServiceClient::recv_raiseStore(ChangeReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("raiseStore") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  OperatorService_raiseStore_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.refused) {
+    throw result.refused;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "raiseStore failed: unknown result");
+}
+
 void OperatorServiceClient::explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path)
 {
   send_explain(secret, path);
@@ -2232,6 +2534,63 @@
   }
 }
 
+void OperatorServiceProcessor::process_raiseStore(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("OperatorService.raiseStore", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "OperatorService.raiseStore");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "OperatorService.raiseStore");
+  }
+
+  OperatorService_raiseStore_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "OperatorService.raiseStore", bytes);
+  }
+
+  OperatorService_raiseStore_result result;
+  try {
+    iface_->raiseStore(result.success, args.secret, args.changeId, args.author);
+    result.__isset.success = true;
+  } catch (OperatorRefused &refused) {
+    result.refused = std::move(refused);
+    result.__isset.refused = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "OperatorService.raiseStore");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("raiseStore", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "OperatorService.raiseStore");
+  }
+
+  oprot->writeMessageBegin("raiseStore", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "OperatorService.raiseStore", bytes);
+  }
+}
+
 void OperatorServiceProcessor::process_explain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -2702,6 +3061,96 @@
   } // end while(true)
 }
 
+void OperatorServiceConcurrentClient::raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author)
+{
+  int32_t seqid = send_raiseStore(secret, changeId, author);
+  recv_raiseStore(_return, seqid);
+}
+
+int32_t OperatorServiceConcurrentClient::send_raiseStore(const std::string& secret, const std::string& changeId, const std::string& author)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("raiseStore", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  OperatorService_raiseStore_pargs args;
+  args.secret = &secret;
+  args.changeId = &changeId;
+  args.author = &author;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void OperatorServiceConcurrentClient::recv_raiseStore(ChangeReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("raiseStore") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      OperatorService_raiseStore_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.refused) {
+        sentry.commit();
+        throw result.refused;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "raiseStore failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void OperatorServiceConcurrentClient::explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path)
 {
   int32_t seqid = send_explain(secret, path);
--- a/src/gen/OperatorService.h
+++ b/src/gen/OperatorService.h
@@ -24,6 +24,7 @@
   virtual ~OperatorServiceIf() {}
   virtual void getTree(std::string& _return, const std::string& secret, const std::string& path) = 0;
   virtual void change(ChangeReply& _return, const std::string& secret, const ChangeRequest& request) = 0;
+  virtual void raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author) = 0;
   virtual void explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path) = 0;
   virtual void history(std::vector<SettingsChange> & _return, const std::string& secret, const int64_t afterVersion) = 0;
   virtual void targetStatus(TargetStatus& _return, const std::string& secret, const std::string& target) = 0;
@@ -64,6 +65,9 @@
   void change(ChangeReply& /* _return */, const std::string& /* secret */, const ChangeRequest& /* request */) override {
     return;
   }
+  void raiseStore(ChangeReply& /* _return */, const std::string& /* secret */, const std::string& /* changeId */, const std::string& /* author */) override {
+    return;
+  }
   void explain(std::vector<ExplainedValue> & /* _return */, const std::string& /* secret */, const std::string& /* path */) override {
     return;
   }
@@ -323,6 +327,135 @@
 
 };
 
+typedef struct _OperatorService_raiseStore_args__isset {
+  _OperatorService_raiseStore_args__isset() : secret(false), changeId(false), author(false) {}
+  bool secret :1;
+  bool changeId :1;
+  bool author :1;
+} _OperatorService_raiseStore_args__isset;
+
+class OperatorService_raiseStore_args {
+ public:
+
+  OperatorService_raiseStore_args(const OperatorService_raiseStore_args&);
+  OperatorService_raiseStore_args& operator=(const OperatorService_raiseStore_args&);
+  OperatorService_raiseStore_args() noexcept
+                                  : secret(),
+                                    changeId(),
+                                    author() {
+  }
+
+  virtual ~OperatorService_raiseStore_args() noexcept;
+  std::string secret;
+  std::string changeId;
+  std::string author;
+
+  _OperatorService_raiseStore_args__isset __isset;
+
+  void __set_secret(const std::string& val);
+
+  void __set_changeId(const std::string& val);
+
+  void __set_author(const std::string& val);
+
+  bool operator == (const OperatorService_raiseStore_args & rhs) const
+  {
+    if (!(secret == rhs.secret))
+      return false;
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(author == rhs.author))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_raiseStore_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_raiseStore_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class OperatorService_raiseStore_pargs {
+ public:
+
+
+  virtual ~OperatorService_raiseStore_pargs() noexcept;
+  const std::string* secret;
+  const std::string* changeId;
+  const std::string* author;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_raiseStore_result__isset {
+  _OperatorService_raiseStore_result__isset() : success(false), refused(false) {}
+  bool success :1;
+  bool refused :1;
+} _OperatorService_raiseStore_result__isset;
+
+class OperatorService_raiseStore_result {
+ public:
+
+  OperatorService_raiseStore_result(const OperatorService_raiseStore_result&);
+  OperatorService_raiseStore_result& operator=(const OperatorService_raiseStore_result&);
+  OperatorService_raiseStore_result() noexcept {
+  }
+
+  virtual ~OperatorService_raiseStore_result() noexcept;
+  ChangeReply success;
+  OperatorRefused refused;
+
+  _OperatorService_raiseStore_result__isset __isset;
+
+  void __set_success(const ChangeReply& val);
+
+  void __set_refused(const OperatorRefused& val);
+
+  bool operator == (const OperatorService_raiseStore_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const OperatorService_raiseStore_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OperatorService_raiseStore_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _OperatorService_raiseStore_presult__isset {
+  _OperatorService_raiseStore_presult__isset() : success(false), refused(false) {}
+  bool success :1;
+  bool refused :1;
+} _OperatorService_raiseStore_presult__isset;
+
+class OperatorService_raiseStore_presult {
+ public:
+
+
+  virtual ~OperatorService_raiseStore_presult() noexcept;
+  ChangeReply* success;
+  OperatorRefused refused;
+
+  _OperatorService_raiseStore_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _OperatorService_explain_args__isset {
   _OperatorService_explain_args__isset() : secret(false), path(false) {}
   bool secret :1;
@@ -960,6 +1093,9 @@
   void change(ChangeReply& _return, const std::string& secret, const ChangeRequest& request) override;
   void send_change(const std::string& secret, const ChangeRequest& request);
   void recv_change(ChangeReply& _return);
+  void raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author) override;
+  void send_raiseStore(const std::string& secret, const std::string& changeId, const std::string& author);
+  void recv_raiseStore(ChangeReply& _return);
   void explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path) override;
   void send_explain(const std::string& secret, const std::string& path);
   void recv_explain(std::vector<ExplainedValue> & _return);
@@ -992,6 +1128,7 @@
   ProcessMap processMap_;
   void process_getTree(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_change(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_raiseStore(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_explain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_history(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_targetStatus(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -1002,6 +1139,7 @@
     iface_(iface) {
     processMap_["getTree"] = &OperatorServiceProcessor::process_getTree;
     processMap_["change"] = &OperatorServiceProcessor::process_change;
+    processMap_["raiseStore"] = &OperatorServiceProcessor::process_raiseStore;
     processMap_["explain"] = &OperatorServiceProcessor::process_explain;
     processMap_["history"] = &OperatorServiceProcessor::process_history;
     processMap_["targetStatus"] = &OperatorServiceProcessor::process_targetStatus;
@@ -1055,6 +1193,16 @@
     return;
   }
 
+  void raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->raiseStore(_return, secret, changeId, author);
+    }
+    ifaces_[i]->raiseStore(_return, secret, changeId, author);
+    return;
+  }
+
   void explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -1143,6 +1291,9 @@
   void change(ChangeReply& _return, const std::string& secret, const ChangeRequest& request) override;
   int32_t send_change(const std::string& secret, const ChangeRequest& request);
   void recv_change(ChangeReply& _return, const int32_t seqid);
+  void raiseStore(ChangeReply& _return, const std::string& secret, const std::string& changeId, const std::string& author) override;
+  int32_t send_raiseStore(const std::string& secret, const std::string& changeId, const std::string& author);
+  void recv_raiseStore(ChangeReply& _return, const int32_t seqid);
   void explain(std::vector<ExplainedValue> & _return, const std::string& secret, const std::string& path) override;
   int32_t send_explain(const std::string& secret, const std::string& path);
   void recv_explain(std::vector<ExplainedValue> & _return, const int32_t seqid);
--- a/src/operator/OperatorHandler.cpp
+++ b/src/operator/OperatorHandler.cpp
@@ -205,6 +205,21 @@
                 out.effects = effectsBetween(*held, stored.newest.tree);
             }
 
+            void raiseStore(rpc::ChangeReply& out, const std::string& secret, const std::string& changeId, const std::string& author) override
+            {
+                authorize(secret);
+                std::shared_ptr<const ControlStatus> status = currentStatus();
+                std::shared_ptr<const SettingsTree> held = m_options.holder->tree();
+                bool holdsNewest = status->hearsMajority && status->majorityVersion >= held->version && status->highestKnown <= held->version;
+                if (!holdsNewest)
+                    throw refusal("cut_off", "this instance can't tell that it holds the newest settings; ask another one");
+                ProposedChange proposed { .change = ChangeId(changeId), .author = author };
+                StoredChange stored = orRefuse([&] { return m_options.store->raise(*held, proposed, m_options.clock->systemNow()); });
+                m_options.settingsArrived(m_options.holder->adopt(stored.newest.tree, stored.newest.changes));
+                awaitMajority(stored.change);
+                out.version = numberOf(stored.change.version);
+            }
+
             void explain(std::vector<rpc::ExplainedValue>& out, const std::string& secret, const std::string& path) override
             {
                 authorize(secret);
--- a/src/platform/SettingsStore.cpp
+++ b/src/platform/SettingsStore.cpp
@@ -12,6 +12,8 @@
     namespace {
 
         constexpr std::size_t maxEditsBytes = 300'000;
+        // Leaves room for versions that the lost state of the table service had given out.
+        constexpr std::uint64_t raiseStep = 1'000;
         constexpr std::chrono::milliseconds firstPause { 20 };
         constexpr int maxPauseDoublings = 5;
 
@@ -73,6 +75,26 @@
                                  } };
         }
 
+        /// Whether the changes follow each other without a gap from one version to at least another.
+        bool leadsTo(SettingsVersion head, SettingsVersion from, const std::vector<AcceptedChange>& changes)
+        {
+            std::uint64_t version = from.value();
+            for (const AcceptedChange& change : changes) {
+                if (change.version.value() != ++version)
+                    return false;
+            }
+            return version >= head.value();
+        }
+
+        SettingsCatchUp replayAll(const SettingsTree& base, std::vector<AcceptedChange> changes)
+        {
+            SettingsCatchUp newest { .tree = base };
+            for (const AcceptedChange& change : changes)
+                newest.tree = replayChange(newest.tree, change);
+            newest.changes = std::move(changes);
+            return newest;
+        }
+
         TableCondition absent() { return { .test = TableTest::RowAbsent }; }
 
         TableCondition stillAt(SettingsVersion version)
@@ -82,6 +104,17 @@
             return { .test = TableTest::Equal, .attribute = "version", .value = static_cast<std::int64_t>(version.value()) };
         }
 
+        AcceptedChange changeOf(const ProposedChange& proposed, SettingsVersion version, SystemTime now)
+        {
+            return {
+                .version = version,
+                .change = proposed.change,
+                .author = proposed.author,
+                .acceptedAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(),
+                .edits = proposed.edits,
+            };
+        }
+
         bool isValidChangeId(const ChangeId& id)
         {
             const std::string& value = id.value();
@@ -172,23 +205,20 @@
     BOOST_LEAF_AUTO(head, readHead());
     if (head < held.version)
         return boost::leaf::new_error(StoreWentBack { .storeVersion = head, .heldVersion = held.version });
-    SettingsCatchUp newest { .tree = held };
     if (head == held.version)
-        return newest;
-    if (head.value() - held.version.value() > static_cast<std::uint64_t>(m_options.snapshotEvery)) {
-        BOOST_LEAF_AUTO(snapshot, readSnapshot());
-        if (snapshot.version > held.version)
-            newest.tree = std::move(snapshot);
+        return SettingsCatchUp { .tree = held };
+    bool isNear = head.value() - held.version.value() <= static_cast<std::uint64_t>(m_options.snapshotEvery);
+    if (isNear) {
+        BOOST_LEAF_AUTO(changes, changesAfter(held.version));
+        if (detail::leadsTo(head, held.version, changes))
+            return detail::replayAll(held, std::move(changes));
     }
-    BOOST_LEAF_ASSIGN(newest.changes, changesAfter(newest.tree.version));
-    for (const AcceptedChange& change : newest.changes) {
-        if (change.version.value() != newest.tree.version.value() + 1)
-            return detail::malformed("a change of the settings is missing after version " + std::to_string(newest.tree.version.value()));
-        newest.tree = replayChange(newest.tree, change);
-    }
-    if (newest.tree.version < head)
-        return detail::malformed("the newest change of the settings is missing");
-    return newest;
+    BOOST_LEAF_AUTO(snapshot, readSnapshot());
+    const SettingsTree& base = snapshot.version > held.version ? snapshot : held;
+    BOOST_LEAF_AUTO(changes, changesAfter(base.version));
+    if (!detail::leadsTo(head, base.version, changes))
+        return detail::malformed("a change of the settings is missing after version " + std::to_string(base.version.value()));
+    return detail::replayAll(base, std::move(changes));
 }
 
 Result<std::optional<AcceptedChange>> SettingsStore::findAccepted(const ChangeId& id)
@@ -214,27 +244,25 @@
     return std::optional(StoredChange { .newest = std::move(newest), .change = std::move(*found), .acceptedEarlier = true });
 }
 
+std::vector<TableWrite> SettingsStore::changeWrites(const AcceptedChange& change, SettingsVersion head) const
+{
+    TableAttribute version = detail::number("version", change.version.value());
+    return {
+        { .item = { .key = key(detail::headSort), .attributes = { version } }, .conditions = { detail::stillAt(head) } },
+        { .item = detail::changeItem(key(detail::changeSort(change.version)), change), .conditions = { detail::absent() } },
+        { .item = { .key = key(detail::idSort(change.change)), .attributes = { version } }, .conditions = { detail::absent() } },
+    };
+}
+
 Result<std::optional<StoredChange>> SettingsStore::commit(const SettingsTree& held, const ProposedChange& proposed, SystemTime now, bool& mayHaveCommitted)
 {
     BOOST_LEAF_AUTO(known, earlier(held, proposed));
     if (known)
         return known;
     BOOST_LEAF_AUTO(newest, catchUp(held));
-    AcceptedChange change {
-        .version = SettingsVersion(newest.tree.version.value() + 1),
-        .change = proposed.change,
-        .author = proposed.author,
-        .acceptedAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count(),
-        .edits = proposed.edits,
-    };
+    AcceptedChange change = detail::changeOf(proposed, SettingsVersion(newest.tree.version.value() + 1), now);
     BOOST_LEAF_AUTO(next, applyChange(newest.tree, change));
-    TableItem head { .key = key(detail::headSort), .attributes = { detail::number("version", change.version.value()) } };
-    TableItem id { .key = key(detail::idSort(change.change)), .attributes = { detail::number("version", change.version.value()) } };
-    std::vector<TableWrite> writes {
-        { .item = std::move(head), .conditions = { detail::stillAt(newest.tree.version) } },
-        { .item = detail::changeItem(key(detail::changeSort(change.version)), change), .conditions = { detail::absent() } },
-        { .item = std::move(id), .conditions = { detail::absent() } },
-    };
+    std::vector<TableWrite> writes = changeWrites(change, newest.tree.version);
     mayHaveCommitted = true;
     BOOST_LEAF_AUTO(result, m_options.table.transact(writes));
     mayHaveCommitted = false;
@@ -288,7 +316,7 @@
         detail::AcceptTry outcome = tryOnce(held, proposed, now);
         if (outcome.stored) {
             if (!outcome.stored->acceptedEarlier && outcome.stored->change.version.value() % static_cast<std::uint64_t>(m_options.snapshotEvery) == 0)
-                writeSnapshot(outcome.stored->newest.tree);
+                (void)writeSnapshot(outcome.stored->newest.tree); // The changes alone give the tree as well.
             return std::move(*outcome.stored);
         }
         isOpen = isOpen || outcome.mayHaveCommitted;
@@ -300,25 +328,42 @@
     return boost::leaf::new_error(CallError { .failure = CallFailure::Throttled, .detail = "the settings were changed by others at every try" });
 }
 
-void SettingsStore::writeSnapshot(const SettingsTree& tree)
+Result<void> SettingsStore::writeSnapshot(const SettingsTree& tree)
 {
-    // The changes alone give the tree, so a snapshot that fails is left out.
-    boost::leaf::try_handle_all([&]() -> Result<void> {
-        BOOST_LEAF_AUTO(pointer, m_options.table.get(key(detail::snapshotSort)));
-        SettingsVersion standing = pointer ? detail::versionOf(*pointer) : SettingsVersion();
-        if (standing >= tree.version)
-            return {};
-        std::string json = treeToJson(tree);
-        std::size_t pieces = 0;
-        for (std::size_t begin = 0; begin < json.size(); begin += m_options.snapshotPieceBytes) {
-            TableItem piece { .key = key(detail::pieceSort(tree.version, pieces++)), .attributes = { detail::text("data", json.substr(begin, m_options.snapshotPieceBytes)) } };
-            BOOST_LEAF_CHECK(m_options.table.transact({ { .item = std::move(piece) } }));
-        }
-        TableItem next { .key = key(detail::snapshotSort), .attributes = { detail::number("version", tree.version.value()), detail::number("pieces", pieces) } };
-        BOOST_LEAF_CHECK(m_options.table.transact({ { .item = std::move(next), .conditions = { detail::stillAt(standing) } } }));
-        for (std::int64_t piece = 0; pointer && piece < numberOf(*pointer, "pieces"); ++piece)
-            BOOST_LEAF_CHECK(m_options.table.transact({ { .kind = TableWriteKind::Delete, .item = { .key = key(detail::pieceSort(standing, piece)) } } }));
-        return {}; }, [] {});
+    BOOST_LEAF_AUTO(pointer, m_options.table.get(key(detail::snapshotSort)));
+    SettingsVersion standing = pointer ? detail::versionOf(*pointer) : SettingsVersion();
+    if (standing >= tree.version)
+        return {};
+    std::string json = treeToJson(tree);
+    std::size_t pieces = 0;
+    for (std::size_t begin = 0; begin < json.size(); begin += m_options.snapshotPieceBytes) {
+        TableItem piece { .key = key(detail::pieceSort(tree.version, pieces++)), .attributes = { detail::text("data", json.substr(begin, m_options.snapshotPieceBytes)) } };
+        BOOST_LEAF_CHECK(m_options.table.transact({ { .item = std::move(piece) } }));
+    }
+    TableItem next { .key = key(detail::snapshotSort), .attributes = { detail::number("version", tree.version.value()), detail::number("pieces", pieces) } };
+    BOOST_LEAF_AUTO(swapped, m_options.table.transact({ { .item = std::move(next), .conditions = { detail::stillAt(standing) } } }));
+    std::int64_t oldPieces = pointer && swapped.committed ? numberOf(*pointer, "pieces") : 0;
+    for (std::int64_t piece = 0; piece < oldPieces; ++piece)
+        BOOST_LEAF_CHECK(m_options.table.transact({ { .kind = TableWriteKind::Delete, .item = { .key = key(detail::pieceSort(standing, piece)) } } }));
+    return {};
+}
+
+Result<StoredChange> SettingsStore::raise(const SettingsTree& held, const ProposedChange& proposed, SystemTime now)
+{
+    BOOST_LEAF_CHECK(detail::checkProposal(proposed));
+    BOOST_LEAF_AUTO(head, readHead());
+    if (head >= held.version)
+        return boost::leaf::new_error(InvalidSetting { .name = "store", .value = "version " + std::to_string(head.value()), .allowed = "a store below the version in force, " + std::to_string(held.version.value()) });
+    StoredChange stored { .newest = { .tree = held } };
+    stored.change = detail::changeOf(proposed, SettingsVersion(held.version.value() + detail::raiseStep), now);
+    stored.change.edits.clear();
+    stored.newest.tree.version = stored.change.version;
+    stored.newest.changes = { stored.change };
+    BOOST_LEAF_CHECK(writeSnapshot(stored.newest.tree));
+    BOOST_LEAF_AUTO(result, m_options.table.transact(changeWrites(stored.change, head)));
+    if (!result.committed)
+        return boost::leaf::new_error(CallError { .failure = CallFailure::Throttled, .detail = "the table service was changed meanwhile" });
+    return stored;
 }
 
 void SettingsStore::pause(int tryNumber)
--- a/src/platform/SettingsStore.h
+++ b/src/platform/SettingsStore.h
@@ -102,13 +102,19 @@
     /// Errors: InvalidSetting, SettingsConflict, StoreWentBack, UnknownOutcome, CallError where nothing took effect.
     Result<StoredChange> accept(const SettingsTree& held, const ProposedChange&, SystemTime now);
 
+    /// Brings a store that was restored to an older state back up to the tree that is held, at a version well
+    /// above any that was given out. The edits of the proposal are ignored. Errors: InvalidSetting where the
+    /// store is not behind, CallError.
+    Result<StoredChange> raise(const SettingsTree& held, const ProposedChange&, SystemTime now);
+
 private:
     Result<std::optional<AcceptedChange>> findAccepted(const ChangeId&);
     Result<std::optional<StoredChange>> earlier(const SettingsTree& held, const ProposedChange&);
     Result<std::optional<StoredChange>> commit(const SettingsTree& held, const ProposedChange&, SystemTime now, bool& mayHaveCommitted);
     detail::AcceptTry tryOnce(const SettingsTree& held, const ProposedChange&, SystemTime now);
     Result<SettingsTree> readSnapshot();
-    void writeSnapshot(const SettingsTree&);
+    std::vector<TableWrite> changeWrites(const AcceptedChange&, SettingsVersion head) const;
+    Result<void> writeSnapshot(const SettingsTree&);
     void pause(int tryNumber);
     TableKey key(std::string sort) const { return { .partition = m_options.partition, .sort = std::move(sort) }; }
 
--- a/src/tool/CommandLine.cpp
+++ b/src/tool/CommandLine.cpp
@@ -30,6 +30,7 @@
             CommandHelp { "settings explain", "[PATH]", "show each value in force, the branch it comes from, and who set it when", "", "limpetpond settings explain target/engine-1" },
             CommandHelp { "settings export", "[PATH]", "print the branches at and below a path as JSON", "output", "limpetpond settings export --output settings.json" },
             CommandHelp { "settings import", "FILE", "bring the branches to what an export holds, in one change", "replace dry_run author change_id", "limpetpond settings import settings.json --dry-run" },
+            CommandHelp { "settings raise-store", "", "bring a table service that was restored to an older state back up to the settings in force", "author change_id", "limpetpond settings raise-store" },
             CommandHelp { "settings schema", "", "print every field with its unit, range, default and meaning", "", "limpetpond settings schema" },
             CommandHelp { "target leave", "NAME", "mark a target as leaving, so that it gets no new work", "wait timeout period author change_id", "limpetpond target leave engine-1 --wait" },
             CommandHelp { "target return", "NAME", "return a target to service", "author change_id", "limpetpond target return engine-1" },
--- a/src/tool/OperatorClient.cpp
+++ b/src/tool/OperatorClient.cpp
@@ -141,6 +141,13 @@
     return boost::leaf::new_error(Unreachable { .detail = detail });
 }
 
+Result<rpc::ChangeReply> OperatorClient::raiseStore(const std::string& changeId)
+{
+    rpc::ChangeReply out;
+    BOOST_LEAF_CHECK(callOnly(m_options.instances.front(), [&](auto& client) { client.raiseStore(out, m_options.secret, changeId, m_options.author); }));
+    return out;
+}
+
 Result<std::string> OperatorClient::statusOf(const Address& address)
 {
     std::string out;
--- a/src/tool/OperatorClient.h
+++ b/src/tool/OperatorClient.h
@@ -35,6 +35,9 @@
     /// accepted at most once. Errors also: ChangeUnknown.
     Result<rpc::ChangeReply> change(const rpc::ChangeRequest&);
 
+    /// Asks one instance, the first of `--instances`, to bring the table service back up.
+    Result<rpc::ChangeReply> raiseStore(const std::string& changeId);
+
     /// What one instance says; only that one is asked.
     Result<std::string> statusOf(const Address&);
     Result<std::vector<rpc::TimelineEvent>> timelineOf(const Address&, const std::string& request);
--- a/src/tool/SettingsCommands.cpp
+++ b/src/tool/SettingsCommands.cpp
@@ -388,6 +388,20 @@
         context.out << "  " << effect.path << " " << effect.field << ": " << (effect.before.empty() ? "(none)" : effect.before) << " -> " << (effect.after.empty() ? "(none)" : effect.after) << "\n";
 }
 
+namespace detail {
+
+    static Result<ExitCode> raiseStore(CommandContext& context, const std::vector<std::string>& words)
+    {
+        if (!words.empty())
+            return usage("settings raise-store takes no arguments");
+        rpc::ChangeRequest request = makeChange(context.options, {});
+        BOOST_LEAF_AUTO(reply, context.client.raiseStore(request.changeId));
+        printChange(context, request, reply);
+        return ExitCode::Done;
+    }
+
+} // namespace detail
+
 Result<ExitCode> runSettings(CommandContext& context, const std::vector<std::string>& words)
 {
     if (words.empty())
@@ -410,6 +424,8 @@
         return detail::exportTree(context, rest);
     if (command == "import")
         return detail::import(context, rest);
+    if (command == "raise-store")
+        return detail::raiseStore(context, rest);
     if (command == "schema") {
         context.out << schemaAsMarkdown();
         return ExitCode::Done;
--- a/test/OperatorHandlerTest.cpp
+++ b/test/OperatorHandlerTest.cpp
@@ -165,6 +165,21 @@
     LONGS_EQUAL(1, alarms);
 }
 
+TEST(OperatorHandler, storeThatWentBackIsRaisedOnlyByAnInstanceWithTheNewestSettings)
+{
+    change(request("a", "site", "name", "\"x\""));
+    table.rows.clear();
+    rpc::ChangeReply reply;
+    control.highestKnown = SettingsVersion(2);
+    CHECK_THROWS(rpc::OperatorRefused, handler->raiseStore(reply, secret, "r", "ana"));
+    control.highestKnown = SettingsVersion(1);
+    CHECK_THROWS(rpc::OperatorRefused, handler->raiseStore(reply, "wrong", "r", "ana"));
+    control.majorityVersion = SettingsVersion(2'000);
+    handler->raiseStore(reply, secret, "r", "ana");
+    LONGS_EQUAL(1'001, reply.version);
+    STRCMP_EQUAL("accepted 1002", change(request("b", "site", "name", "\"y\"")).c_str());
+}
+
 TEST(OperatorHandler, treeAndExplanationOfAnUnknownBranchAreNotFound)
 {
     std::string out;
--- a/test/SettingsStoreTest.cpp
+++ b/test/SettingsStoreTest.cpp
@@ -152,6 +152,31 @@
     CHECK_FALSE(SettingsStore(options()).catchUp(held).has_value());
 }
 
+TEST(SettingsStore, restoredStoreIsRaisedAboveEveryVersionGivenOut)
+{
+    accept(propose("a", "site", "name", "x"));
+    auto old = table.rows;
+    accept(propose("b", "site", "name", "y"));
+    SettingsTree held = newest();
+    table.rows = old;
+    SettingsStore store(options());
+    StoredChange raised = store.raise(held, { .change = ChangeId("r") }, SystemTime()).value();
+    LONGS_EQUAL(1'002, raised.change.version.value());
+    LONGS_EQUAL(1'002, newest().version.value());
+    STRCMP_EQUAL("y", resolve(newest()).site.name.c_str());
+    STRCMP_EQUAL(treeToJson(newest()).c_str(), treeToJson(store.catchUp(held).value().tree).c_str());
+    STRCMP_EQUAL("1003", accept(propose("c", "site", "name", "z"), held).c_str());
+}
+
+TEST(SettingsStore, storeThatIsNotBehindIsNotRaised)
+{
+    accept(propose("a", "site", "name", "x"));
+    SettingsTree held = newest();
+    auto before = table.rows;
+    CHECK_FALSE(SettingsStore(options()).raise(held, { .change = ChangeId("r") }, SystemTime()).has_value());
+    CHECK(table.rows == before);
+}
+
 TEST(SettingsStore, raceThatNeverEndsGivesUpWithNoEffect)
 {
     std::function<void()> race = [this, &race] {
--- a/thrift/limpetpond.thrift
+++ b/thrift/limpetpond.thrift
@@ -144,6 +144,8 @@
 service OperatorService {
   string getTree(1: string secret, 2: string path) throws (1: OperatorRefused refused)
   ChangeReply change(1: string secret, 2: ChangeRequest request) throws (1: OperatorRefused refused)
+  // Brings a table service that was restored to an older state back up to the settings in force.
+  ChangeReply raiseStore(1: string secret, 2: string changeId, 3: string author) throws (1: OperatorRefused refused)
   list<ExplainedValue> explain(1: string secret, 2: string path) throws (1: OperatorRefused refused)
   list<SettingsChange> history(1: string secret, 2: i64 afterVersion) throws (1: OperatorRefused refused)
   TargetStatus targetStatus(1: string secret, 2: string target) throws (1: OperatorRefused refused)
