Tests that catch three mutants which passed before

Ruled out by hand: version row, change id or majority left out of the conditions passed every test, since another condition hid each. Now: a change that races with a raise must not lower the version, a change that commits between the reads is accepted once, and a mark that one instance of three holds proves nothing however long the others are silent. Each was seen red on its mutant.

--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -173,6 +173,7 @@
     hear("c", 0, 0);
     noteMemberState(tracker, InstanceId("b"), MemberState::Departed);
     noteMemberState(tracker, InstanceId("c"), MemberState::Departed);
+    CHECK(status().state == DrainState::Leaving);
     now += 1000s;
     CHECK(status().state == DrainState::Leaving);
 }
--- a/test/SettingsStoreTest.cpp
+++ b/test/SettingsStoreTest.cpp
@@ -129,6 +129,25 @@
     STRCMP_EQUAL("earlier 2", accept(propose("c", "site", "name", "y", 1)).c_str());
 }
 
+TEST(SettingsStore, sameChangeThatCommitsBetweenTheReadsIsAcceptedOnce)
+{
+    table.beforeHeadRead = [this] { accept(propose("a", "site", "name", "x")); };
+    STRCMP_EQUAL("earlier 1", accept(propose("a", "site", "name", "x")).c_str());
+    LONGS_EQUAL(1, newest().version.value());
+}
+
+TEST(SettingsStore, changeThatRacesWithARaiseDoesNotLowerTheVersion)
+{
+    accept(propose("a", "site", "name", "x"));
+    auto old = table.rows;
+    accept(propose("b", "site", "name", "y"));
+    SettingsTree held = newest();
+    table.rows = old;
+    table.beforeTransaction = [this, &held] { (void)SettingsStore(options()).raise(held, { .change = ChangeId("r") }, SystemTime()); };
+    STRCMP_EQUAL("1003", accept(propose("c", "pool/p", "maxWaiting", 5)).c_str());
+    STRCMP_EQUAL("y", resolve(newest()).site.name.c_str());
+}
+
 TEST(SettingsStore, invalidChangeWritesNothing)
 {
     STRCMP_EQUAL("invalid site speed", accept(propose("a", "site", "speed", 1)).c_str());
--- a/test/TableFake.h
+++ b/test/TableFake.h
@@ -5,6 +5,7 @@
 #include "platform/SettingsStore.h"
 #include <functional>
 #include <map>
+#include <utility>
 
 namespace limpetpond {
 
@@ -17,6 +18,7 @@
     int readsUntilDown { -1 }; ///< The table goes down after so many reads.
     int transactions { 0 };
     std::function<void()> beforeTransaction; ///< Runs once, before the next transaction.
+    std::function<void()> beforeHeadRead; ///< Runs once, before the next read of the version row.
 
     TableAccess access()
     {
@@ -46,6 +48,8 @@
     {
         if (isReadRefused())
             return failure(CallFailure::NotSent);
+        if (beforeHeadRead && key.sort == "head")
+            std::exchange(beforeHeadRead, nullptr)();
         auto row = rows.find(key);
         return row == rows.end() ? std::optional<TableItem>() : std::optional(row->second);
     }
