--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -51,7 +51,7 @@
     QueuedRequest makeRequest(DecisionRun& run)
     {
         run.made += 1;
-        QueuedRequest request { .request = RequestId("request-" + std::to_string(run.made)),
+        QueuedRequest request { .request = RequestId("request-of-entry-1-" + std::to_string(run.made)),
             .account = ClientAccountId("account-" + std::to_string(run.random(accountCount))),
             .tier = { run.random(3) },
             .promptTokens = TokenCount(200 + run.random(2'000)),
--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -351,7 +351,7 @@
         report({ "routing", "one request", "s", "target", targetCounts, workers }, secondsOfRequest);
         report({ "routing", "processor at a node's requests", "of a core", "target", targetCounts, workers, processorBudget }, [](double n) { return secondsOfRequest(n) * requestsASecond / nodes; });
         report({ "routing", "load news in one heartbeat", "bytes", "target", targetCounts, workers }, [](double n) { return static_cast<double>(heartbeatSize(makeHeartbeat(n)).count()); });
-        report({ "routing", "load news, 4 heartbeats a second", "bytes/s", "target", targetCounts, workers, trafficBudget }, [](double n) { return 4.0 * static_cast<double>(heartbeatSize(makeHeartbeat(n)).count()); });
+        report({ "routing", "load news, 8 messages a second", "bytes/s", "target", targetCounts, workers, trafficBudget }, [](double n) { return 8.0 * static_cast<double>(heartbeatSize(makeHeartbeat(n)).count()); });
     }
 
     void reportTiers()
--- a/bench/policies/PolicyBench.cpp
+++ b/bench/policies/PolicyBench.cpp
@@ -121,6 +121,7 @@
                 results.at(jobs[i].key)[jobs[i].seed] = runPolicy(jobs[i].options);
         };
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(options.threads));
         for (int i = 0; i < options.threads; ++i)
             threads.emplace_back(work);
         for (std::thread& thread : threads)
