--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -35,12 +35,17 @@
     int threads = absl::GetFlag(FLAGS_threads);
     if (!isBetween(seeds, 1, 1000, "seeds") || !isBetween(threads, 1, 64, "threads"))
         return usageError;
-    int missed = limpetpond::bench::runPolicyBench({ .seeds = seeds,
+    limpetpond::bench::PolicyBenchOptions options { .seeds = seeds,
         .threads = threads,
         .mix = absl::GetFlag(FLAGS_mix),
         .scenario = absl::GetFlag(FLAGS_scenario),
         .jsonFile = absl::GetFlag(FLAGS_json),
-        .plotFile = absl::GetFlag(FLAGS_plot) });
+        .plotFile = absl::GetFlag(FLAGS_plot) };
+    if (!limpetpond::bench::countRuns(options)) {
+        std::fprintf(stderr, "--mix=%s --scenario=%s: no such runs, allowed are the names that a run without them prints\n", options.mix.c_str(), options.scenario.c_str());
+        return usageError;
+    }
+    int missed = limpetpond::bench::runPolicyBench(options);
     return missed ? 1 : 0;
 }
 
--- a/bench/policies/PolicyBench.cpp
+++ b/bench/policies/PolicyBench.cpp
@@ -396,6 +396,11 @@
 
 } // namespace
 
+std::size_t countRuns(const PolicyBenchOptions& options)
+{
+    return makeJobs(options).size();
+}
+
 int runPolicyBench(const PolicyBenchOptions& options)
 {
     Results results = runAll(options);
--- a/bench/policies/PolicyBench.h
+++ b/bench/policies/PolicyBench.h
@@ -17,6 +17,11 @@
     std::string plotFile; ///< A gnuplot script; empty for none.
 };
 
+/// The runs that the options ask for; 0 where no mix or scenario has the given name.
+///
+///     if (!countRuns(options)) return usageError;
+std::size_t countRuns(const PolicyBenchOptions&);
+
 /// Prints medians and spreads, and each promised ratio with its bound; returns how many bounds are not met.
 ///
 ///     int missed = runPolicyBench({ .seeds = 10 });
--- a/test/PolicyRunTest.cpp
+++ b/test/PolicyRunTest.cpp
@@ -1,4 +1,5 @@
 #include "bench/policies/PolicyRun.h"
+#include "bench/policies/PolicyBench.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -62,3 +63,10 @@
     DOUBLES_EQUAL(0.095, quantile(histogram, 0.95), 0.006);
     DOUBLES_EQUAL(0, quantile({}, 0.5), 0);
 }
+
+TEST(PolicyRun, anUnknownMixOrScenarioHasNoRuns)
+{
+    CHECK(countRuns({ .seeds = 1, .mix = "rodopa", .scenario = "calm" }) > 0);
+    LONGS_EQUAL(0, countRuns({ .seeds = 1, .mix = "nowhere" }));
+    LONGS_EQUAL(0, countRuns({ .seeds = 1, .scenario = "nothing" }));
+}
