Ask for work behind the leaving in the process test of a leaving target

Cause: with LeavingMarkRespected switched off the test passed, as the load had ended before the target was empty. Change: a second load runs after the target is empty. Red and green: with the guard off it fails (80 where fewer started), with it on it passes.

--- a/test/process/OperatorsTest.cpp
+++ b/test/process/OperatorsTest.cpp
@@ -51,6 +51,8 @@
     CHECK(eventually(10s, [&] { return site.targetStatus(2, "engine-1").mark == "empty"; }));
     std::int64_t before = site.engineCount(0, "started");
     LoadResult result = load.finish();
+    LoadResult later = Load(site.callerPorts(), { "--keys=" + plainKey, "--requests=24", "--tag=later" }).finish();
+    LONGS_EQUAL(24, later.count("completed"));
     LONGS_EQUAL(before, site.engineCount(0, "started"));
     LONGS_EQUAL(0, site.engineCount(0, "cancelled"));
     STRCMP_EQUAL("", site.faultsOf(result).c_str());
