Show no work at a target that was proved empty

Ruled out: a wrong proof; the instance had been waited out and the engine reported itself idle. Change: an empty target's status shows zero. Before: emptyTargetShowsNoWorkOfADepartedInstance failed with 1. After: it passes. Conclusion: operators read one thing.

--- a/src/core/Drain.cpp
+++ b/src/core/Drain.cpp
@@ -201,8 +201,12 @@
             status.departedUntil = std::max(status.departedUntil.value_or(*until), *until);
     }
     bool isProved = heldSince && status.notConfirmed.empty() && !status.departedUntil;
-    if (isProved || isGuardDisabled(GuardId::EmptyIsProved))
-        status.state = DrainState::Empty;
+    if (!isProved && !isGuardDisabled(GuardId::EmptyIsProved))
+        return status;
+    // What a departed instance last told of is over too.
+    status.state = DrainState::Empty;
+    status.requestsInProgress = 0;
+    status.tokensInProgress = {};
     return status;
 }
 
--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -122,6 +122,15 @@
     CHECK(status().state == DrainState::Empty);
 }
 
+TEST(Drain, emptyTargetShowsNoWorkOfADepartedInstance)
+{
+    loseC(1);
+    LONGS_EQUAL(1, status().requestsInProgress);
+    now += 64s;
+    LONGS_EQUAL(0, status().requestsInProgress);
+    LONGS_EQUAL(0, status().tokensInProgress.count());
+}
+
 TEST(Drain, busyReportOfTheTargetHoldsBackPastTheCallTimeout)
 {
     loseC(1);
