--- a/models/claims.pml
+++ b/models/claims.pml
@@ -123,6 +123,7 @@
 }
 
 proctype Attempt(byte me; byte token) {
+    byte held = token; /* The token that the caller gave. */
     byte tries = 0, seenOwner, seenGeneration;
     mtype result = NOTHING, seenState = ABSENT;
     bool holds, isGivenUp;
@@ -213,7 +214,7 @@
 
 owned:
     if
-    :: dispatch(token);
+    :: dispatch(held);
         if
         :: tries = 0; write(me, token, COMPLETED, false)
         :: true -> /* The target's answer was lost. */
--- a/models/settings.pml
+++ b/models/settings.pml
@@ -16,7 +16,7 @@
 #define INSTANCES 3
 #define AGE 1
 #ifndef HORIZON
-#define HORIZON 4
+#define HORIZON 3
 #endif
 #ifndef RESTARTS
 #define RESTARTS 0
@@ -169,6 +169,7 @@
     byte changed = 0;
     bool isHeld = false;
 
+endStart:
     atomic { now < HORIZON && isEstablished[0] -> changed = stored + 1; stored = changed; setVersion(0, changed) }
 endWait:
     if
