--- a/models/lease.pml
+++ b/models/lease.pml
@@ -12,7 +12,7 @@
  * ignores the number: orders of two holders never overlap, and no earlier holder orders after a later one.
  */
 
-#define TERM 3
+#define TERM 4
 #define MARGIN 2
 #define LONGEST 2
 #ifndef HORIZON
--- a/models/settings.pml
+++ b/models/settings.pml
@@ -212,7 +212,7 @@
         for (i : 0 .. INSTANCES - 1) {
             version[i] = 1;
             isEstablished[i] = true;
-            confirmedAt[i] = 0
+            confirmedAt[i] = NEVER
         }
         run Instance(0);
         run Instance(1);
