--- a/src/engine/EngineClient.h
+++ b/src/engine/EngineClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Model engines: streamed answers that can be resumed and cancelled, load, cache events,
-/// orders and KV cache. The protocol is in docs/API.md under "Model engines".
+/// orders and KV cache. The protocol is in docs/PROTOCOLS.md under "Model engines".
 
 #include "core/Messages.h"
 #include "core/StreamAssembler.h"
@@ -30,7 +30,8 @@
     std::chrono::milliseconds timeout { 60'000 }; ///< From here to the end of the answer.
     std::chrono::milliseconds connectTimeout { 1'000 };
     std::chrono::milliseconds silenceLimit { 10'000 }; ///< Without a byte for so long, the stream is resumed.
-    int maxResumes { 3 };
+    int maxResumes { 3 }; ///< In a row without a new event.
+    std::optional<SteadyTime> notAfter; ///< The request's body is not sent later.
     std::chrono::milliseconds cancelTimeout { 1'000 }; ///< For the confirmation of a cancel.
 };
 
