--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     /// Seconds; they span a token on loopback to a month of logs on a slow engine.
-    const std::vector<double> kSecondsBounds { 0, 0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.95, 2, 5, 10, 30, 60, 300 };
+    const std::vector<double> secondsBounds { 0, 0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.95, 2, 5, 10, 30, 60, 300 };
 
     std::string labelText(const std::vector<MetricLabel>& labels)
     {
@@ -62,7 +62,7 @@
 } // namespace
 
 SecondsHistogram::SecondsHistogram()
-    : m_histogram(boost::histogram::make_histogram_with(boost::histogram::dense_storage<Cell>(), Axis(kSecondsBounds)))
+    : m_histogram(boost::histogram::make_histogram_with(boost::histogram::dense_storage<Cell>(), Axis(secondsBounds)))
 {
 }
 
--- a/src/base/ProcessSettings.cpp
+++ b/src/base/ProcessSettings.cpp
@@ -14,15 +14,15 @@
 
 namespace {
 
-    constexpr std::int64_t kKiB = 1024;
-    constexpr std::int64_t kMiB = 1024 * kKiB;
-    constexpr std::int64_t kGiB = 1024 * kMiB;
-    constexpr std::int64_t kSecond = 1000;
-    constexpr std::int64_t kMinute = 60 * kSecond;
-    constexpr std::int64_t kHour = 60 * kMinute;
-    constexpr std::size_t kMinSecretLength = 16;
-    constexpr std::size_t kMaxNameLength = 64;
-    constexpr std::string_view kVariablePrefix = "LIMPETPOND_";
+    constexpr std::int64_t kibibyte = 1024;
+    constexpr std::int64_t mebibyte = 1024 * kibibyte;
+    constexpr std::int64_t gibibyte = 1024 * mebibyte;
+    constexpr std::int64_t secondLength = 1000;
+    constexpr std::int64_t minuteLength = 60 * secondLength;
+    constexpr std::int64_t hourLength = 60 * minuteLength;
+    constexpr std::size_t minSecretLength = 16;
+    constexpr std::size_t maxNameLength = 64;
+    constexpr std::string_view variablePrefix = "LIMPETPOND_";
 
     enum class SettingKind {
         Name,
@@ -41,42 +41,42 @@
     };
 
 // field, flag, kind, default, least and most (count, milliseconds or bytes), help
-#define LIMPETPOND_PROCESS_SETTINGS(X)                                                                                                   \
-    X(instanceId, instance_id, Name, "", 0, 0, "the id of this instance, unique among all")                                              \
-    X(failureDomain, failure_domain, Name, "default", 0, 0, "the failure domain that this instance runs in")                             \
-    X(region, region, Name, "default", 0, 0, "the region that this instance runs in")                                                    \
-    X(callerHost, caller_host, Ip, "127.0.0.1", 0, 0, "where the callers' API listens")                                                  \
-    X(callerPort, caller_port, Port, "8080", 1, 65535, "the port of the callers' API")                                                   \
-    X(adminHost, admin_host, OptionalIp, "", 0, 0, "where health and metrics listen; empty for the caller's address")                    \
-    X(adminPort, admin_port, OptionalPort, "0", 0, 65535, "a port of its own for health and metrics; 0 for the callers' listener")       \
-    X(peerHost, peer_host, Ip, "127.0.0.1", 0, 0, "where instances and operators reach this one (Thrift)")                               \
-    X(peerPort, peer_port, Port, "9090", 1, 65535, "the port for instances and operators")                                               \
-    X(peers, peers, Peers, "", 0, 0, "other instances, used until the instance list answers")                                            \
-    X(tableEndpoint, table_endpoint, Endpoint, "", 0, 0, "the platform's table service")                                                 \
-    X(objectStoreEndpoint, object_store_endpoint, OptionalEndpoint, "", 0, 0, "the platform's object store")                             \
-    X(instanceListEndpoint, instance_list_endpoint, OptionalEndpoint, "", 0, 0, "the platform's instance list")                          \
-    X(peerSecret, peer_secret, Secret, "", 0, 0, "the secret that instances show each other")                                            \
-    X(operatorSecret, operator_secret, Secret, "", 0, 0, "the secret that operators show")                                               \
-    X(trafficThreads, traffic_threads, Count, "640", 8, 20000, "connections of callers that are served at once")                         \
-    X(ioThreads, io_threads, Count, "8", 4, 256, "threads for calls to the platform and to instances")                                   \
-    X(maxOpenStreams, max_open_streams, Count, "600", 1, 20000, "requests in progress or waiting at once; more are shed")                \
-    X(maxWaitingRequests, max_waiting_requests, Count, "1024", 1, 100000, "requests that wait for a target at once; more are shed")      \
-    X(maxBody, max_body, Bytes, "4MiB", kKiB, 256 * kMiB, "the largest body of a request")                                               \
-    X(maxAnswer, max_answer, Bytes, "16MiB", kKiB, kGiB, "the largest whole answer of a target")                                         \
-    X(maxHeaders, max_headers, Bytes, "32KiB", kKiB, kMiB, "the largest request line and headers together")                              \
-    X(maxPeerMessage, max_peer_message, Bytes, "8MiB", 64 * kKiB, 64 * kMiB, "the largest Thrift message")                               \
-    X(maxStreamBuffer, max_stream_buffer, Bytes, "1MiB", 16 * kKiB, 64 * kMiB, "bytes of a stream held back for a slow caller")          \
-    X(readTimeout, read_timeout, Duration, "15s", 10, 10 * kMinute, "the longest pause while a request is read")                         \
-    X(writeTimeout, write_timeout, Duration, "15s", 10, 10 * kMinute, "the longest pause while an answer is written")                    \
-    X(keepAliveTimeout, keep_alive_timeout, Duration, "30s", 10, kHour, "how long an idle connection of a caller stays open")            \
-    X(connectTimeout, connect_timeout, Duration, "500ms", 10, kMinute, "the limit for a connection to a target")                         \
-    X(peerTimeout, peer_timeout, Duration, "500ms", 10, kMinute, "the limit for a call to another instance")                             \
-    X(platformTimeout, platform_timeout, Duration, "2s", 10, kMinute, "the limit for a call to the platform")                            \
-    X(drainLimit, drain_limit, Duration, "60s", 0, kHour, "how long running requests may take after SIGTERM")                            \
-    X(tickPeriod, tick_period, Duration, "20ms", 1, 100, "between ticks of the control thread")                                          \
-    X(loadReportPeriod, load_report_period, Duration, "250ms", 10, kMinute, "between reads of an engine's load report and cache events") \
-    X(instanceListPeriod, instance_list_period, Duration, "2s", 10, kMinute, "between reads of the instance list")                       \
-    X(timelineEvents, timeline_events, Count, "20000", 100, 1000000, "events of the time line that are kept in memory")                  \
+#define LIMPETPOND_PROCESS_SETTINGS(X)                                                                                                        \
+    X(instanceId, instance_id, Name, "", 0, 0, "the id of this instance, unique among all")                                                   \
+    X(failureDomain, failure_domain, Name, "default", 0, 0, "the failure domain that this instance runs in")                                  \
+    X(region, region, Name, "default", 0, 0, "the region that this instance runs in")                                                         \
+    X(callerHost, caller_host, Ip, "127.0.0.1", 0, 0, "where the callers' API listens")                                                       \
+    X(callerPort, caller_port, Port, "8080", 1, 65535, "the port of the callers' API")                                                        \
+    X(adminHost, admin_host, OptionalIp, "", 0, 0, "where health and metrics listen; empty for the caller's address")                         \
+    X(adminPort, admin_port, OptionalPort, "0", 0, 65535, "a port of its own for health and metrics; 0 for the callers' listener")            \
+    X(peerHost, peer_host, Ip, "127.0.0.1", 0, 0, "where instances and operators reach this one (Thrift)")                                    \
+    X(peerPort, peer_port, Port, "9090", 1, 65535, "the port for instances and operators")                                                    \
+    X(peers, peers, Peers, "", 0, 0, "other instances, used until the instance list answers")                                                 \
+    X(tableEndpoint, table_endpoint, Endpoint, "", 0, 0, "the platform's table service")                                                      \
+    X(objectStoreEndpoint, object_store_endpoint, OptionalEndpoint, "", 0, 0, "the platform's object store")                                  \
+    X(instanceListEndpoint, instance_list_endpoint, OptionalEndpoint, "", 0, 0, "the platform's instance list")                               \
+    X(peerSecret, peer_secret, Secret, "", 0, 0, "the secret that instances show each other")                                                 \
+    X(operatorSecret, operator_secret, Secret, "", 0, 0, "the secret that operators show")                                                    \
+    X(trafficThreads, traffic_threads, Count, "640", 8, 20000, "connections of callers that are served at once")                              \
+    X(ioThreads, io_threads, Count, "8", 4, 256, "threads for calls to the platform and to instances")                                        \
+    X(maxOpenStreams, max_open_streams, Count, "600", 1, 20000, "requests in progress or waiting at once; more are shed")                     \
+    X(maxWaitingRequests, max_waiting_requests, Count, "1024", 1, 100000, "requests that wait for a target at once; more are shed")           \
+    X(maxBody, max_body, Bytes, "4MiB", kibibyte, 256 * mebibyte, "the largest body of a request")                                            \
+    X(maxAnswer, max_answer, Bytes, "16MiB", kibibyte, gibibyte, "the largest whole answer of a target")                                      \
+    X(maxHeaders, max_headers, Bytes, "32KiB", kibibyte, mebibyte, "the largest request line and headers together")                           \
+    X(maxPeerMessage, max_peer_message, Bytes, "8MiB", 64 * kibibyte, 64 * mebibyte, "the largest Thrift message")                            \
+    X(maxStreamBuffer, max_stream_buffer, Bytes, "1MiB", 16 * kibibyte, 64 * mebibyte, "bytes of a stream held back for a slow caller")       \
+    X(readTimeout, read_timeout, Duration, "15s", 10, 10 * minuteLength, "the longest pause while a request is read")                         \
+    X(writeTimeout, write_timeout, Duration, "15s", 10, 10 * minuteLength, "the longest pause while an answer is written")                    \
+    X(keepAliveTimeout, keep_alive_timeout, Duration, "30s", 10, hourLength, "how long an idle connection of a caller stays open")            \
+    X(connectTimeout, connect_timeout, Duration, "500ms", 10, minuteLength, "the limit for a connection to a target")                         \
+    X(peerTimeout, peer_timeout, Duration, "500ms", 10, minuteLength, "the limit for a call to another instance")                             \
+    X(platformTimeout, platform_timeout, Duration, "2s", 10, minuteLength, "the limit for a call to the platform")                            \
+    X(drainLimit, drain_limit, Duration, "60s", 0, hourLength, "how long running requests may take after SIGTERM")                            \
+    X(tickPeriod, tick_period, Duration, "20ms", 1, 100, "between ticks of the control thread")                                               \
+    X(loadReportPeriod, load_report_period, Duration, "250ms", 10, minuteLength, "between reads of an engine's load report and cache events") \
+    X(instanceListPeriod, instance_list_period, Duration, "2s", 10, minuteLength, "between reads of the instance list")                       \
+    X(timelineEvents, timeline_events, Count, "20000", 100, 1000000, "events of the time line that are kept in memory")                       \
     X(logLevel, log_level, LogLevel, "info", 0, 0, "the least severity that is logged")
 
     struct SettingSpec {
@@ -90,18 +90,18 @@
 
 #define LIMPETPOND_SPEC(field, flag, kind, defaultText, least, most, help) \
     SettingSpec { #flag, SettingKind::kind, defaultText, least, most, help },
-    constexpr std::array kSpecs { LIMPETPOND_PROCESS_SETTINGS(LIMPETPOND_SPEC) };
+    constexpr std::array specs { LIMPETPOND_PROCESS_SETTINGS(LIMPETPOND_SPEC) };
 #undef LIMPETPOND_SPEC
 
     const SettingSpec* findSpec(std::string_view flag)
     {
-        const auto* found = std::find_if(kSpecs.begin(), kSpecs.end(), [&](const SettingSpec& spec) { return spec.flag == flag; });
-        return found == kSpecs.end() ? nullptr : found;
+        const auto* found = std::find_if(specs.begin(), specs.end(), [&](const SettingSpec& spec) { return spec.flag == flag; });
+        return found == specs.end() ? nullptr : found;
     }
 
     std::string variableName(std::string_view flag)
     {
-        std::string name(kVariablePrefix);
+        std::string name(variablePrefix);
         for (char c : flag)
             name += static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
         return name;
@@ -147,7 +147,7 @@
 
     bool isName(std::string_view text)
     {
-        if (text.empty() || text.size() > kMaxNameLength)
+        if (text.empty() || text.size() > maxNameLength)
             return false;
         return std::all_of(text.begin(), text.end(), [](char c) {
             return std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
@@ -156,7 +156,7 @@
 
     std::string durationText(std::int64_t milliseconds)
     {
-        for (const UnitScale& entry : { UnitScale { "h", kHour }, { "m", kMinute }, { "s", kSecond } }) {
+        for (const UnitScale& entry : { UnitScale { "h", hourLength }, { "m", minuteLength }, { "s", secondLength } }) {
             if (milliseconds && milliseconds % entry.scale == 0)
                 return std::to_string(milliseconds / entry.scale) + std::string(entry.unit);
         }
@@ -165,7 +165,7 @@
 
     std::string bytesText(std::int64_t bytes)
     {
-        for (const UnitScale& entry : { UnitScale { "GiB", kGiB }, { "MiB", kMiB }, { "KiB", kKiB } }) {
+        for (const UnitScale& entry : { UnitScale { "GiB", gibibyte }, { "MiB", mebibyte }, { "KiB", kibibyte } }) {
             if (bytes && bytes % entry.scale == 0)
                 return std::to_string(bytes / entry.scale) + std::string(entry.unit);
         }
@@ -298,7 +298,7 @@
     {
         if (text.empty())
             return {};
-        if (text.size() < kMinSecretLength)
+        if (text.size() < minSecretLength)
             return boost::leaf::new_error(InvalidSetting { name, "(hidden)", rangeText(spec) });
         field = Secret { text };
         return {};
@@ -371,14 +371,14 @@
     }
 
     /// Variables of the command-line tool and of the build, which may stand in the same environment.
-    constexpr std::array<std::string_view, 2> kForeignVariables { "LIMPETPOND_INSTANCES", "LIMPETPOND_PRESET" };
+    constexpr std::array<std::string_view, 2> foreignVariables { "LIMPETPOND_INSTANCES", "LIMPETPOND_PRESET" };
 
     Result<void> refuseUnknownVariables(const TextMap& variables)
     {
         for (const auto& [name, value] : variables) {
-            if (std::find(kForeignVariables.begin(), kForeignVariables.end(), name) != kForeignVariables.end())
+            if (std::find(foreignVariables.begin(), foreignVariables.end(), name) != foreignVariables.end())
                 continue;
-            std::string flag = name.substr(kVariablePrefix.size());
+            std::string flag = name.substr(variablePrefix.size());
             std::transform(flag.begin(), flag.end(), flag.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
             if (!findSpec(flag) && !isSecretFile(flag))
                 return boost::leaf::new_error(InvalidSetting { name, value, "a variable that --help lists" });
@@ -479,7 +479,7 @@
     for (char** entry = environment; entry && *entry; ++entry) {
         std::string_view text = *entry;
         auto equals = text.find('=');
-        if (equals == std::string_view::npos || !text.starts_with(kVariablePrefix))
+        if (equals == std::string_view::npos || !text.starts_with(variablePrefix))
             continue;
         variables.emplace(text.substr(0, equals), text.substr(equals + 1));
     }
@@ -508,7 +508,7 @@
     text << "Usage: limpetpondd [--check] [--help] [--version] [--FLAG=VALUE]...\n\n"
          << "Each flag is also an environment variable: --caller_port is LIMPETPOND_CALLER_PORT.\n"
          << "A flag wins over its variable. --check checks the settings and exits.\n\n";
-    for (const SettingSpec& spec : kSpecs) {
+    for (const SettingSpec& spec : specs) {
         if (spec.kind == SettingKind::Secret)
             text << "  " << variableName(spec.flag) << ", --" << spec.flag << "_file=PATH\n";
         else
@@ -534,7 +534,7 @@
 
 std::optional<std::chrono::milliseconds> parseDuration(std::string_view text)
 {
-    auto value = parseWithUnit(text, { { "ms", 1 }, { "s", kSecond }, { "m", kMinute }, { "h", kHour } });
+    auto value = parseWithUnit(text, { { "ms", 1 }, { "s", secondLength }, { "m", minuteLength }, { "h", hourLength } });
     if (!value)
         return std::nullopt;
     return std::chrono::milliseconds(*value);
@@ -542,7 +542,7 @@
 
 std::optional<ByteCount> parseByteCount(std::string_view text)
 {
-    auto value = parseWithUnit(text, { { "B", 1 }, { "KiB", kKiB }, { "MiB", kMiB }, { "GiB", kGiB } });
+    auto value = parseWithUnit(text, { { "B", 1 }, { "KiB", kibibyte }, { "MiB", mebibyte }, { "GiB", gibibyte } });
     if (!value)
         return std::nullopt;
     return ByteCount { *value };
--- a/src/caller/CallerApi.cpp
+++ b/src/caller/CallerApi.cpp
@@ -11,11 +11,11 @@
 
     namespace json = boost::json;
 
-    constexpr std::string_view kServicesPrefix = "/services/";
-    constexpr std::string_view kOwnPrefix = "limpetpond-";
-    constexpr int kClientClosedRequest = 499; ///< As nginx has it; seen in logs only.
-    constexpr int kTooManyRequests = 429;
-    constexpr int kInternalError = 500;
+    constexpr std::string_view servicesPrefix = "/services/";
+    constexpr std::string_view ownPrefix = "limpetpond-";
+    constexpr int clientClosedRequestStatus = 499; ///< As nginx has it; seen in logs only.
+    constexpr int tooManyRequestsStatus = 429;
+    constexpr int internalErrorStatus = 500;
 
     std::string lowered(std::string_view text)
     {
@@ -34,7 +34,7 @@
         for (const HttpHeader& header : headers) {
             std::string name = lowered(header.name);
             bool isDropped = std::find(dropped.begin(), dropped.end(), name) != dropped.end();
-            if (!isDropped && !name.starts_with(kOwnPrefix) && connection.find("," + name + ",") == std::string::npos)
+            if (!isDropped && !name.starts_with(ownPrefix) && connection.find("," + name + ",") == std::string::npos)
                 kept.push_back(header);
         }
         return kept;
@@ -43,8 +43,8 @@
     RoutedCall routeService(std::string_view decodedPath, std::string_view target)
     {
         RoutedCall call { .route = CallRoute::Service };
-        std::string_view decoded = decodedPath.substr(kServicesPrefix.size());
-        std::string_view raw = target.substr(std::min(target.size(), kServicesPrefix.size()));
+        std::string_view decoded = decodedPath.substr(servicesPrefix.size());
+        std::string_view raw = target.substr(std::min(target.size(), servicesPrefix.size()));
         std::size_t nameEnd = std::min(decoded.find('/'), decoded.size());
         call.service = decoded.substr(0, nameEnd);
         call.decodedServicePath = decoded.substr(nameEnd);
@@ -60,9 +60,9 @@
     {
         if (status == 401)
             return "authentication_error";
-        if (status == kTooManyRequests)
+        if (status == tooManyRequestsStatus)
             return "rate_limit_error";
-        return status < kInternalError ? "invalid_request_error" : "server_error";
+        return status < internalErrorStatus ? "invalid_request_error" : "server_error";
     }
 
     std::string base64(std::string_view bytes)
@@ -104,7 +104,7 @@
         bool isAllowed = method == entry.method || (method == "HEAD" && entry.method == "GET");
         return { .route = isAllowed ? entry.route : CallRoute::WrongMethod };
     }
-    if (decodedPath.starts_with(kServicesPrefix) && target.starts_with(kServicesPrefix))
+    if (decodedPath.starts_with(servicesPrefix) && target.starts_with(servicesPrefix))
         return routeService(decodedPath, target);
     return {};
 }
@@ -180,9 +180,9 @@
     case Reason::InProgress:
         return 409;
     case Reason::AccountLimit:
-        return outcome == Outcome::NotRun ? kTooManyRequests : 502;
+        return outcome == Outcome::NotRun ? tooManyRequestsStatus : 502;
     case Reason::CallerGone:
-        return kClientClosedRequest;
+        return clientClosedRequestStatus;
     case Reason::DeadlineExceeded:
     case Reason::StoreUnavailable:
         return outcome == Outcome::NotRun ? 503 : 504;
--- a/src/caller/CallerApi.h
+++ b/src/caller/CallerApi.h
@@ -19,13 +19,13 @@
 
 namespace limpetpond {
 
-inline constexpr const char* kOutcomeHeader = "Limpetpond-Outcome";
-inline constexpr const char* kReasonHeader = "Limpetpond-Reason";
-inline constexpr const char* kRequestIdHeader = "Limpetpond-Request-Id";
-inline constexpr const char* kRetryTokenHeader = "Limpetpond-Retry-Token";
-inline constexpr const char* kTimeoutHeader = "Limpetpond-Timeout"; ///< A caller's deadline, such as `5s`.
-inline constexpr const char* kStoredAnswerHeader = "Limpetpond-Stored-Answer"; ///< `true` on the answer to a second arrival.
-inline constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
+inline constexpr const char* outcomeHeader = "Limpetpond-Outcome";
+inline constexpr const char* reasonHeader = "Limpetpond-Reason";
+inline constexpr const char* requestIdHeader = "Limpetpond-Request-Id";
+inline constexpr const char* retryTokenHeader = "Limpetpond-Retry-Token";
+inline constexpr const char* timeoutHeader = "Limpetpond-Timeout"; ///< A caller's deadline, such as `5s`.
+inline constexpr const char* storedAnswerHeader = "Limpetpond-Stored-Answer"; ///< `true` on the answer to a second arrival.
+inline constexpr const char* idempotencyKeyHeader = "Idempotency-Key";
 
 // ---- Routes ----
 
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -19,18 +19,18 @@
     using std::chrono::milliseconds;
     using SteadyClock = std::chrono::steady_clock;
 
-    constexpr int kListenBacklog = 1024;
-    constexpr int kRefusalThreads = 8; ///< Serve the connections beyond the limit.
-    constexpr milliseconds kIdlePollPeriod { 200 };
-    constexpr milliseconds kCrowdedKeepAlive { 200 }; ///< Idle connections are closed sooner when few threads are left.
-    constexpr int kBodyReadTimeouts = 8; ///< A whole body may take this many read timeouts.
-    constexpr std::size_t kReadBuffer = 16'384;
-    constexpr std::int64_t kChunkOverhead = 8; ///< The most bytes on the wire for one of a chunked body that is accepted.
-    constexpr std::int64_t kBodySlack = 65'536;
-    constexpr int kHeaderFieldsTooLarge = 431;
-    constexpr int kRequestTimeout = 408;
-    constexpr int kPayloadTooLarge = 413;
-    constexpr int kBadRequest = 400;
+    constexpr int listenBacklog = 1024;
+    constexpr int refusalThreads = 8; ///< Serve the connections beyond the limit.
+    constexpr milliseconds idlePollPeriod { 200 };
+    constexpr milliseconds crowdedKeepAlive { 200 }; ///< Idle connections are closed sooner when few threads are left.
+    constexpr int bodyReadTimeouts = 8; ///< A whole body may take this many read timeouts.
+    constexpr std::size_t readBuffer = 16'384;
+    constexpr std::int64_t chunkOverhead = 8; ///< The most bytes on the wire for one of a chunked body that is accepted.
+    constexpr std::int64_t bodySlack = 65'536;
+    constexpr int headerFieldsTooLargeStatus = 431;
+    constexpr int requestTimeoutStatus = 408;
+    constexpr int payloadTooLargeStatus = 413;
+    constexpr int badRequestStatus = 400;
 
     /// The socket of one connection with bounds on bytes and time.
     class BoundedStream final : public httplib::Stream {
@@ -38,7 +38,7 @@
         BoundedStream(int socket, const CallerServerOptions& options)
             : m_socket(socket)
             , m_options(options)
-            , m_buffer(kReadBuffer)
+            , m_buffer(readBuffer)
         {
         }
 
@@ -57,7 +57,7 @@
         {
             m_budget = budget;
             m_isHeader = false;
-            m_deadline = SteadyClock::now() + kBodyReadTimeouts * m_options.readTimeout;
+            m_deadline = SteadyClock::now() + bodyReadTimeouts * m_options.readTimeout;
         }
 
         /// The status for the bound that was broken; 0 for none.
@@ -75,7 +75,7 @@
             auto available = static_cast<std::int64_t>(std::min(size, m_filled - m_position));
             auto count = std::min(available, m_budget);
             if (count <= 0)
-                return refuse(m_isHeader ? kHeaderFieldsTooLarge : kPayloadTooLarge);
+                return refuse(m_isHeader ? headerFieldsTooLargeStatus : payloadTooLargeStatus);
             std::copy_n(m_buffer.data() + m_position, count, out);
             m_position += static_cast<std::size_t>(count);
             m_budget -= count;
@@ -116,7 +116,7 @@
         {
             auto left = std::chrono::ceil<milliseconds>(m_deadline - SteadyClock::now());
             if (left.count() <= 0 || !waitFor(POLLIN, std::min(left, m_options.readTimeout))) {
-                refuse(kRequestTimeout);
+                refuse(requestTimeoutStatus);
                 return false;
             }
             ssize_t count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
@@ -259,7 +259,7 @@
         , m_handler(std::move(handler))
         , m_refused(std::move(refused))
     {
-        new_task_queue = [this] { return new GrowingThreads(static_cast<std::size_t>(m_options.maxConnections + kRefusalThreads)); };
+        new_task_queue = [this] { return new GrowingThreads(static_cast<std::size_t>(m_options.maxConnections + refusalThreads)); };
         set_tcp_nodelay(true);
         // The default options share the port with other processes, which would hide a port in use.
         set_socket_options([](socket_t socket) {
@@ -280,7 +280,7 @@
             port = -1;
         // The library's backlog of 5 would refuse bursts.
         if (port > 0)
-            ::listen(svr_sock_, kListenBacklog);
+            ::listen(svr_sock_, listenBacklog);
         return port;
     }
 
@@ -306,9 +306,9 @@
     {
         CallerConnection& connection = *currentConnection;
         if (!hasClearLength(request))
-            connection.refusedStatus = kBadRequest;
+            connection.refusedStatus = badRequestStatus;
         else if (request.has_header("Content-Length") && std::stoll(request.get_header_value("Content-Length")) > m_options.maxBody.count())
-            connection.refusedStatus = kPayloadTooLarge;
+            connection.refusedStatus = payloadTooLargeStatus;
         if (!connection.refusedStatus)
             return HandlerResponse::Unhandled;
         connection.mustClose = true;
@@ -341,7 +341,7 @@
         request.ranges.clear();
         std::int64_t budget = m_options.maxBody.count();
         if (request.has_header("Transfer-Encoding"))
-            budget = budget * kChunkOverhead + kBodySlack;
+            budget = budget * chunkOverhead + bodySlack;
         else if (expectsBody(request.method) && !request.has_header("Content-Length"))
             request.set_header("Content-Length", "0");
         stream.beginBody(budget);
@@ -398,7 +398,7 @@
     static void drainInput(socket_t socket)
     {
         constexpr int mostReads = 64;
-        std::array<char, kReadBuffer> ignored {};
+        std::array<char, readBuffer> ignored {};
         ::shutdown(socket, SHUT_WR);
         for (int i = 0; i < mostReads; ++i) {
             if (::recv(socket, ignored.data(), ignored.size(), MSG_DONTWAIT) <= 0)
@@ -413,10 +413,10 @@
         auto start = SteadyClock::now();
         while (!m_stopping) {
             pollfd watched { stream.socket(), POLLIN, 0 };
-            if (::poll(&watched, 1, static_cast<int>(kIdlePollPeriod.count())) > 0)
+            if (::poll(&watched, 1, static_cast<int>(idlePollPeriod.count())) > 0)
                 return true;
             bool isCrowded = openConnections() >= m_options.maxConnections;
-            if (SteadyClock::now() - start >= (isCrowded ? kCrowdedKeepAlive : m_options.keepAliveTimeout))
+            if (SteadyClock::now() - start >= (isCrowded ? crowdedKeepAlive : m_options.keepAliveTimeout))
                 return false;
         }
         return false;
--- a/src/daemon/ControlThread.cpp
+++ b/src/daemon/ControlThread.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::size_t kIndexDigits = 8;
+    constexpr std::size_t indexDigits = 8;
 
     std::string_view toText(DispatchEnd end)
     {
@@ -32,13 +32,13 @@
 {
     for (const auto& [id, account] : settings.accounts) {
         for (const std::string& hash : account.keyHashes)
-            m_entries[hash.substr(0, kIndexDigits)].push_back({ hash, id });
+            m_entries[hash.substr(0, indexDigits)].push_back({ hash, id });
     }
 }
 
 std::optional<ClientAccountId> AccountIndex::find(std::string_view keyHash) const
 {
-    auto found = m_entries.find(std::string(keyHash.substr(0, kIndexDigits)));
+    auto found = m_entries.find(std::string(keyHash.substr(0, indexDigits)));
     if (found == m_entries.end())
         return std::nullopt;
     std::optional<ClientAccountId> account;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -21,9 +21,9 @@
 
     using std::chrono::milliseconds;
 
-    constexpr milliseconds kDrainPollPeriod { 20 };
-    constexpr milliseconds kAbortGrace { 2'000 }; ///< For the last error events to be written.
-    constexpr milliseconds kTrafficGaugePeriod { 1'000 };
+    constexpr milliseconds drainPollPeriod { 20 };
+    constexpr milliseconds abortGrace { 2'000 }; ///< For the last error events to be written.
+    constexpr milliseconds trafficGaugePeriod { 1'000 };
 
     HttpEndpoint toHttp(const Endpoint& endpoint) { return { endpoint.host, endpoint.port }; }
 
@@ -89,8 +89,8 @@
         , peerServer({ .listen = { given.peerHost, given.peerPort }, .maxMessage = given.maxPeerMessage })
         , callerServer(callerOptions(given), traffic.handler(), traffic.refusalHandler())
     {
-        peerServer.addService(kPeerServiceName, makePeerProcessor(peerOptions()));
-        peerServer.addService(kOperatorServiceName, makeOperatorProcessor(operatorOptions()));
+        peerServer.addService(peerServiceName, makePeerProcessor(peerOptions()));
+        peerServer.addService(operatorServiceName, makeOperatorProcessor(operatorOptions()));
         if (given.adminPort)
             adminServer = std::make_unique<CallerServer>(adminOptions(given), traffic.adminHandler(), traffic.refusalHandler());
     }
@@ -214,7 +214,7 @@
     parts.listReader = std::make_unique<Repeater>(parts.settings.instanceListPeriod, [&parts] { parts.readList(); });
     parts.targetPoller = std::make_unique<TargetPoller>(
         TargetPollerOptions { .period = parts.settings.loadReportPeriod, .timeouts = timeoutsOf(parts.settings) }, parts.control, parts.clock);
-    parts.trafficCounter = std::make_unique<Repeater>(kTrafficGaugePeriod, [&parts] { parts.countControlTraffic(); });
+    parts.trafficCounter = std::make_unique<Repeater>(trafficGaugePeriod, [&parts] { parts.countControlTraffic(); });
     logLine(LogLevel::Info, "started", { { "caller_port", parts.settings.callerPort }, { "peer_port", parts.settings.peerPort }, { "incarnation", parts.incarnation.value() } });
     return {};
 }
@@ -230,13 +230,13 @@
     // The view that is published before the shutdown was taken in may be older than the last request.
     std::this_thread::sleep_for(2 * parts.settings.tickPeriod);
     while (!isIdle() && parts.clock.steadyNow() < limit)
-        std::this_thread::sleep_for(kDrainPollPeriod);
+        std::this_thread::sleep_for(drainPollPeriod);
     if (!isIdle()) {
         logLine(LogLevel::Warning, "drain_limit_reached", { { "open_requests", parts.traffic.openRequests() } });
         parts.traffic.abortAll();
-        SteadyTime graceEnd = parts.clock.steadyNow() + kAbortGrace;
+        SteadyTime graceEnd = parts.clock.steadyNow() + abortGrace;
         while (!isIdle() && parts.clock.steadyNow() < graceEnd)
-            std::this_thread::sleep_for(kDrainPollPeriod);
+            std::this_thread::sleep_for(drainPollPeriod);
     }
     parts.callerServer.stop();
     if (parts.adminServer)
--- a/src/daemon/Traffic.cpp
+++ b/src/daemon/Traffic.cpp
@@ -17,12 +17,12 @@
     namespace json = boost::json;
     using std::chrono::milliseconds;
 
-    constexpr milliseconds kWaitSlice { 500 }; ///< How often a waiting thread looks for an abort.
-    constexpr milliseconds kBackpressureSlice { 2 };
-    constexpr TokenCount kDefaultAnswerTokens { 256 };
-    constexpr std::size_t kMaxKeyLength = 255;
-    constexpr std::chrono::seconds kRetryAfterCrowd { 2 };
-    constexpr const char* kJson = "application/json";
+    constexpr milliseconds waitSlice { 500 }; ///< How often a waiting thread looks for an abort.
+    constexpr milliseconds backpressureSlice { 2 };
+    constexpr TokenCount assumedAnswerTokens { 256 };
+    constexpr std::size_t maxKeyLength = 255;
+    constexpr std::chrono::seconds retryAfterCrowd { 2 };
+    constexpr const char* jsonContentType = "application/json";
 
     std::vector<HttpHeader> toHeaders(const httplib::Headers& headers)
     {
@@ -156,14 +156,14 @@
             m_traffic.m_control.arrive(m_call->arrival, m_ticket);
             while (!m_final && m_held.empty())
                 step();
-            response.set_header(kRequestIdHeader, id().value());
+            response.set_header(requestIdHeader, id().value());
             // Pieces and the final answer may have come together.
             bool isEmptyStream = m_call->stream && m_final && m_final->outcome == Outcome::Completed && !m_targetAnswer;
             if (!m_held.empty() || isEmptyStream) {
                 response.status = 200;
                 response.set_header("Cache-Control", "no-store");
                 // Marks the head as ours; the outcome of a stream is told at its end.
-                response.set_header(kReasonHeader, "in_stream");
+                response.set_header(reasonHeader, "in_stream");
                 response.set_chunked_content_provider("text/event-stream",
                     [self](std::size_t, httplib::DataSink& sink) { return self->stream(sink); });
                 return;
@@ -178,7 +178,7 @@
         /// Waits once and takes in what came.
         void step()
         {
-            MailboxWait wait = m_ticket->mailbox.wait(kWaitSlice, m_callerGone ? -1 : m_socket);
+            MailboxWait wait = m_ticket->mailbox.wait(waitSlice, m_callerGone ? -1 : m_socket);
             if (wait.peerClosed)
                 callerWentAway();
             if (m_traffic.m_aborting && !m_final)
@@ -332,8 +332,8 @@
 
         int fillWhole(httplib::Response& response)
         {
-            response.set_header(kOutcomeHeader, std::string(toString(m_final->outcome)));
-            response.set_header(kReasonHeader, std::string(toString(m_final->reason)));
+            response.set_header(outcomeHeader, std::string(toString(m_final->outcome)));
+            response.set_header(reasonHeader, std::string(toString(m_final->reason)));
             if (m_final->outcome != Outcome::Completed)
                 return fillError(response, finalError(), id());
             if (!m_final->storedAnswer.empty())
@@ -343,7 +343,7 @@
             if (m_call->routed.route == CallRoute::Service)
                 return fillNotKept(response);
             response.status = 200;
-            response.set_content(m_assembler.whole(), kJson);
+            response.set_content(m_assembler.whole(), jsonContentType);
             return response.status;
         }
 
@@ -353,7 +353,7 @@
             if (!stored)
                 return fillNotKept(response);
             if (!m_targetAnswer)
-                response.set_header(kStoredAnswerHeader, "true");
+                response.set_header(storedAnswerHeader, "true");
             return fillTargetAnswer(response, *stored);
         }
 
@@ -363,7 +363,7 @@
             constexpr int gone = 410;
             ApiError error { .status = gone, .outcome = Outcome::Completed, .reason = Reason::None, .message = "The call was completed earlier; its answer is not kept." };
             response.status = gone;
-            response.set_content(errorBody(error, id()), kJson);
+            response.set_content(errorBody(error, id()), jsonContentType);
             return gone;
         }
 
@@ -391,16 +391,16 @@
         static int fillError(httplib::Response& response, const ApiError& error, const RequestId& request)
         {
             response.status = error.status;
-            if (!response.has_header(kOutcomeHeader)) {
-                response.set_header(kOutcomeHeader, std::string(toString(error.outcome)));
-                response.set_header(kReasonHeader, std::string(toString(error.reason)));
-                response.set_header(kRequestIdHeader, request.value());
+            if (!response.has_header(outcomeHeader)) {
+                response.set_header(outcomeHeader, std::string(toString(error.outcome)));
+                response.set_header(reasonHeader, std::string(toString(error.reason)));
+                response.set_header(requestIdHeader, request.value());
             }
             if (error.retryAfter)
                 response.set_header("Retry-After", std::to_string(error.retryAfter->count()));
             if (error.retryToken)
-                response.set_header(kRetryTokenHeader, std::to_string(error.retryToken));
-            response.set_content(errorBody(error, request), kJson);
+                response.set_header(retryTokenHeader, std::to_string(error.retryToken));
+            response.set_content(errorBody(error, request), jsonContentType);
             return error.status;
         }
 
@@ -461,7 +461,7 @@
         // The status says what is wrong with this request; the outcome says what is known of the call.
         ApiError error { .status = statusOf(Outcome::NotRun, reason), .outcome = outcome, .reason = reason, .message = std::move(message), .param = std::move(param) };
         if (error.status == 503)
-            error.retryAfter = kRetryAfterCrowd;
+            error.retryAfter = retryAfterCrowd;
         return boost::leaf::new_error(std::move(error));
     }
 
@@ -487,13 +487,13 @@
 
     Result<std::optional<SteadyTime>> callerDeadline(const CallerConnection& connection, SteadyTime now, bool hasKey)
     {
-        std::string text = headerOf(connection, kTimeoutHeader);
+        std::string text = headerOf(connection, timeoutHeader);
         if (text.empty())
             return std::optional<SteadyTime>();
         std::optional<milliseconds> timeout = parseDuration(text);
         constexpr milliseconds most = std::chrono::hours(1);
         if (!timeout || *timeout <= milliseconds::zero() || *timeout > most)
-            return refuse(Reason::BadRequest, hasKey, "Limpetpond-Timeout must be a time with unit (ms, s, m, h) from 1ms to 1h.", kTimeoutHeader);
+            return refuse(Reason::BadRequest, hasKey, "Limpetpond-Timeout must be a time with unit (ms, s, m, h) from 1ms to 1h.", timeoutHeader);
         return std::optional(now + *timeout);
     }
 
@@ -523,7 +523,7 @@
         call.passUsage = !prompt.stream || wantsUsage(request.body);
         call.body = request.body;
         call.arrival.promptTokens = estimateTokens(prompt.prompt);
-        call.arrival.answerTokens = prompt.maxAnswerTokens.count() ? prompt.maxAnswerTokens : kDefaultAnswerTokens;
+        call.arrival.answerTokens = prompt.maxAnswerTokens.count() ? prompt.maxAnswerTokens : assumedAnswerTokens;
         call.arrival.prefixBlocks = prefixBlocks(prompt.prompt);
         return {};
     }
@@ -532,11 +532,11 @@
     {
         const std::string& key = call.arrival.key.value();
         if (key.empty() && !call.arrival.idempotent)
-            return refuse(Reason::KeyRequired, false, {}, kIdempotencyKeyHeader);
-        if (key.size() > kMaxKeyLength || !isPrintable(key))
-            return refuse(Reason::BadRequest, false, "Idempotency-Key must be 1 to 255 printable characters without spaces.", kIdempotencyKeyHeader);
-        if (connection.headers.count(kIdempotencyKeyHeader) > 1)
-            return refuse(Reason::BadRequest, false, "Idempotency-Key must be given once.", kIdempotencyKeyHeader);
+            return refuse(Reason::KeyRequired, false, {}, idempotencyKeyHeader);
+        if (key.size() > maxKeyLength || !isPrintable(key))
+            return refuse(Reason::BadRequest, false, "Idempotency-Key must be 1 to 255 printable characters without spaces.", idempotencyKeyHeader);
+        if (connection.headers.count(idempotencyKeyHeader) > 1)
+            return refuse(Reason::BadRequest, false, "Idempotency-Key must be given once.", idempotencyKeyHeader);
         return {};
     }
 
@@ -552,11 +552,11 @@
         call.arrival.idempotent = !runsAtMostOnce(*pool, request.method, call.routed.decodedServicePath);
         BOOST_LEAF_CHECK(checkKey(call, connection));
         call.arrival.bodyHash = hashBody(request.method + ' ' + call.routed.servicePath + '\n' + request.body);
-        std::string token = headerOf(connection, kRetryTokenHeader);
+        std::string token = headerOf(connection, retryTokenHeader);
         if (!token.empty()) {
             std::optional<std::uint64_t> parsed = parseToken(token);
             if (!parsed)
-                return refuse(Reason::BadRequest, false, "Limpetpond-Retry-Token must be the number that an earlier answer gave.", kRetryTokenHeader);
+                return refuse(Reason::BadRequest, false, "Limpetpond-Retry-Token must be the number that an earlier answer gave.", retryTokenHeader);
             call.arrival.retryToken = *parsed;
         }
         call.serviceRequest = { .method = request.method, .path = call.routed.servicePath, .headers = headersForService(toHeaders(connection.headers)), .contentType = headerOf(connection, "Content-Type"), .body = request.body };
@@ -567,7 +567,7 @@
         const CallerConnection& connection, RequestId id, SteadyTime now)
     {
         bool isService = routed.route == CallRoute::Service;
-        std::string key = isService ? headerOf(connection, kIdempotencyKeyHeader) : std::string();
+        std::string key = isService ? headerOf(connection, idempotencyKeyHeader) : std::string();
         BOOST_LEAF_AUTO(account, authenticate(view, connection, !key.empty()));
         auto call = std::make_shared<ParsedCall>();
         call->routed = std::move(routed);
@@ -642,7 +642,7 @@
     case CallRoute::Ready: {
         bool ready = m_control.view()->ready && !m_draining;
         response.status = ready ? 200 : 503;
-        response.set_header(kOutcomeHeader, "completed");
+        response.set_header(outcomeHeader, "completed");
         response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
         return;
     }
@@ -663,7 +663,7 @@
     RequestId id = makeRequestId();
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
-            bool hasKey = routed.route == CallRoute::Service && connection.headers.count(kIdempotencyKeyHeader);
+            bool hasKey = routed.route == CallRoute::Service && connection.headers.count(idempotencyKeyHeader);
             switch (routed.route) {
             case CallRoute::Health:
             case CallRoute::Ready:
@@ -684,8 +684,8 @@
                 return refuse(Reason::Overloaded, hasKey);
             if (routed.route == CallRoute::Models) {
                 BOOST_LEAF_CHECK(authenticate(*view, connection, false));
-                response.set_header(kOutcomeHeader, "completed");
-                response.set_content(modelsBody(*view->settings), kJson);
+                response.set_header(outcomeHeader, "completed");
+                response.set_content(modelsBody(*view->settings), jsonContentType);
                 return {};
             }
             BOOST_LEAF_AUTO(call, parseCall(routed, *view, request, connection, id, m_clock.steadyNow()));
@@ -784,7 +784,7 @@
             attempt.ticket->mailbox.post(StreamedChunk { dispatch.attempt, chunk });
             auto isCancelled = [&attempt] { return attempt.stop.isRequested() || attempt.ticket->cancelRequested; };
             while (attempt.ticket->heldBytes > options.maxStreamBuffer.count() && !isCancelled() && !attempt.isAbandoned)
-                std::this_thread::sleep_for(kBackpressureSlice);
+                std::this_thread::sleep_for(backpressureSlice);
             return !isCancelled();
         };
         EngineCallEnd end = calls.engine({ target.id, { target.host, target.port } }, call, handlers, attempt.stop);
--- a/src/daemon/program/Main.cpp
+++ b/src/daemon/program/Main.cpp
@@ -16,9 +16,9 @@
 
 using namespace limpetpond;
 
-constexpr int kExitFailure = 1;
-constexpr int kExitInvalidSetting = 2;
-constexpr const char* kVersion = "limpetpondd 0.1.0";
+constexpr int exitFailure = 1;
+constexpr int exitInvalidSetting = 2;
+constexpr const char* formatVersion = "limpetpondd 0.1.0";
 
 /// Every open stream takes a few descriptors.
 void raiseDescriptorLimit()
@@ -65,7 +65,7 @@
         return 0;
     }
     if (line.version) {
-        std::cout << kVersion << '\n';
+        std::cout << formatVersion << '\n';
         return 0;
     }
     BOOST_LEAF_AUTO(settings, resolveProcessSettings(line.flags, limpetpondVariables(environ)));
@@ -100,11 +100,11 @@
         [&] { return run(argc, argv); },
         [](const InvalidSetting& invalid) {
             std::cerr << "limpetpondd: " << oneLine(invalid.name) << ": '" << oneLine(invalid.value) << "' is refused; allowed: " << invalid.allowed << '\n';
-            return kExitInvalidSetting;
+            return exitInvalidSetting;
         },
         [](const boost::leaf::error_info& info) {
             std::cerr << "limpetpondd: unexpected failure: " << info << '\n';
-            return kExitFailure;
+            return exitFailure;
         });
     stopLog();
     return code;
--- a/src/operator/OperatorHandler.h
+++ b/src/operator/OperatorHandler.h
@@ -35,7 +35,7 @@
 /// The service. Refusals are `OperatorRefused` with the codes conflict, invalid_setting,
 /// store_unavailable, store_went_back, unknown_outcome, unauthorized, cut_off and not_found.
 ///
-///     server.addService(kOperatorServiceName, makeOperatorProcessor(options));
+///     server.addService(operatorServiceName, makeOperatorProcessor(options));
 std::shared_ptr<apache::thrift::TProcessor> makeOperatorProcessor(OperatorHandlerOptions);
 
 /// The service itself, for callers in the same process.
--- a/src/peer/PeerClient.cpp
+++ b/src/peer/PeerClient.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::size_t kMaxIdleConnections = 64;
+    constexpr std::size_t maxIdleConnections = 64;
 
 } // namespace
 
@@ -60,14 +60,14 @@
 
 Result<std::unique_ptr<PeerClient::Connection>> PeerClient::open(const Endpoint& endpoint)
 {
-    BOOST_LEAF_AUTO(link, connectThrift(endpoint, kPeerServiceName, m_options.limits, &m_traffic));
+    BOOST_LEAF_AUTO(link, connectThrift(endpoint, peerServiceName, m_options.limits, &m_traffic));
     return std::make_unique<Connection>(endpoint, std::move(link));
 }
 
 void PeerClient::giveBack(std::unique_ptr<Connection> connection)
 {
     std::lock_guard lock(m_mutex);
-    if (m_idle.size() >= kMaxIdleConnections)
+    if (m_idle.size() >= maxIdleConnections)
         m_idle.erase(m_idle.begin());
     m_idle.push_back(std::move(connection));
 }
--- a/src/peer/PeerConversion.cpp
+++ b/src/peer/PeerConversion.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    constexpr std::int32_t kNoTier = -1;
-    constexpr std::int64_t kNoAge = -1;
+    constexpr std::int32_t noTier = -1;
+    constexpr std::int64_t noAge = -1;
 
     std::int32_t tierToThrift(TierLevel tier)
     {
@@ -42,7 +42,7 @@
         wire.pool = news.pool.value();
         wire.floorLevel = tierToThrift(news.floor);
         wire.wantedFloorLevel = tierToThrift(news.wantedFloor);
-        wire.lowestServedLevel = news.lowestServed ? tierToThrift(*news.lowestServed) : kNoTier;
+        wire.lowestServedLevel = news.lowestServed ? tierToThrift(*news.lowestServed) : noTier;
         for (TokenCount tokens : news.waitingTokensByTier)
             wire.waitingTokensByTier.push_back(tokens.count());
         return wire;
@@ -105,7 +105,7 @@
     wire.incarnation = static_cast<std::int64_t>(news.incarnation.value());
     wire.sequence = static_cast<std::int64_t>(news.sequence);
     wire.settingsVersion = static_cast<std::int64_t>(news.settingsVersion.value());
-    wire.storeConfirmedAgeMs = news.storeConfirmedAge ? std::chrono::ceil<std::chrono::milliseconds>(*news.storeConfirmedAge).count() : kNoAge;
+    wire.storeConfirmedAgeMs = news.storeConfirmedAge ? std::chrono::ceil<std::chrono::milliseconds>(*news.storeConfirmedAge).count() : noAge;
     wire.leaving = news.leaving;
     for (const PoolNews& pool : news.pools)
         wire.pools.push_back(toThrift(pool));
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -32,7 +32,7 @@
 /// One listener, a thread for each connection. Services are added before the start.
 ///
 ///     PeerServer server({ .listen = { "127.0.0.1", 9090 } });
-///     server.addService(kPeerServiceName, processor);
+///     server.addService(peerServiceName, processor);
 class PeerServer {
 public:
     explicit PeerServer(PeerServerOptions);
@@ -69,7 +69,7 @@
 
 /// The peers' service. Refusals are `PeerRefused` with the codes `unauthorized`, `timeout` and `unavailable`.
 ///
-///     server.addService(kPeerServiceName, makePeerProcessor({ .secret = secret, .heartbeat = answer }));
+///     server.addService(peerServiceName, makePeerProcessor({ .secret = secret, .heartbeat = answer }));
 std::shared_ptr<apache::thrift::TProcessor> makePeerProcessor(PeerHandlerOptions);
 
 } // namespace limpetpond
--- a/src/peer/ThriftConnection.h
+++ b/src/peer/ThriftConnection.h
@@ -16,8 +16,8 @@
 namespace limpetpond {
 
 /// The service names on the wire.
-inline constexpr const char* kPeerServiceName = "peer";
-inline constexpr const char* kOperatorServiceName = "operator";
+inline constexpr const char* peerServiceName = "peer";
+inline constexpr const char* operatorServiceName = "operator";
 
 struct ThriftLimits {
     std::chrono::milliseconds connectTimeout { 500 };
@@ -40,7 +40,7 @@
 
 /// Connects. Errors: CallError NotSent.
 ///
-///     BOOST_LEAF_AUTO(connection, connectThrift({ "127.0.0.1", 9090 }, kOperatorServiceName, {}));
+///     BOOST_LEAF_AUTO(connection, connectThrift({ "127.0.0.1", 9090 }, operatorServiceName, {}));
 ///     rpc::OperatorServiceClient client(connection.protocol);
 Result<ThriftConnection> connectThrift(const Endpoint&, const std::string& service, const ThriftLimits&, ThriftTraffic* = nullptr);
 
--- a/src/tool/OperatorClient.cpp
+++ b/src/tool/OperatorClient.cpp
@@ -36,7 +36,7 @@
 Result<OperatorClient::Attempt> OperatorClient::callOne(const Address& address, const Call& call, std::string& detail)
 {
     ThriftLimits limits { .connectTimeout = detail::connectTimeout, .callTimeout = detail::callTimeout, .maxMessage = ByteCount(64L * 1024 * 1024) };
-    Result<ThriftConnection> connection = connectThrift({ address.host, address.port }, kOperatorServiceName, limits);
+    Result<ThriftConnection> connection = connectThrift({ address.host, address.port }, operatorServiceName, limits);
     if (!connection) {
         detail += (detail.empty() ? "" : "; ") + detail::textOf(address) + " can't be reached";
         return Attempt::NotSent;
--- a/test/DaemonTest.cpp
+++ b/test/DaemonTest.cpp
@@ -18,7 +18,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+    (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
     ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(socket);
     return ntohs(address.sin_port);
--- a/test/MailboxTest.cpp
+++ b/test/MailboxTest.cpp
@@ -50,6 +50,7 @@
     constexpr int senders = 4;
     constexpr int messages = 2000;
     std::vector<std::thread> threads;
+    threads.reserve(senders);
     for (int sender = 0; sender < senders; ++sender) {
         threads.emplace_back([&, sender] {
             for (int i = 0; i < messages; ++i)
--- a/test/PeerServerTest.cpp
+++ b/test/PeerServerTest.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-const Secret kSecret { "sesame-sesame-sesame" };
-const InstanceId kPeer { "i2" };
+const Secret sharedSecret { "sesame-sesame-sesame" };
+const InstanceId peerB { "i2" };
 
 std::optional<CallError> failureOf(const std::function<Result<void>()>& call)
 {
@@ -29,24 +29,24 @@
 
 TEST_GROUP(PeerServer)
 {
-    PeerServer server { { .listen = { "127.0.0.1", 0 }, .maxMessage = ByteCount { 64 * 1024 } } };
+    PeerServer server { { .listen = { "127.0.0.1", 0 }, .maxMessage = ByteCount { 64L * 1024 } } };
     PeerDirectory directory;
     std::uint64_t observed { 0 };
     int port { 0 };
 
     void setup() override
     {
-        server.addService(kPeerServiceName, makePeerProcessor({ .secret = kSecret, .heartbeat = [](const Heartbeat& news) {
+        server.addService(peerServiceName, makePeerProcessor({ .secret = sharedSecret, .heartbeat = [](const Heartbeat& news) {
                 if (news.instance == InstanceId { "slow" })
                     return std::optional<Heartbeat> {};
-                return std::optional(Heartbeat { .instance = kPeer, .sequence = news.sequence + 1 }); }, .fetchSettings = [](SettingsVersion after) -> Result<rpc::SettingsUpdate> {
+                return std::optional(Heartbeat { .instance = peerB, .sequence = news.sequence + 1 }); }, .fetchSettings = [](SettingsVersion after) -> Result<rpc::SettingsUpdate> {
                 if (after.isNone())
                     return boost::leaf::new_error(CallError { .detail = "none held" });
                 rpc::SettingsUpdate update;
                 update.currentVersion = static_cast<std::int64_t>(after.value()) + 1;
                 return update; }, .observeLogicalTime = [this](std::uint64_t time) { observed = time; }, .logicalTime = [] { return std::uint64_t { 500 }; } }));
         port = *server.start();
-        directory.replace({ { kPeer, { "127.0.0.1", port } } });
+        directory.replace({ { peerB, { "127.0.0.1", port } } });
     }
 
     void teardown() override { server.stop(); }
@@ -54,10 +54,10 @@
 
 TEST(PeerServer, heartbeatIsAnsweredWithItsLogicalTime)
 {
-    PeerClient client({ .secret = kSecret }, directory);
+    PeerClient client({ .secret = sharedSecret }, directory);
     rpc::Heartbeat news = toThrift(Heartbeat { .instance = InstanceId { "i1" }, .sequence = 4 });
     news.logicalTime = 77;
-    auto answer = client.heartbeat(kPeer, news);
+    auto answer = client.heartbeat(peerB, news);
     LONGS_EQUAL(5, answer->sequence);
     LONGS_EQUAL(500, answer->logicalTime);
     LONGS_EQUAL(77, observed);
@@ -65,8 +65,8 @@
 
 TEST(PeerServer, messagesAndBytesAreCounted)
 {
-    PeerClient client({ .secret = kSecret }, directory);
-    CHECK(bool(client.heartbeat(kPeer, {})));
+    PeerClient client({ .secret = sharedSecret }, directory);
+    CHECK(bool(client.heartbeat(peerB, {})));
     LONGS_EQUAL(1, client.traffic().messages.load());
     CHECK(client.traffic().bytes.load() > 40);
 }
@@ -74,30 +74,30 @@
 TEST(PeerServer, wrongSecretIsRefused)
 {
     PeerClient client({ .secret = Secret { "another-secret-text" } }, directory);
-    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(kPeer, {})); return {}; });
+    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(peerB, {})); return {}; });
     CHECK(error && error->failure == CallFailure::Refused);
     STRCMP_CONTAINS("unauthorized", error->detail.c_str());
 }
 
 TEST(PeerServer, unansweredHeartbeatIsRefused)
 {
-    PeerClient client({ .secret = kSecret }, directory);
-    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(kPeer, toThrift(Heartbeat { .instance = InstanceId { "slow" } }))); return {}; });
+    PeerClient client({ .secret = sharedSecret }, directory);
+    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(peerB, toThrift(Heartbeat { .instance = InstanceId { "slow" } }))); return {}; });
     CHECK(error && error->failure == CallFailure::Refused);
 }
 
 TEST(PeerServer, fetchFailureIsTyped)
 {
-    PeerClient client({ .secret = kSecret }, directory);
-    CHECK(client.fetchSettings(kPeer, SettingsVersion { 6 })->currentVersion == 7);
-    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.fetchSettings(kPeer, {})); return {}; });
+    PeerClient client({ .secret = sharedSecret }, directory);
+    CHECK(client.fetchSettings(peerB, SettingsVersion { 6 })->currentVersion == 7);
+    auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.fetchSettings(peerB, {})); return {}; });
     STRCMP_CONTAINS("none held", error->detail.c_str());
 }
 
 TEST(PeerServer, unknownAndUnreachablePeersAreNotSent)
 {
     directory.replace({ { InstanceId { "gone" }, { "127.0.0.1", 1 } } });
-    PeerClient client({ .secret = kSecret }, directory);
+    PeerClient client({ .secret = sharedSecret }, directory);
     for (const char* peer : { "gone", "unknown" }) {
         auto error = failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(InstanceId { peer }, {})); return {}; });
         CHECK(error && error->failure == CallFailure::NotSent);
@@ -106,11 +106,11 @@
 
 TEST(PeerServer, oversizedMessageClosesTheConnectionAndTheServerLivesOn)
 {
-    PeerClient client({ .secret = kSecret }, directory);
+    PeerClient client({ .secret = sharedSecret }, directory);
     rpc::Heartbeat news;
-    news.instance = std::string(200 * 1024, 'x');
-    CHECK(failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(kPeer, news)); return {}; }).has_value());
-    CHECK(bool(client.heartbeat(kPeer, {})));
+    news.instance = std::string(200UL * 1024, 'x');
+    CHECK(failureOf([&]() -> Result<void> { BOOST_LEAF_CHECK(client.heartbeat(peerB, news)); return {}; }).has_value());
+    CHECK(bool(client.heartbeat(peerB, {})));
 }
 
 TEST(PeerServer, garbageIsSurvived)
@@ -121,8 +121,8 @@
     const std::string garbage = "GET / HTTP/1.1\r\n\r\n";
     LONGS_EQUAL(garbage.size(), write(raw, garbage.data(), garbage.size()));
     close(raw);
-    PeerClient client({ .secret = kSecret }, directory);
-    CHECK(bool(client.heartbeat(kPeer, {})));
+    PeerClient client({ .secret = sharedSecret }, directory);
+    CHECK(bool(client.heartbeat(peerB, {})));
 }
 
 TEST(PeerServer, portInUseIsAnInvalidSetting)
--- a/test/PlatformIoTest.cpp
+++ b/test/PlatformIoTest.cpp
@@ -41,6 +41,7 @@
             wake.notify_all();
             wake.wait(lock, [this] { return mayWrite; });
             std::vector<ClaimAnswered> answers;
+            answers.reserve(writes.size());
             for (const WriteClaim& write : writes)
                 answers.push_back({ .request = write.request, .attempt = write.row.attempt });
             return answers;
--- a/test/ProcessSettingsTest.cpp
+++ b/test/ProcessSettingsTest.cpp
@@ -11,11 +11,11 @@
 
 using TextMap = std::map<std::string, std::string>;
 
-const TextMap kLeast { { "instance_id", "i1" }, { "table_endpoint", "127.0.0.1:8000" } };
+const TextMap leastAllowed { { "instance_id", "i1" }, { "table_endpoint", "127.0.0.1:8000" } };
 
 TextMap with(const std::string& flag, const std::string& value)
 {
-    TextMap flags = kLeast;
+    TextMap flags = leastAllowed;
     flags[flag] = value;
     return flags;
 }
@@ -35,6 +35,7 @@
 {
     arguments.insert(arguments.begin(), "limpetpondd");
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size());
     for (std::string& argument : arguments)
         pointers.push_back(argument.data());
     return boost::leaf::try_handle_all(
@@ -52,7 +53,7 @@
 
 TEST(ProcessSettings, defaultsAreValid)
 {
-    STRCMP_EQUAL("", refusal(kLeast).name.c_str());
+    STRCMP_EQUAL("", refusal(leastAllowed).name.c_str());
 }
 
 TEST(ProcessSettings, flagWinsOverVariable)
@@ -93,12 +94,12 @@
 
 TEST(ProcessSettings, unknownVariableIsRefused)
 {
-    STRCMP_EQUAL("LIMPETPOND_CALER_PORT", refusal(kLeast, { { "LIMPETPOND_CALER_PORT", "1" } }).name.c_str());
+    STRCMP_EQUAL("LIMPETPOND_CALER_PORT", refusal(leastAllowed, { { "LIMPETPOND_CALER_PORT", "1" } }).name.c_str());
 }
 
 TEST(ProcessSettings, variablesOfTheToolAreNoneOfOurs)
 {
-    STRCMP_EQUAL("", refusal(kLeast, { { "LIMPETPOND_INSTANCES", "127.0.0.1:9090" } }).name.c_str());
+    STRCMP_EQUAL("", refusal(leastAllowed, { { "LIMPETPOND_INSTANCES", "127.0.0.1:9090" } }).name.c_str());
 }
 
 TEST(ProcessSettings, unknownFlagIsRefused)
@@ -114,8 +115,8 @@
     InvalidSetting refused = commandLineRefusal({ "--peer_secret=sesame-sesame-sesame" });
     STRCMP_EQUAL("--peer_secret", refused.name.c_str());
     STRCMP_EQUAL("(hidden)", refused.value.c_str());
-    STRCMP_EQUAL("(hidden)", refusal(kLeast, { { "LIMPETPOND_PEER_SECRET", "short" } }).value.c_str());
-    auto settings = resolveProcessSettings(kLeast, { { "LIMPETPOND_PEER_SECRET", "sesame-sesame-sesame" } });
+    STRCMP_EQUAL("(hidden)", refusal(leastAllowed, { { "LIMPETPOND_PEER_SECRET", "short" } }).value.c_str());
+    auto settings = resolveProcessSettings(leastAllowed, { { "LIMPETPOND_PEER_SECRET", "sesame-sesame-sesame" } });
     for (const ShownSetting& setting : shownSettings(*settings))
         CHECK(setting.value.find("sesame") == std::string::npos);
 }
@@ -133,7 +134,7 @@
 TEST(ProcessSettings, helpListsEverySettingWithItsRangeAndDefault)
 {
     std::string help = processSettingsHelp();
-    auto settings = resolveProcessSettings(kLeast, {});
+    auto settings = resolveProcessSettings(leastAllowed, {});
     for (const ShownSetting& setting : shownSettings(*settings)) {
         bool isSecret = setting.value == "(not set)";
         CHECK_TEXT(help.find(isSecret ? "--" + setting.name + "_file=" : "--" + setting.name + "=") != std::string::npos, setting.name.c_str());
--- a/test/ToolTest.cpp
+++ b/test/ToolTest.cpp
@@ -34,7 +34,7 @@
         options.raiseAlarm = [](AlarmKind, const std::string&) {};
         options.timeline = [](std::uint64_t, const RequestId& request) { return std::vector<RecordedEntry> { { .sequence = 1, .entry = { .kind = "dispatched", .request = request } } }; };
         options.acceptTimeout = std::chrono::milliseconds(1);
-        server.addService(kOperatorServiceName, makeOperatorProcessor(std::move(options)));
+        server.addService(operatorServiceName, makeOperatorProcessor(std::move(options)));
         command.options.instances = { { "127.0.0.1", server.start().value() } };
         command.options.secret = "s3cret";
         command.options.author = "ana";
--- a/test/TrafficTest.cpp
+++ b/test/TrafficTest.cpp
@@ -12,18 +12,18 @@
 
 namespace {
 
-const TargetId kEngine { "engine-1" };
-const TargetId kService { "fees-1" };
+const TargetId engineTarget { "engine-1" };
+const TargetId serviceTarget { "fees-1" };
 
 std::shared_ptr<const Settings> makeSettings()
 {
     auto settings = std::make_shared<Settings>();
     settings->version = SettingsVersion { 1 };
     settings->accounts[ClientAccountId { "acme" }] = { .id = ClientAccountId { "acme" }, .tier = TierLevel { 2 }, .keyHashes = { sha256Hex("key-1") } };
-    settings->pools[PoolId { "drafts" }] = { .id = PoolId { "drafts" }, .models = { ModelId { "small" } }, .targets = { kEngine } };
-    settings->pools[PoolId { "fees" }] = { .id = PoolId { "fees" }, .kind = TargetKind::PlainService, .service = "fees", .nonIdempotentMethods = { "POST" }, .targets = { kService } };
-    settings->targets[kEngine] = { .id = kEngine, .pool = PoolId { "drafts" }, .host = "127.0.0.1", .port = 1 };
-    settings->targets[kService] = { .id = kService, .pool = PoolId { "fees" }, .kind = TargetKind::PlainService, .host = "127.0.0.1", .port = 1 };
+    settings->pools[PoolId { "drafts" }] = { .id = PoolId { "drafts" }, .models = { ModelId { "small" } }, .targets = { engineTarget } };
+    settings->pools[PoolId { "fees" }] = { .id = PoolId { "fees" }, .kind = TargetKind::PlainService, .service = "fees", .nonIdempotentMethods = { "POST" }, .targets = { serviceTarget } };
+    settings->targets[engineTarget] = { .id = engineTarget, .pool = PoolId { "drafts" }, .host = "127.0.0.1", .port = 1 };
+    settings->targets[serviceTarget] = { .id = serviceTarget, .pool = PoolId { "fees" }, .kind = TargetKind::PlainService, .host = "127.0.0.1", .port = 1 };
     return settings;
 }
 
@@ -95,7 +95,7 @@
     void setup() override
     {
         core.onArrival = [](const RequestArrived& arrival, SteadyTime now, ControlActions& out) {
-            out.push_back(Dispatch { arrival.request, AttemptId { arrival.request.value() + "-a" }, arrival.pool == PoolId { "fees" } ? kService : kEngine, now + seconds(5) });
+            out.push_back(Dispatch { arrival.request, AttemptId { arrival.request.value() + "-a" }, arrival.pool == PoolId { "fees" } ? serviceTarget : engineTarget, now + seconds(5) });
         };
         core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
             bool isWhole = ended.end == DispatchEnd::Completed || ended.end == DispatchEnd::TargetError;
@@ -290,7 +290,7 @@
 TEST(Traffic, lateDispatchIsNotStarted)
 {
     core.onArrival = [](const RequestArrived& arrival, SteadyTime now, ControlActions& out) {
-        out.push_back(Dispatch { arrival.request, AttemptId { "late" }, kEngine, now - milliseconds(1) });
+        out.push_back(Dispatch { arrival.request, AttemptId { "late" }, engineTarget, now - milliseconds(1) });
     };
     core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
         out.push_back(FinalAnswer { .request = ended.request, .outcome = Outcome::NotRun, .reason = Reason::TargetFailed });
@@ -311,7 +311,7 @@
     };
     core.onEnded = [](const DispatchEnded& ended, ControlActions& out) {
         if (ended.end == DispatchEnd::NotStarted)
-            out.push_back(Dispatch { ended.request, AttemptId { "second" }, kEngine, SteadyTime::max() });
+            out.push_back(Dispatch { ended.request, AttemptId { "second" }, engineTarget, SteadyTime::max() });
         else
             out.push_back(FinalAnswer { .request = ended.request, .outcome = Outcome::Completed });
     };
@@ -326,7 +326,7 @@
             std::this_thread::sleep_for(milliseconds(10));
         return EngineCallEnd { .end = stop.isRequested() ? DispatchEnd::Cancelled : DispatchEnd::Completed };
     };
-    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { gone.request.value() + "-a" }, kEngine }); };
+    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { gone.request.value() + "-a" }, engineTarget }); };
     start();
     RawConnection connection(port);
     connection.send(chat(true));
@@ -422,7 +422,7 @@
 
 TEST(Traffic, slowCallerHoldsItsEngineBack)
 {
-    options.maxStreamBuffer = ByteCount { 64 * 1024 };
+    options.maxStreamBuffer = ByteCount { 64L * 1024 };
     std::atomic<int> given { 0 };
     constexpr int chunks = 2000;
     calls.engine = [&](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
@@ -442,7 +442,7 @@
 
 TEST(Traffic, cancelReachesTheDispatchOfACallerThatReadsNothing)
 {
-    options.maxStreamBuffer = ByteCount { 256 * 1024 };
+    options.maxStreamBuffer = ByteCount { 256L * 1024 };
     calls.engine = [](const EngineAddress&, const EngineCall&, const EngineCallHandlers& handlers, CallStop&) {
         const EngineChunk large = chunkOf(std::string(4096, 'x'));
         for (int i = 0; i < 4000; ++i) {
@@ -454,9 +454,9 @@
     RequestId request;
     core.onArrival = [&](const RequestArrived& arrival, SteadyTime, ControlActions& out) {
         request = arrival.request;
-        out.push_back(Dispatch { arrival.request, AttemptId { "a" }, kEngine, SteadyTime::max() });
+        out.push_back(Dispatch { arrival.request, AttemptId { "a" }, engineTarget, SteadyTime::max() });
     };
-    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { "a" }, kEngine }); };
+    core.onGone = [](const CallerGone& gone, ControlActions& out) { out.push_back(CancelDispatch { gone.request, AttemptId { "a" }, engineTarget }); };
     start();
     RawConnection connection(port);
     connection.send(chat(true));
--- a/test/fuzz/caller/main.cpp
+++ b/test/fuzz/caller/main.cpp
@@ -47,6 +47,8 @@
 
 } // namespace
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string_view text(reinterpret_cast<const char*>(data), size);
--- a/test/fuzz/streams/main.cpp
+++ b/test/fuzz/streams/main.cpp
@@ -23,6 +23,8 @@
 
 } // namespace
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     if (!size)
--- a/test/process/Site.cpp
+++ b/test/process/Site.cpp
@@ -45,7 +45,7 @@
     auto callOperator(int port, Call call)
     {
         ThriftLimits limits { .connectTimeout = 1s, .callTimeout = 10s };
-        Result<ThriftConnection> connection = connectThrift({ "127.0.0.1", port }, kOperatorServiceName, limits);
+        Result<ThriftConnection> connection = connectThrift({ "127.0.0.1", port }, operatorServiceName, limits);
         if (!connection)
             failTest("no connection to a daemon");
         rpc::OperatorServiceClient client(connection->protocol);
--- a/test/soak/World.cpp
+++ b/test/soak/World.cpp
@@ -712,7 +712,7 @@
     });
 }
 
-void World::commit(std::shared_ptr<Settings> edited, std::optional<TargetId> marked, int index)
+void World::commit(const std::shared_ptr<Settings>& edited, const std::optional<TargetId>& marked, int index)
 {
     edited->version = SettingsVersion(m_versions.back()->version.value() + 1);
     bool isLeaving = false;
@@ -728,7 +728,7 @@
     awaitAcceptance(edited->version, marked, isLeaving, index, epoch, m_now + seconds(10));
 }
 
-void World::awaitAcceptance(SettingsVersion version, std::optional<TargetId> marked, bool isLeaving, int index, std::uint64_t epoch, SteadyTime until)
+void World::awaitAcceptance(SettingsVersion version, const std::optional<TargetId>& marked, bool isLeaving, int index, std::uint64_t epoch, SteadyTime until)
 {
     onInstance(index, epoch, milliseconds(50), [=, this] {
         if (m_now > until)
--- a/test/soak/World.h
+++ b/test/soak/World.h
@@ -165,8 +165,8 @@
     // Operators
     void operate();
     void edit();
-    void commit(std::shared_ptr<Settings>, std::optional<TargetId> marked, int instance);
-    void awaitAcceptance(SettingsVersion, std::optional<TargetId>, bool isLeaving, int instance, std::uint64_t epoch, SteadyTime until);
+    void commit(const std::shared_ptr<Settings>&, const std::optional<TargetId>& marked, int instance);
+    void awaitAcceptance(SettingsVersion, const std::optional<TargetId>&, bool isLeaving, int instance, std::uint64_t epoch, SteadyTime until);
     void lookForEmptyTargets();
 
     // Faults
