Show the claim window's guard red, and split effect and answer in the models

Cause: the guard ClaimWindowChecked was missing from the soak's mutants, since no run had shown it: no invariant looked at the window, and its 15 s were longer than requests wait there. Three mutants of the models were missed, since a write's effect and its answer were one step. Ruled out: passing over them as known red. An answer of a peer had to be one step: with a restart in between, the model showed a violation that the code cannot have. Conclusion: the unbroken settings models are to be run whole again, since their states grew.

--- a/models/lease.pml
+++ b/models/lease.pml
@@ -95,11 +95,18 @@
     }
 }
 
+/* The effect of a renewal and its answer are two steps: time may pass in between. */
 inline renew() {
     atomic {
         if
-        :: holder == me && number == myNumber && renewals < 2 ->
-            renewals++;
+        :: holder == me && number == myNumber && renewals < 2 -> renewals++; isRenewing = true
+        :: holder == me && number == myNumber && renewals >= 2 -> startedAt = 0
+        :: else -> loseLease(); startedAt = 0
+        fi
+    };
+    if
+    :: isRenewing ->
+        atomic {
             if
 #ifdef RENEWED_FROM_ANSWER
             :: renewedAt = now
@@ -107,12 +114,12 @@
             :: renewedAt = startedAt
 #endif
             :: true /* The answer is lost. */
-            fi
-        :: holder == me && number == myNumber && renewals >= 2 -> skip
-        :: else -> loseLease()
-        fi;
-        startedAt = 0
-    }
+            fi;
+            isRenewing = false;
+            startedAt = 0
+        }
+    :: else -> skip
+    fi
 }
 
 inline deliver(orderNumber) {
@@ -167,7 +174,7 @@
 #endif
 
 proctype Instance(byte me) {
-    bool hasSeen = false, isHeld = false;
+    bool hasSeen = false, isHeld = false, isRenewing = false;
     byte seenHolder = NOBODY, seenNumber, seenRenewals, changedAt;
     byte myNumber, heldSince, renewedAt, startedAt, orderNumber;
 
--- a/models/settings.pml
+++ b/models/settings.pml
@@ -65,11 +65,12 @@
     :: now < HORIZON && confirmedAt[me] != now ->
         /* Reads the version row; the process may sleep between the start and the read. */
         startedAt = now;
+        if
+        :: seen = stored
+        :: true /* The store does not answer. */
+        fi;
+        /* Time may pass before the answer comes. */
         atomic {
-            if
-            :: seen = stored
-            :: true /* The store does not answer. */
-            fi;
             if
             :: seen > 0 ->
                 setVersion(me, seen);
@@ -89,8 +90,9 @@
     :: now < HORIZON && confirmedAt[me] != now ->
         /* Asks both peers, one after the other. */
         startedAt = now;
+        /* An answer is one step of the peer that gives it. */
         if
-        :: isEstablished[(me + 1) % INSTANCES] -> first = version[(me + 1) % INSTANCES]
+        :: atomic { isEstablished[(me + 1) % INSTANCES] -> first = version[(me + 1) % INSTANCES] }
         :: true
         fi;
         atomic {
@@ -135,15 +137,18 @@
             :: second > first -> first = second
             :: else -> skip
             fi;
-            if
-            :: first > 0 -> setVersion(me, first)
-            :: else -> skip
-            fi;
             counted = 0;
             needed = 0;
             startedAt = 0;
-            first = 0;
             second = 0
+        };
+        /* A higher version is fetched later, and the fetch may fail. */
+        atomic {
+            if
+            :: first > version[me] -> setVersion(me, first)
+            :: true
+            fi;
+            first = 0
         }
     :: atomic {
            /* Dispatches; the traffic thread checks the age by its clock as it sends. */
--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -343,6 +343,8 @@
 
     SteadyTime notAfter = *confirmedUntil(m_replica);
     if (active.claim) {
+        // Past the window the row may have expired, and another attempt may own the key.
+        checkInvariant(now < claimDispatchBefore(*active.claim, m_options.claims), InvariantId::ClaimedRunsOnce);
         notAfter = std::min(notAfter, claimDispatchBefore(*active.claim, m_options.claims));
         markClaimDispatched(*active.claim);
     } else {
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -141,6 +141,7 @@
     SOAK_MUTANT(RetryTokenRequired),
     SOAK_MUTANT(BodyHashCompared),
     SOAK_MUTANT(LostAnswerIsUnknown),
+    SOAK_MUTANT(ClaimWindowChecked),
     SOAK_MUTANT(KeyedCallIsClaimed),
     SOAK_MUTANT(SecondDispatchOnlyIfNotStarted),
     SOAK_MUTANT(DispatchNotAfterChecked),
