Wait out the calls of earlier starts before a target counts as empty

A new start replaced what was known of the one before, and a restarted instance knew nothing of its own. Change: the tracker keeps earlier starts it heard of and waits them out like departed instances; a tracker that just started waits out what it cannot know, unless the target reports itself idle after that. Conclusion: right after a start, a plain service takes a minute longer to count as empty, since it reports nothing.

--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -45,7 +45,7 @@
 {
     m_replica.self = m_options.instance;
     m_replica.startedAt = now;
-    m_drains.self = m_options.instance;
+    m_drains = makeDrainTracker(m_options.instance, now);
     m_membership = makeMembership({ .self = m_options.instance, .incarnation = m_options.incarnation, .seed = m_options.seed }, now);
 }
 
--- a/src/core/Drain.cpp
+++ b/src/core/Drain.cpp
@@ -104,6 +104,13 @@
     return "serving";
 }
 
+DrainTracker makeDrainTracker(InstanceId self, SteadyTime now)
+{
+    DrainTracker tracker { .self = std::move(self) };
+    tracker.endedStarts.push_back({ .state = MemberState::Departed, .lastHeard = now });
+    return tracker;
+}
+
 void noteWork(DrainTracker& tracker, const Heartbeat& news, SteadyTime now)
 {
     if (news.instance == tracker.self)
@@ -113,6 +120,8 @@
     bool isOlder = news.incarnation < work.incarnation || (news.incarnation == work.incarnation && news.sequence < work.sequence);
     if (!isNew && isOlder)
         return;
+    if (!work.incarnation.isNone() && news.incarnation > work.incarnation)
+        tracker.endedStarts.push_back(work);
     work.incarnation = news.incarnation;
     work.sequence = news.sequence;
     work.state = MemberState::Live;
@@ -176,6 +185,10 @@
         const InstanceWork& work = entry.second;
         return !work.listed && work.state == MemberState::Departed && now - work.lastHeard > detail::forgetAfter;
     });
+    Duration longestCall {};
+    for (const auto& [id, pool] : settings.pools)
+        longestCall = std::max<Duration>(longestCall, pool.callTimeout);
+    std::erase_if(tracker.endedStarts, [&](const InstanceWork& work) { return now - work.lastHeard > longestCall + detail::forgetAfter; });
 }
 
 DrainStatus drainStatus(const DrainTracker& tracker, const Settings& settings, const TargetId& id, SteadyTime now)
@@ -200,6 +213,13 @@
         if (until)
             status.departedUntil = std::max(status.departedUntil.value_or(*until), *until);
     }
+    for (const InstanceWork& work : tracker.endedStarts) {
+        if (!heldSince || detail::hasConfirmed(work, id, target.markVersion))
+            continue;
+        std::optional<SteadyTime> until = detail::unheardUntil(tracker, settings, target, work, *heldSince, now);
+        if (until)
+            status.departedUntil = std::max(status.departedUntil.value_or(*until), *until);
+    }
     bool isProved = heldSince && status.notConfirmed.empty() && !status.departedUntil;
     if (!isProved && !isGuardDisabled(GuardId::EmptyIsProved))
         return status;
--- a/src/core/Drain.h
+++ b/src/core/Drain.h
@@ -41,6 +41,7 @@
 struct DrainTracker {
     InstanceId self;
     std::map<InstanceId, InstanceWork> instances; ///< This one included.
+    std::vector<InstanceWork> endedStarts; ///< Earlier starts of instances that were replaced; their calls may still run at targets.
     std::map<TargetId, TargetOwnReport> reports;
     std::map<TargetId, MarkHeld> majorityConfirmedAt;
     Duration longestViewAge { 0 }; ///< The largest view age limit seen; a silent instance may still hold it.
@@ -60,6 +61,13 @@
     std::optional<SteadyTime> departedUntil; ///< Until when an unheard instance may still have work there.
 };
 
+/// The state of an instance that starts now. What earlier starts, its own among them, left at targets is not
+/// known to it, so it waits that out like the work of a departed instance.
+///
+///     DrainTracker tracker = makeDrainTracker(InstanceId("a"), now);
+///     noteListed(tracker, list, now);
+DrainTracker makeDrainTracker(InstanceId self, SteadyTime now);
+
 /// Whether the state is `serving`, `leaving` or `empty`, as text.
 std::string_view toString(DrainState);
 
--- a/support/demo-site.py
+++ b/support/demo-site.py
@@ -158,7 +158,7 @@
     return None
 
 
-def run(site, kill_one):
+def run(site, kill_one, timeline):
     site.start_stand_ins()
     site.start_daemons()
     print(f"{DAEMONS} daemons, {ENGINES} engines and 1 service started")
@@ -187,6 +187,9 @@
     for record in records:
         if record["told"] != "completed":
             print(f"not completed: {record['kind']} {record['told']} {record['reason']}")
+    if timeline:
+        page = site.tool("timeline", "--html", "--output", timeline)
+        print(f"time line written to {timeline}" if page.returncode == 0 else page.stderr.strip())
     doubled = json.loads(fetch(site.service, "/_runs")[1])["doubled"]
     result = {name: summary[name] for name in ("sent", "completed", "not_run", "unknown", "mismatched")}
     result["doubled"] = doubled
@@ -202,10 +205,11 @@
     parser.add_argument("--build", required=True)
     parser.add_argument("--started", type=float, required=True)
     parser.add_argument("--kill-one", action="store_true")
+    parser.add_argument("--timeline", help="the file for the time line of all processes, as an HTML page")
     arguments = parser.parse_args()
     site = Site(arguments.build)
     try:
-        result, good = run(site, arguments.kill_one)
+        result, good = run(site, arguments.kill_one, arguments.timeline)
     finally:
         site.stop()
     result["seconds"] = round(time.time() - arguments.started, 1)
--- a/test/DrainTest.cpp
+++ b/test/DrainTest.cpp
@@ -163,6 +163,30 @@
     CHECK(status().state == DrainState::Empty);
 }
 
+TEST(Drain, callsOfAnEarlierStartAreWaitedOut)
+{
+    own(7, 0);
+    hear("b", 7, 0);
+    hear("c", 0, 1);
+    hear("c", 7, 0, 2);
+    CHECK(status().state == DrainState::Leaving);
+    CHECK(status().departedUntil == now + 63s);
+    now += 64s;
+    CHECK(status().state == DrainState::Empty);
+}
+
+TEST(Drain, instanceThatJustStartedWaitsOutWhatItCannotKnow)
+{
+    tracker = makeDrainTracker(InstanceId("a"), now);
+    setup();
+    own(7, 0);
+    hear("b", 7, 0);
+    hear("c", 7, 0);
+    CHECK(status().departedUntil == now + 63s);
+    noteTargetReport(tracker, { .target = target, .measuredAt = now + 3'001ms });
+    CHECK(status().state == DrainState::Empty);
+}
+
 TEST(Drain, waitStartsWhenAMajorityHoldsTheMark)
 {
     own(7, 0);
