--- a/src/core/Control.cpp
+++ b/src/core/Control.cpp
@@ -45,7 +45,7 @@
 {
     m_replica.self = m_options.instance;
     m_replica.startedAt = now;
-    m_drains.self = m_options.instance;
+    m_drains = makeDrainTracker(m_options.instance, now);
     m_membership = makeMembership({ .self = m_options.instance, .incarnation = m_options.incarnation, .seed = m_options.seed }, now);
 }
 
@@ -343,6 +343,8 @@
 
     SteadyTime notAfter = *confirmedUntil(m_replica);
     if (active.claim) {
+        // Past the window the row may have expired, and another attempt may own the key.
+        checkInvariant(now < claimDispatchBefore(*active.claim, m_options.claims), InvariantId::ClaimedRunsOnce);
         notAfter = std::min(notAfter, claimDispatchBefore(*active.claim, m_options.claims));
         markClaimDispatched(*active.claim);
     } else {
