Rename the folder of the table dialect from platform to store

The top-level folder platform/ will hold the names and formats of the users' platform; the product's own store client keeps its code and gets a name that says what it is. No behaviour changes.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -12,7 +12,7 @@
 #include "operator/OperatorHandler.h"
 #include "peer/PeerServer.h"
 #include "peer/SettingsTransfer.h"
-#include "platform/InstanceList.h"
+#include "store/InstanceList.h"
 #include <thread>
 
 namespace limpetpond {
--- a/src/daemon/PlatformIo.cpp
+++ b/src/daemon/PlatformIo.cpp
@@ -5,7 +5,7 @@
 #include "engine/EngineClient.h"
 #include "peer/PeerConversion.h"
 #include "peer/SettingsTransfer.h"
-#include "platform/LeaseStore.h"
+#include "store/LeaseStore.h"
 #include <algorithm>
 #include <set>
 #include <utility>
--- a/src/daemon/PlatformIo.h
+++ b/src/daemon/PlatformIo.h
@@ -10,9 +10,9 @@
 #include "daemon/WorkerPool.h"
 #include "limpetpond/Clock.h"
 #include "peer/PeerClient.h"
-#include "platform/ClaimStore.h"
-#include "platform/SettingsHolder.h"
-#include "platform/SettingsStore.h"
+#include "store/ClaimStore.h"
+#include "store/SettingsHolder.h"
+#include "store/SettingsStore.h"
 #include <functional>
 #include <mutex>
 #include <vector>
--- a/src/operator/OperatorHandler.h
+++ b/src/operator/OperatorHandler.h
@@ -6,7 +6,7 @@
 #include "base/Timeline.h"
 #include "core/ControlStatus.h"
 #include "gen/OperatorService.h"
-#include "platform/SettingsHolder.h"
+#include "store/SettingsHolder.h"
 #include <chrono>
 #include <functional>
 #include <memory>
--- a/src/peer/SettingsTransfer.h
+++ b/src/peer/SettingsTransfer.h
@@ -3,7 +3,7 @@
 /// Settings on their way from one instance to another.
 
 #include "gen/limpetpond_types.h"
-#include "platform/SettingsHolder.h"
+#include "store/SettingsHolder.h"
 
 namespace limpetpond {
 
--- a/src/platform/ClaimStore.cpp
+++ b/src/store/ClaimStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 #include <algorithm>
 #include <array>
--- a/src/platform/ClaimStore.h
+++ b/src/store/ClaimStore.h
@@ -3,7 +3,7 @@
 /// Claims of non-idempotent calls as rows of the table service.
 
 #include "core/Messages.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 #include <vector>
 
 namespace limpetpond {
--- a/src/platform/InstanceList.cpp
+++ b/src/store/InstanceList.cpp
@@ -1,4 +1,4 @@
-#include "platform/InstanceList.h"
+#include "store/InstanceList.h"
 
 #include <boost/json.hpp>
 
--- a/src/platform/LeaseStore.cpp
+++ b/src/store/LeaseStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/LeaseStore.h"
+#include "store/LeaseStore.h"
 
 namespace limpetpond {
 
--- a/src/platform/LeaseStore.h
+++ b/src/store/LeaseStore.h
@@ -3,7 +3,7 @@
 /// Leases as rows of the table service.
 
 #include "core/Messages.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 namespace limpetpond {
 
--- a/src/platform/ObjectStore.cpp
+++ b/src/store/ObjectStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/ObjectStore.h"
+#include "store/ObjectStore.h"
 
 #include <utility>
 
--- a/src/platform/SettingsHolder.cpp
+++ b/src/store/SettingsHolder.cpp
@@ -1,4 +1,4 @@
-#include "platform/SettingsHolder.h"
+#include "store/SettingsHolder.h"
 
 namespace limpetpond {
 
--- a/src/platform/SettingsHolder.h
+++ b/src/store/SettingsHolder.h
@@ -4,7 +4,7 @@
 
 #include "core/Messages.h"
 #include "core/SettingsTree.h"
-#include "platform/SettingsStore.h"
+#include "store/SettingsStore.h"
 #include <deque>
 #include <memory>
 #include <mutex>
--- a/src/platform/SettingsStore.cpp
+++ b/src/store/SettingsStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/SettingsStore.h"
+#include "store/SettingsStore.h"
 
 #include <algorithm>
 #include <array>
--- a/src/platform/SettingsStore.h
+++ b/src/store/SettingsStore.h
@@ -9,7 +9,7 @@
 
 #include "core/SettingsTree.h"
 #include "limpetpond/Clock.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 #include <functional>
 #include <optional>
 #include <string>
--- a/src/platform/TableClient.cpp
+++ b/src/store/TableClient.cpp
@@ -1,4 +1,4 @@
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 #include <boost/json.hpp>
 #include <charconv>
--- a/test/ClaimStoreTest.cpp
+++ b/test/ClaimStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/ClaimStore.h"
+#include "store/ClaimStore.h"
 
 #include "test/CallFailures.h"
 #include "test/ScriptedServer.h"
--- a/test/InstanceListTest.cpp
+++ b/test/InstanceListTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/InstanceList.h"
+#include "store/InstanceList.h"
 
 #include "test/CallFailures.h"
 #include "test/ScriptedServer.h"
--- a/test/SettingsHolderTest.cpp
+++ b/test/SettingsHolderTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/SettingsHolder.h"
+#include "store/SettingsHolder.h"
 #include "test/TableFake.h"
 
 #include <CppUTest/TestHarness.h>
--- a/test/SettingsStoreTest.cpp
+++ b/test/SettingsStoreTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/SettingsStore.h"
+#include "store/SettingsStore.h"
 #include "test/TableFake.h"
 #include <boost/leaf/handle_errors.hpp>
 
--- a/test/TableClientTest.cpp
+++ b/test/TableClientTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 #include "test/CallFailures.h"
 #include "test/ScriptedServer.h"
--- a/test/TableFake.h
+++ b/test/TableFake.h
@@ -2,7 +2,7 @@
 
 /// A table in memory with the faults that the platform's table service can have.
 
-#include "platform/SettingsStore.h"
+#include "store/SettingsStore.h"
 #include <functional>
 #include <map>
 #include <utility>
--- a/test/fuzz/platform/main.cpp
+++ b/test/fuzz/platform/main.cpp
@@ -1,6 +1,6 @@
 /// Fuzzes the platform's instance list.
 
-#include "platform/InstanceList.h"
+#include "store/InstanceList.h"
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
