--- /dev/null
+++ b/src/core/EventScanner.cpp
@@ -0,0 +1,69 @@
+#include "core/EventScanner.h"
+
+#include <charconv>
+
+namespace limpetpond {
+
+namespace {
+
+    std::string_view withoutLineEnd(std::string_view line)
+    {
+        while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
+            line.remove_suffix(1);
+        return line;
+    }
+
+    std::optional<std::uint64_t> idOfLine(std::string_view line)
+    {
+        constexpr std::string_view field = "id:";
+        line = withoutLineEnd(line);
+        if (line.substr(0, field.size()) != field)
+            return std::nullopt;
+        line.remove_prefix(field.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec != std::errc() || parsed.ptr != line.data() + line.size())
+            return std::nullopt;
+        return id;
+    }
+
+} // namespace
+
+ScannedEvents scanEvents(EventScanner& scanner, std::string_view piece)
+{
+    scanner.held.append(piece);
+    std::string_view bytes = scanner.held;
+    ScannedEvents scanned;
+    std::size_t eventBegin = 0;
+    std::optional<std::uint64_t> id;
+    std::size_t lineBegin = 0;
+    while (true) {
+        std::size_t lineEnd = bytes.find('\n', lineBegin);
+        if (lineEnd == std::string_view::npos)
+            break;
+        std::string_view line = bytes.substr(lineBegin, lineEnd + 1 - lineBegin);
+        lineBegin = lineEnd + 1;
+        if (!withoutLineEnd(line).empty()) {
+            if (std::optional<std::uint64_t> found = idOfLine(line))
+                id = found;
+            continue;
+        }
+        ++scanned.count;
+        if (id) {
+            scanner.lastId = id;
+            if (!scanned.firstId)
+                scanned.firstId = id;
+        }
+        id.reset();
+        eventBegin = lineBegin;
+    }
+    scanned.whole.assign(bytes.substr(0, eventBegin));
+    scanner.held.erase(0, eventBegin);
+    return scanned;
+}
+
+bool isMidEvent(const EventScanner& scanner) { return !scanner.held.empty(); }
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/ResendBudget.cpp
@@ -0,0 +1,42 @@
+#include "core/ResendBudget.h"
+
+#include <algorithm>
+
+namespace limpetpond {
+
+namespace {
+
+    /// Kept free of the bound: instances count at slightly different times than the targets do.
+    constexpr double usedShare = 0.75;
+
+    void dropBefore(std::deque<SteadyTime>& times, SteadyTime oldest)
+    {
+        while (!times.empty() && times.front() <= oldest)
+            times.pop_front();
+    }
+
+} // namespace
+
+void noteRequest(ResendBudget& budget, SteadyTime now)
+{
+    budget.requests.push_back(now);
+    dropBefore(budget.requests, now - budget.options.window);
+}
+
+bool hasResend(ResendBudget& budget, int instances, SteadyTime now)
+{
+    dropBefore(budget.requests, now - budget.options.window);
+    dropBefore(budget.resends, now - budget.options.window);
+    double allowed = budget.options.ratio * static_cast<double>(budget.requests.size()) + budget.options.slack / std::max(instances, 1);
+    return static_cast<double>(budget.resends.size()) + 1 <= usedShare * allowed;
+}
+
+bool takeResend(ResendBudget& budget, int instances, SteadyTime now)
+{
+    if (!hasResend(budget, instances, now))
+        return false;
+    budget.resends.push_back(now);
+    return true;
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/SendProgress.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/// How far a send to a target got, and what may follow from it.
+///
+/// Load pattern: targets that crash, refuse or lose answers while requests that must not run twice
+/// are on their way to them.
+
+#include <string_view>
+
+namespace limpetpond {
+
+/// How far one send to one target got.
+enum class SendProgress {
+    NothingWritten, ///< Not one byte of the request left this process.
+    Written, ///< Some or all bytes left: the target may have run the request.
+    AnsweredNotRun, ///< The target said that it did not and will not run the request.
+};
+
+/// True where the request has certainly not run through this send.
+///
+///     hasCertainlyNotRun(SendProgress::Written) == false;
+constexpr bool hasCertainlyNotRun(SendProgress progress) { return progress != SendProgress::Written; }
+
+/// What is known of a request that a further send is asked for.
+struct ResendCase {
+    SendProgress progress { SendProgress::Written };
+    bool mayRunAgain { false }; ///< The kind of request allows a second run.
+    int targetsSent { 0 }; ///< Targets to which bytes were sent so far.
+    int maxTargets { 1 };
+};
+
+/// True where the request may be sent to a further target, the retry budget apart.
+///
+///     maySendAgain({ .progress = SendProgress::Written, .mayRunAgain = false }) == false;
+constexpr bool maySendAgain(const ResendCase& resend)
+{
+    if (resend.progress == SendProgress::NothingWritten)
+        return resend.targetsSent < resend.maxTargets;
+    if (resend.targetsSent >= resend.maxTargets)
+        return false;
+    return resend.mayRunAgain || resend.progress == SendProgress::AnsweredNotRun;
+}
+
+/// What a caller is told in the end where no target's answer can be passed on.
+enum class FailureAnswer {
+    NotRun, ///< 503: has not run and will not.
+    MayHaveRun, ///< 502
+    TimedOut, ///< 504: may have run.
+};
+
+/// The truthful answer of a request whose sends ended with `everWritten` as the worst of them.
+///
+///     failureAnswer({ .everWritten = false, .timedOut = true }) == FailureAnswer::NotRun;
+struct FailureCase {
+    bool everWritten { false }; ///< Some send may have made a target run the request.
+    bool timedOut { false };
+};
+constexpr FailureAnswer failureAnswer(const FailureCase& failure)
+{
+    if (!failure.everWritten)
+        return FailureAnswer::NotRun;
+    return failure.timedOut ? FailureAnswer::TimedOut : FailureAnswer::MayHaveRun;
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/WaitingLine.cpp
@@ -0,0 +1,127 @@
+#include "core/WaitingLine.h"
+
+#include <algorithm>
+
+namespace limpetpond {
+
+namespace {
+
+    /// The learned rate is of the recent past: a request admitted on it must still be sent in time when it falls a little.
+    constexpr double trustedPatience = 0.8;
+    /// Lines this short are drained by the next few answers, whatever the learned rate says.
+    constexpr std::size_t alwaysAdmitted = 4;
+    constexpr double leastSentPerSecond = 2;
+    constexpr Duration leastRetryAfter = std::chrono::milliseconds(250);
+    constexpr Duration longestRetryAfter = std::chrono::seconds(5);
+    constexpr Duration rateInterval = std::chrono::milliseconds(250);
+    constexpr double rateWeight = 0.4;
+
+    /// The last part of a late request's patience, in which it goes before everything of its rank.
+    constexpr double lastCallShare = 0.35;
+
+    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    Duration fromSeconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
+
+    SteadyTime lastCallAt(const WaitingRequest& request)
+    {
+        return request.giveUpAt - fromSeconds(lastCallShare * seconds(request.giveUpAt - request.arrivedAt));
+    }
+
+    /// Moves requests that can't meet their objective any more behind those that can.
+    void separateLate(WaitingLine& line, WaitingLine::RankLine& rank, SteadyTime now)
+    {
+        while (!rank.inTime.empty() && rank.inTime.begin()->first < now) {
+            WaitTicket ticket = rank.inTime.begin()->second;
+            rank.inTime.erase(rank.inTime.begin());
+            rank.late.emplace(lastCallAt(line.requests.at(ticket)), ticket);
+        }
+    }
+
+} // namespace
+
+void enqueue(WaitingLine& line, const WaitingRequest& request)
+{
+    line.requests.emplace(request.ticket, request);
+    line.ranks[request.rank].inTime.emplace(request.goalAt, request.ticket);
+}
+
+void removeWaiting(WaitingLine& line, WaitTicket ticket)
+{
+    auto found = line.requests.find(ticket);
+    if (found == line.requests.end())
+        return;
+    const WaitingRequest& request = found->second;
+    WaitingLine::RankLine& rank = line.ranks.at(request.rank);
+    rank.inTime.erase({ request.goalAt, ticket });
+    rank.late.erase({ lastCallAt(request), ticket });
+    line.requests.erase(found);
+}
+
+std::optional<WaitTicket> next(WaitingLine& line, SteadyTime now)
+{
+    for (auto& [level, rank] : line.ranks) {
+        separateLate(line, rank, now);
+        if (!rank.late.empty() && rank.late.begin()->first <= now)
+            return rank.late.begin()->second;
+        if (!rank.inTime.empty())
+            return rank.inTime.begin()->second;
+    }
+    for (const auto& [level, rank] : line.ranks) {
+        if (!rank.late.empty())
+            return rank.late.begin()->second;
+    }
+    return std::nullopt;
+}
+
+std::vector<WaitTicket> pastUse(const WaitingLine& line, SteadyTime now)
+{
+    std::vector<WaitTicket> past;
+    for (const auto& [ticket, request] : line.requests) {
+        if (request.giveUpAt <= now)
+            past.push_back(ticket);
+    }
+    std::sort(past.begin(), past.end());
+    return past;
+}
+
+std::size_t countBefore(const WaitingLine& line, int rank)
+{
+    std::size_t count = 0;
+    for (const auto& [level, waiting] : line.ranks) {
+        if (level <= rank)
+            count += waiting.inTime.size() + waiting.late.size();
+    }
+    return count;
+}
+
+void beginCounting(SendRate& rate, SteadyTime now)
+{
+    rate.counted = 0;
+    rate.countedFrom = now;
+}
+
+void noteSent(SendRate& rate, SteadyTime now)
+{
+    ++rate.counted;
+    Duration elapsed = now - rate.countedFrom;
+    if (elapsed < rateInterval)
+        return;
+    double measured = rate.counted / seconds(elapsed);
+    rate.perSecond = rate.perSecond > 0 ? rate.perSecond + rateWeight * (measured - rate.perSecond) : measured;
+    rate.counted = 0;
+    rate.countedFrom = now;
+}
+
+AdmissionDecision decideAdmission(const AdmissionCase& admission)
+{
+    if (admission.sentPerSecond <= 0)
+        return {};
+    double wait = static_cast<double>(admission.before) / std::max(admission.sentPerSecond, leastSentPerSecond);
+    if (admission.before < alwaysAdmitted || wait <= trustedPatience * seconds(admission.patience))
+        return {};
+    Duration retryAfter = std::clamp(fromSeconds(wait), leastRetryAfter, longestRetryAfter);
+    return { .mayWait = false, .retryAfter = retryAfter };
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/core/WaitingLine.h
@@ -0,0 +1,94 @@
+#pragma once
+
+/// How the requests of one pool wait at one instance, and which of them are turned away.
+///
+/// Load pattern: bursts of two to five seconds in which more is asked than the targets carry. Targets
+/// admit in the order of arrival and know no ranks, so requests wait here. Those that can still meet their
+/// latency objective go first, by rank and then by that time. Late ones follow, since their answers are worth
+/// less, until little of their patience is left: then they go before everything of their rank.
+
+#include "limpetpond/Clock.h"
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetpond {
+
+/// Names a waiting request at this instance; unique for the life of the process.
+using WaitTicket = std::uint64_t;
+
+/// What decides the place of a request in the line.
+struct WaitingRequest {
+    WaitTicket ticket { 0 };
+    int rank { 0 }; ///< 0 is the most urgent.
+    SteadyTime arrivedAt;
+    SteadyTime goalAt; ///< When it has to be at a target to meet its objective.
+    SteadyTime giveUpAt; ///< When sending it to a target is of no use any more.
+};
+
+/// The line of one pool.
+struct WaitingLine {
+    struct RankLine {
+        std::set<std::pair<SteadyTime, WaitTicket>> inTime; ///< By goalAt.
+        std::set<std::pair<SteadyTime, WaitTicket>> late; ///< By lastCallAt.
+    };
+    std::map<int, RankLine> ranks;
+    std::unordered_map<WaitTicket, WaitingRequest> requests;
+};
+
+/// Adds a request.
+///
+///     enqueue(line, { .ticket = 1, .rank = 0, .arrivedAt = now, .goalAt = now + 500ms, .giveUpAt = now + 3s });
+///     next(line, now) == 1;
+void enqueue(WaitingLine&, const WaitingRequest&);
+
+/// Removes a request; nothing where it doesn't wait.
+void removeWaiting(WaitingLine&, WaitTicket);
+
+/// The request to send next; nothing where none waits.
+std::optional<WaitTicket> next(WaitingLine&, SteadyTime now);
+
+/// Requests that have waited past the use of sending them; they stay in the line until removed.
+std::vector<WaitTicket> pastUse(const WaitingLine&, SteadyTime now);
+
+/// How many requests go before a new one of the rank.
+///
+///     countBefore(line, 1);
+std::size_t countBefore(const WaitingLine&, int rank);
+
+/// The rate at which places come free for this instance, learned from what it sent while requests waited.
+struct SendRate {
+    double perSecond { 0 }; ///< 0 before it is known.
+    SteadyTime countedFrom;
+    int counted { 0 };
+};
+
+/// Begins to count: the first request of a line began to wait.
+void beginCounting(SendRate&, SteadyTime now);
+
+/// Counts a request that was sent while requests waited.
+void noteSent(SendRate&, SteadyTime now);
+
+/// What is known when a request arrives at a full pool.
+struct AdmissionCase {
+    std::size_t before { 0 }; ///< Requests that go first.
+    double sentPerSecond { 0 }; ///< 0 for unknown.
+    Duration patience { 0 }; ///< From now to the last useful moment of sending it.
+};
+
+/// Whether a request may wait, and when its caller should come back otherwise.
+struct AdmissionDecision {
+    bool mayWait { true };
+    Duration retryAfter { 0 };
+};
+
+/// Turns a request away at once where it would not be sent in time.
+///
+///     AdmissionDecision decision = decideAdmission({ .before = 90, .sentPerSecond = 30, .patience = 2s });
+///     decision.mayWait == false;
+AdmissionDecision decideAdmission(const AdmissionCase&);
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/Exchange.cpp
@@ -0,0 +1,228 @@
+#include "gateway/Exchange.h"
+
+#include "gateway/AnswerText.h"
+
+namespace limpetpond {
+
+using platform::Field;
+
+namespace {
+
+    constexpr std::size_t mostHeldBody = 16U << 20; ///< Bytes; a larger answer is broken off.
+    constexpr std::size_t mostUnwritten = 262144; ///< Bytes that wait for a slow caller before reading stops.
+    constexpr int firstServerError = 500;
+
+    bool isEventStream(const HttpAnswerHead& head)
+    {
+        constexpr std::string_view eventStream = "text/event-stream";
+        return fieldValue(head.fields, Field::ContentType).substr(0, eventStream.size()) == eventStream;
+    }
+
+} // namespace
+
+Exchange::Exchange(ExchangeOwner& owner, const Clock& clock, WaitTicket ticket, std::shared_ptr<CallerConnection> caller, HttpRequest request, RequestFacts facts)
+    : m_owner(owner)
+    , m_clock(clock)
+    , m_ticket(ticket)
+    , m_caller(std::move(caller))
+    , m_request(std::move(request))
+    , m_facts(std::move(facts))
+{
+}
+
+void Exchange::send(std::shared_ptr<HttpChannel> channel, const TargetId& target, std::string bytes)
+{
+    SteadyTime now = m_clock.steadyNow();
+    m_attempt = Attempt { .channel = channel, .target = target, .sentAt = now, .lastProgressAt = now };
+    m_triedTargets.push_back(target);
+    ++m_targetsSent;
+    m_hasHead = false;
+    m_isBadAnswer = false;
+    m_mode = Mode::Held;
+    m_body.clear();
+    m_scanner.held.clear();
+    m_checksContinuation = m_hasBegunAnswer;
+    m_resumedAfter = resumePoint();
+    bool answerHasNoBody = m_request.method == "HEAD";
+    channel->send(std::move(bytes), m_facts.id, answerHasNoBody, *this);
+}
+
+void Exchange::abandonAttempt()
+{
+    if (!m_attempt)
+        return;
+    m_mayHaveRun = m_mayHaveRun || m_attempt->channel->isConnected();
+    m_attempt->channel->abandon();
+}
+
+void Exchange::stall()
+{
+    abandonAttempt();
+    endAttempt(AttemptEnd::Stalled);
+}
+
+void Exchange::onHead(HttpAnswerHead&& head)
+{
+    m_attempt->lastProgressAt = m_clock.steadyNow();
+    bool isContinuation = m_checksContinuation;
+    m_hasHead = true;
+    m_mode = isStreaming() && head.status == 200 && isEventStream(head) ? Mode::Events : Mode::Held;
+    if (isContinuation && m_mode == Mode::Events)
+        return; // The caller keeps the head of the target that began.
+    m_head = std::move(head);
+    if (m_mode == Mode::Events && !isOwnAnswer())
+        m_isBadAnswer = true;
+}
+
+bool Exchange::isOwnAnswer() const
+{
+    return hasField(m_head.fields, Field::TargetSignature) && hasField(m_head.fields, Field::RequestId);
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+    if (!m_attempt || m_isBadAnswer)
+        return;
+    m_attempt->lastProgressAt = m_clock.steadyNow();
+    if (m_mode == Mode::Events) {
+        takeEvents(bytes);
+        return;
+    }
+    if (m_body.size() + bytes.size() > mostHeldBody)
+        m_isBadAnswer = true;
+    else
+        m_body.append(bytes);
+}
+
+void Exchange::takeEvents(std::string_view bytes)
+{
+    ScannedEvents scanned = scanEvents(m_scanner, bytes);
+    if (!scanned.count)
+        return;
+    if (m_checksContinuation && !continuesStream(scanned)) {
+        m_isBadAnswer = true;
+        return;
+    }
+    m_checksContinuation = false;
+    if (!m_attempt->firstEventAt)
+        m_attempt->firstEventAt = m_clock.steadyNow();
+    m_attempt->events += scanned.count;
+    m_events += scanned.whole;
+}
+
+/// The first event of a further run has to follow the last one that was passed on.
+bool Exchange::continuesStream(const ScannedEvents& scanned)
+{
+    return !m_resumedAfter || (scanned.firstId && *scanned.firstId == *m_resumedAfter + 1);
+}
+
+void Exchange::onPiecesRead()
+{
+    if (!m_attempt)
+        return;
+    if (m_isBadAnswer) {
+        m_attempt->channel->abandon();
+        m_mayHaveRun = true;
+        endAttempt(AttemptEnd::BadAnswer);
+        return;
+    }
+    writeEvents();
+    if (m_caller->unwrittenBytes() > mostUnwritten)
+        m_attempt->channel->setPaused(true);
+}
+
+void Exchange::resumeReading()
+{
+    if (m_attempt)
+        m_attempt->channel->setPaused(false);
+}
+
+void Exchange::writeEvents()
+{
+    if (m_events.empty())
+        return;
+    if (!m_hasBegunAnswer)
+        beginEvents();
+    std::string chunk;
+    appendChunk(chunk, m_events);
+    m_events.clear();
+    m_caller->write(chunk);
+}
+
+void Exchange::beginEvents()
+{
+    m_hasBegunAnswer = true;
+    m_keepsCaller = mayKeepCaller();
+    m_caller->write(callerAnswerHead(m_head, BodyFraming::Chunks, 0, m_keepsCaller));
+}
+
+bool Exchange::mayKeepCaller() const { return m_request.keepAlive && m_owner.keepsCallerConnections(); }
+
+void Exchange::onWhole()
+{
+    bool isHeldAnswer = !m_isBadAnswer && m_mode == Mode::Held;
+    if (isHeldAnswer && m_head.status == platform::wrongTargetStatus) {
+        endAttempt(AttemptEnd::WrongTarget);
+        return;
+    }
+    if (isHeldAnswer && hasField(m_head.fields, Field::NotRun)) {
+        endAttempt(AttemptEnd::NotRun);
+        return;
+    }
+    m_mayHaveRun = true;
+    if (m_isBadAnswer) {
+        endAttempt(AttemptEnd::BadAnswer);
+    } else if (m_mode == Mode::Events) {
+        endEvents();
+    } else if (m_hasBegunAnswer || !isOwnAnswer()) {
+        endAttempt(AttemptEnd::BadAnswer);
+    } else if (m_head.status >= firstServerError) {
+        endAttempt(AttemptEnd::FailedAnswer);
+    } else {
+        writeHeldAnswer();
+        endAttempt(AttemptEnd::Answered);
+    }
+}
+
+void Exchange::endEvents()
+{
+    writeEvents();
+    if (isMidEvent(m_scanner)) {
+        endAttempt(AttemptEnd::Broken);
+        return;
+    }
+    if (!m_hasBegunAnswer)
+        beginEvents();
+    m_caller->write(lastChunk);
+    m_caller->finishAnswer(m_keepsCaller);
+    endAttempt(AttemptEnd::Answered);
+}
+
+void Exchange::passOnFailedAnswer() { writeHeldAnswer(); }
+
+void Exchange::writeHeldAnswer()
+{
+    bool keepAlive = mayKeepCaller();
+    BodyFraming framing = m_request.method == "HEAD" ? BodyFraming::None : BodyFraming::Length;
+    m_hasBegunAnswer = true;
+    m_caller->write(callerAnswerHead(m_head, framing, m_body.size(), keepAlive).append(m_body));
+    m_caller->finishAnswer(keepAlive);
+}
+
+void Exchange::onFailure(ChannelFailure failure, bool wroteBytes)
+{
+    if (!m_attempt)
+        return;
+    if (failure == ChannelFailure::NotConnected && !wroteBytes) {
+        --m_targetsSent;
+        endAttempt(AttemptEnd::NotConnected);
+        return;
+    }
+    m_mayHaveRun = true;
+    writeEvents();
+    endAttempt(failure == ChannelFailure::Malformed ? AttemptEnd::BadAnswer : AttemptEnd::Broken);
+}
+
+void Exchange::endAttempt(AttemptEnd end) { m_owner.onAttemptEnd(*this, end); }
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/GatewayAttempts.cpp
@@ -0,0 +1,237 @@
+/// The part of the gateway that follows sends to targets: their ends, further sends, time-outs.
+
+#include "gateway/Gateway.h"
+
+namespace limpetpond {
+
+namespace {
+
+    constexpr Duration answerSlack = std::chrono::milliseconds(60); ///< The target's own answer at the deadline may still come.
+    constexpr Duration leastTimeToSendAgain = std::chrono::milliseconds(100);
+    constexpr int goalsUntilStalled = 2; ///< Without a first event or an answer.
+    constexpr double pausesUntilStalled = 2.5; ///< Between two events.
+    constexpr int leastEventsMeasured = 4; ///< Of a stream whose speed is learned.
+    constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
+    constexpr double slowestPromptTokensPerMillisecond = 25;
+
+    std::string_view textOf(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::Answered:
+            return "answered";
+        case AttemptEnd::NotRun:
+            return "not_run";
+        case AttemptEnd::WrongTarget:
+            return "wrong_target";
+        case AttemptEnd::FailedAnswer:
+            return "failed_answer";
+        case AttemptEnd::BadAnswer:
+            return "bad_answer";
+        case AttemptEnd::NotConnected:
+            return "not_connected";
+        case AttemptEnd::Broken:
+            return "connection_lost";
+        case AttemptEnd::Stalled:
+            return "stalled";
+        }
+        return "unknown";
+    }
+
+    SendProgress progressOf(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::NotConnected:
+            return SendProgress::NothingWritten;
+        case AttemptEnd::NotRun:
+        case AttemptEnd::WrongTarget:
+            return SendProgress::AnsweredNotRun;
+        default:
+            return SendProgress::Written;
+        }
+    }
+
+    double milliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+    /// The time that a unit of work took: an event of a stream, or a whole plain call.
+    std::optional<double> unitMilliseconds(const Exchange& exchange, const Attempt& attempt, SteadyTime now)
+    {
+        if (!exchange.isStreaming())
+            return milliseconds(now - attempt.sentAt);
+        if (!attempt.firstEventAt || attempt.events < leastEventsMeasured)
+            return std::nullopt;
+        return milliseconds(attempt.lastProgressAt - *attempt.firstEventAt) / (attempt.events - 1);
+    }
+
+    void learnFromEnd(TargetState& target, const Exchange& exchange, const Attempt& attempt, AttemptEnd end, SteadyTime now)
+    {
+        switch (end) {
+        case AttemptEnd::Answered:
+            noteAnswer(target, unitMilliseconds(exchange, attempt, now), now);
+            return;
+        case AttemptEnd::FailedAnswer:
+        case AttemptEnd::BadAnswer:
+            noteFailedAnswer(target, now);
+            return;
+        case AttemptEnd::NotConnected:
+        case AttemptEnd::Broken:
+        case AttemptEnd::Stalled:
+            noteBrokenConnection(target, now);
+            return;
+        case AttemptEnd::NotRun:
+        case AttemptEnd::WrongTarget:
+            return;
+        }
+    }
+
+} // namespace
+
+void Gateway::releaseAttempt(Exchange& exchange, std::optional<AttemptEnd> end)
+{
+    Attempt attempt = std::move(*exchange.attempt());
+    exchange.attempt().reset();
+    SteadyTime now = m_clock.steadyNow();
+    if (TargetState* target = m_pools.findTarget(attempt.target)) {
+        target->ownInProgress = std::max(target->ownInProgress - 1, 0);
+        if (!attempt.isPromptRead)
+            target->ownPromptTokens = std::max(target->ownPromptTokens - exchange.facts().promptTokens, 0.0);
+        target->trialInProgress = false;
+        if (end)
+            learnFromEnd(*target, exchange, attempt, *end, now);
+    }
+    m_pools.keepChannel(attempt.target, attempt.channel, now);
+    if (end == AttemptEnd::WrongTarget)
+        m_pools.removeTarget(attempt.target);
+}
+
+void Gateway::onAttemptEnd(Exchange& exchange, AttemptEnd end)
+{
+    std::shared_ptr<Exchange> kept = exchange.shared_from_this();
+    const RequestFacts& facts = exchange.facts();
+    SteadyTime now = m_clock.steadyNow();
+    TargetId target = exchange.attempt()->target;
+    std::optional<SteadyTime> firstEventAt = exchange.attempt()->firstEventAt;
+    releaseAttempt(exchange, end);
+    m_log.line(end == AttemptEnd::Answered ? "info" : "warning", "send_ended",
+        { { "request", facts.id }, { "target", target.value() }, { "end", textOf(end) }, { "after_ms", milliseconds(now - facts.arrivedAt) } });
+    PoolState& pool = m_pools.pool(facts.pool);
+    if (end == AttemptEnd::Answered) {
+        m_metrics.answered.add();
+        m_metrics.wholeSeconds.record(milliseconds(now - facts.arrivedAt) / 1000);
+        m_metrics.firstByteSeconds.record(milliseconds(firstEventAt.value_or(now) - facts.arrivedAt) / 1000);
+        finish(exchange);
+    } else if (trySendAgain(exchange, end)) {
+        m_metrics.resends.add();
+    } else if (end == AttemptEnd::FailedAnswer && !exchange.hasBegunAnswer()) {
+        exchange.passOnFailedAnswer();
+        finish(exchange);
+    } else {
+        finishWithFailure(exchange, false, textOf(end));
+    }
+    pump(pool);
+}
+
+bool Gateway::trySendAgain(Exchange& exchange, AttemptEnd end)
+{
+    const RequestFacts& facts = exchange.facts();
+    SteadyTime now = m_clock.steadyNow();
+    if (end == AttemptEnd::NotRun || end == AttemptEnd::WrongTarget)
+        m_metrics.notRunAnswers.add();
+    if (end == AttemptEnd::Broken || end == AttemptEnd::BadAnswer)
+        m_metrics.brokenAnswers.add();
+    if (facts.deadline - now < leastTimeToSendAgain)
+        return false;
+    bool mayRepeat = mayRunAgain(*facts.route);
+    if (exchange.hasBegunAnswer() && (!mayRepeat || !exchange.resumePoint()))
+        return false;
+    SendProgress progress = progressOf(end);
+    if (!maySendAgain({ .progress = progress, .mayRunAgain = mayRepeat, .targetsSent = exchange.targetsSent(), .maxTargets = facts.route->maxTargets }))
+        return false;
+    PoolState& pool = m_pools.pool(facts.pool);
+    if (!hasUsableTarget(pool.targets))
+        return false;
+    if (progress != SendProgress::NothingWritten && !takeResend(pool.resends, m_instances, now))
+        return false;
+    if (exchange.hasBegunAnswer())
+        m_metrics.resumes.add();
+    enqueue(pool.line, waitingRequest(exchange));
+    return true;
+}
+
+void Gateway::tick()
+{
+    SteadyTime now = m_clock.steadyNow();
+    checkWaiting(now);
+    checkInProgress(now);
+    if (now - m_idleCheckedAt < idleCheckInterval)
+        return;
+    m_idleCheckedAt = now;
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    for (const auto& [key, connection] : m_connections) {
+        if (std::shared_ptr<CallerConnection> open = connection.lock())
+            connections.push_back(std::move(open));
+    }
+    for (const std::shared_ptr<CallerConnection>& connection : connections)
+        connection->closeIfIdle(now);
+}
+
+void Gateway::checkWaiting(SteadyTime now)
+{
+    std::int64_t waiting = 0;
+    for (auto& [id, pool] : m_pools.all()) {
+        for (WaitTicket ticket : pastUse(pool.line, now))
+            finishWithFailure(*m_exchanges.at(ticket), true, "waited_too_long");
+        pump(pool); // Targets whose closing time is over take requests again.
+        waiting += static_cast<std::int64_t>(pool.line.requests.size());
+    }
+    m_metrics.waiting.set(waiting);
+}
+
+void Gateway::checkInProgress(SteadyTime now)
+{
+    std::vector<std::shared_ptr<Exchange>> inProgress;
+    for (const auto& [ticket, exchange] : m_exchanges) {
+        if (exchange->attempt())
+            inProgress.push_back(exchange);
+    }
+    m_metrics.inProgress.set(static_cast<std::int64_t>(inProgress.size()));
+    for (const std::shared_ptr<Exchange>& exchange : inProgress) {
+        if (exchange->attempt())
+            checkAttempt(*exchange, now);
+    }
+}
+
+void Gateway::checkAttempt(Exchange& exchange, SteadyTime now)
+{
+    const RequestFacts& facts = exchange.facts();
+    const RouteSettings& route = *facts.route;
+    Attempt& attempt = *exchange.attempt();
+    if (attempt.firstEventAt && !attempt.isPromptRead) {
+        attempt.isPromptRead = true;
+        if (TargetState* target = m_pools.findTarget(attempt.target))
+            target->ownPromptTokens = std::max(target->ownPromptTokens - facts.promptTokens, 0.0);
+    }
+    if (attempt.channel->isConnecting() && now > attempt.channel->connectDeadline()) {
+        attempt.channel->failConnect();
+        return;
+    }
+    if (now > facts.deadline + answerSlack) {
+        exchange.abandonAttempt();
+        releaseAttempt(exchange, std::nullopt);
+        PoolState& pool = m_pools.pool(facts.pool);
+        finishWithFailure(exchange, true, "deadline");
+        pump(pool);
+        return;
+    }
+    PoolState& pool = m_pools.pool(facts.pool);
+    bool mayMove = mayRunAgain(route) && exchange.targetsSent() < route.maxTargets && route.goal.count() > 0;
+    if (!mayMove || !hasResend(pool.resends, m_instances, now))
+        return;
+    Duration promptTime = std::chrono::milliseconds(static_cast<std::int64_t>(facts.promptTokens / slowestPromptTokensPerMillisecond));
+    Duration limit = attempt.firstEventAt && route.longestPause.count() > 0
+        ? std::chrono::duration_cast<Duration>(pausesUntilStalled * route.longestPause)
+        : goalsUntilStalled * Duration(route.goal) + promptTime;
+    if (now - attempt.lastProgressAt > limit)
+        exchange.stall();
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/GatewayMetrics.cpp
@@ -0,0 +1,29 @@
+#include "gateway/GatewayMetrics.h"
+
+namespace limpetpond {
+
+GatewayMetrics::GatewayMetrics()
+    : requests(registry.counter("limpetpond_requests_total", "Requests of callers."))
+    , answered(registry.counter("limpetpond_answered_total", "Requests whose target's answer was passed on whole."))
+    , refusedOverload(registry.counter("limpetpond_refused_overload_total", "Requests turned away because the targets have no room in time."))
+    , refusedQuota(registry.counter("limpetpond_refused_quota_total", "Requests turned away by their account's quota."))
+    , refusedOther(registry.counter("limpetpond_refused_other_total", "Requests without a known route or key, or before any settings."))
+    , failed(registry.counter("limpetpond_failed_total", "Requests that may have run and have no answer to pass on."))
+    , callersGone(registry.counter("limpetpond_callers_gone_total", "Requests whose caller closed the connection first."))
+    , sends(registry.counter("limpetpond_sends_total", "Requests sent to targets."))
+    , resends(registry.counter("limpetpond_resends_total", "Requests sent to a further target."))
+    , resumes(registry.counter("limpetpond_resumes_total", "Streams that went on at a further target."))
+    , notRunAnswers(registry.counter("limpetpond_not_run_answers_total", "Targets' answers that they did not run a request."))
+    , brokenAnswers(registry.counter("limpetpond_broken_answers_total", "Targets' answers that ended early or could not be read."))
+    , waiting(registry.gauge("limpetpond_waiting", "Requests that wait for a target."))
+    , inProgress(registry.gauge("limpetpond_in_progress", "Requests at targets."))
+    , settingsVersion(registry.gauge("limpetpond_settings_version", "Version of the settings in force; 0 for none."))
+    , targets(registry.gauge("limpetpond_targets", "Targets known."))
+    , peers(registry.gauge("limpetpond_peers", "Other instances heard from lately."))
+    , waitSeconds(registry.seconds("limpetpond_wait_seconds", "From a request's arrival to its first send."))
+    , firstByteSeconds(registry.seconds("limpetpond_first_byte_seconds", "From a request's arrival to the first bytes of its answer."))
+    , wholeSeconds(registry.seconds("limpetpond_whole_seconds", "From a request's arrival to the end of its answer."))
+{
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/GatewayMetrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+/// Counters and latency histograms of the gateway, looked up once at the start.
+
+#include "base/Metrics.h"
+
+namespace limpetpond {
+
+struct GatewayMetrics {
+    GatewayMetrics();
+
+    Metrics registry;
+    Counter& requests;
+    Counter& answered;
+    Counter& refusedOverload;
+    Counter& refusedQuota;
+    Counter& refusedOther; ///< Unknown route or key, no settings.
+    Counter& failed; ///< Ended with 502 or 504.
+    Counter& callersGone;
+    Counter& sends;
+    Counter& resends;
+    Counter& resumes;
+    Counter& notRunAnswers;
+    Counter& brokenAnswers;
+    Gauge& waiting;
+    Gauge& inProgress;
+    Gauge& settingsVersion;
+    Gauge& targets;
+    Gauge& peers;
+    SecondsHistogram& waitSeconds;
+    SecondsHistogram& firstByteSeconds;
+    SecondsHistogram& wholeSeconds;
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/Node.cpp
@@ -0,0 +1,276 @@
+#include "gateway/Node.h"
+
+#include "platform/OperatorDocument.h"
+#include <algorithm>
+#include <csignal>
+#include <set>
+
+namespace limpetpond {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr Duration tickInterval = std::chrono::milliseconds(25);
+    constexpr Duration idleTickInterval = std::chrono::milliseconds(100); ///< While no request is here.
+    /// Lapsed entries are written again within about two seconds of the store's return; a target that left
+    /// must get nothing two seconds after its leaving was acknowledged.
+    constexpr Duration missingGrace = std::chrono::milliseconds(1600);
+    /// The balancer asks once a second and needs two misses: until then new connections still come.
+    constexpr Duration leastShutdown = std::chrono::milliseconds(3500);
+    constexpr Duration keptOfGrace = std::chrono::milliseconds(400); ///< To end in order before the kill.
+
+    tcp::endpoint storeEndpoint(const platform::BootSettings& boot)
+    {
+        return parseEndpoint(boot.storeAddress).value_or(tcp::endpoint());
+    }
+
+    PeerNewsOptions peerOptions(const platform::BootSettings& boot, Gateway& gateway, EventLog& log)
+    {
+        return {
+            .self = boot.instance,
+            .ip = boot.ip,
+            .port = boot.peerPort,
+            .onNews = [&gateway](InstanceNews&& news) { gateway.takePeerNews(news); },
+            .onSilent =
+                [&gateway, &log](const InstanceId& peer) {
+                    log.line("warning", "peer_silent", { { "peer", peer.value() } });
+                    gateway.peerSilent(peer);
+                },
+        };
+    }
+
+} // namespace
+
+Node::Node(asio::io_context& context, const Clock& clock, const platform::BootSettings& boot)
+    : m_context(context)
+    , m_clock(clock)
+    , m_boot(boot)
+    , m_log(clock, { .instance = boot.instance.value() })
+    , m_gateway(context, clock, boot, m_log)
+    , m_peers(context, clock, peerOptions(boot, m_gateway, m_log))
+    , m_callers(context)
+    , m_readiness(context, clock, [this](const HttpRequest& request) { return answerReadiness(request); })
+    , m_metricsServer(context, clock, [this](const HttpRequest& request) { return answerMetrics(request); })
+    , m_settingsReader(makeReader(platform::operatorTable, true, [this](TableNews news) { takeSettingsRows(std::move(news)); }))
+    , m_targetReader(makeReader(platform::targetTable, true, [this](TableNews news) { takeTargetRows(std::move(news)); }))
+    , m_instanceReader(makeReader(platform::instanceTable, false, [this](const TableNews& news) { takeInstanceRows(news); }))
+    , m_writer(context, clock,
+          { .store = storeEndpoint(boot), .table = std::string(platform::instanceTable), .key = boot.instance.value(), .value = boot.ip, .onWritten = [this] { m_instanceReader.start(); } })
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    , m_timer(context)
+    , m_newsSentAt(clock.steadyNow())
+    , m_tickedAt(clock.steadyNow())
+{
+}
+
+StoreReader Node::makeReader(std::string_view table, bool followsChanges, std::function<void(TableNews)> onNews)
+{
+    return StoreReader(m_context, m_clock,
+        { .store = storeEndpoint(m_boot),
+            .table = std::string(table),
+            .followsChanges = followsChanges,
+            .onNews = std::move(onNews),
+            .onReachable =
+                [this, name = std::string(table)](bool reachable, std::string_view reason) {
+                    m_log.line(reachable ? "info" : "warning", reachable ? "store_regained" : "store_lost", { { "table", name }, { "reason", reason } });
+                } });
+}
+
+std::optional<std::string> Node::start()
+{
+    m_log.line("info", "started", { { "failure_domain", m_boot.failureDomain.value() }, { "callers", m_boot.callerAddress } });
+    if (std::optional<std::string> error = listenOn(m_callers, m_boot.callerAddress))
+        return error;
+    if (std::optional<std::string> error = m_readiness.start(m_boot.readinessAddress))
+        return error;
+    if (std::optional<std::string> error = m_metricsServer.start(m_boot.ip + ":" + std::to_string(m_boot.metricsPort)))
+        return error;
+    if (std::optional<std::string> error = m_peers.start())
+        return error;
+    for (const std::string& ip : m_boot.seedIps)
+        m_peers.addPeer(ip);
+    m_settingsReader.start();
+    m_targetReader.start();
+    m_writer.start();
+    acceptCallers();
+    waitForSignal();
+    scheduleTick();
+    return std::nullopt;
+}
+
+void Node::acceptCallers()
+{
+    m_callers.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error)
+            m_log.line("warning", "accept_failed", { { "error", std::string_view(error.message()) } });
+        else
+            m_gateway.addConnection(std::make_shared<CallerConnection>(std::move(socket), m_clock, m_gateway));
+        acceptCallers();
+    });
+}
+
+void Node::takeSettingsRows(TableNews news)
+{
+    for (const platform::Row& row : news.rows) {
+        if (row.key != platform::settingsKey || row.isDeleted)
+            continue;
+        std::string whyNot;
+        std::optional<ServingSettings> settings = platform::decodeServingSettings(row.value, whyNot);
+        if (!settings) {
+            m_log.line("error", "settings_unreadable", { { "key", row.key }, { "reason", whyNot } });
+            continue;
+        }
+        auto version = static_cast<std::int64_t>(settings->version.value());
+        bool isInForce = m_gateway.applySettings(std::move(*settings));
+        m_log.line("info", isInForce ? "settings_in_force" : "settings_ignored", { { "version", version } });
+    }
+    m_gateway.targetsChanged();
+}
+
+void Node::takeTargetRows(TableNews news)
+{
+    std::set<TargetId> present;
+    for (const platform::Row& row : news.rows) {
+        TargetId id { row.key };
+        if (row.isDeleted) {
+            dropTarget(id, news.afterOutage);
+            continue;
+        }
+        if (putTargetRow(row))
+            present.insert(id);
+    }
+    if (news.isWholeTable) {
+        for (const TargetId& known : m_gateway.pools().targetIds()) {
+            if (!present.contains(known))
+                dropTarget(known, news.afterOutage);
+        }
+    }
+    m_gateway.targetsChanged();
+}
+
+bool Node::putTargetRow(const platform::Row& row)
+{
+    std::string whyNot;
+    std::optional<TargetEntry> entry = platform::decodeTargetEntry(TargetId(row.key), row.value, whyNot);
+    if (!entry) {
+        m_log.line("warning", "target_entry_unreadable", { { "target", row.key }, { "reason", whyNot } });
+        m_gateway.pools().removeTarget(TargetId(row.key));
+        return false;
+    }
+    if (m_gateway.pools().putTarget(*entry)) {
+        m_log.line("info", "target_changed",
+            { { "target", row.key }, { "pool", entry->pool.value() }, { "address", entry->address }, { "draining", entry->isDraining },
+                { "sequence", static_cast<std::int64_t>(entry->sequence) } });
+    }
+    return true;
+}
+
+void Node::dropTarget(const TargetId& target, bool afterOutage)
+{
+    m_log.line("info", "target_dropped", { { "target", target.value() }, { "after_outage", afterOutage } });
+    if (afterOutage)
+        m_gateway.pools().markMissing(target, m_clock.steadyNow());
+    else
+        m_gateway.pools().removeTarget(target);
+}
+
+void Node::takeInstanceRows(const TableNews& news)
+{
+    for (const platform::Row& row : news.rows) {
+        if (!row.isDeleted)
+            m_peers.addPeer(row.value);
+    }
+}
+
+void Node::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            m_log.line("info", "settings_file_changed", { { "effect", std::string_view("addresses are read at the next start") } });
+        else
+            beginShutdown();
+        waitForSignal();
+    });
+}
+
+void Node::beginShutdown()
+{
+    if (m_shutdownBegan)
+        return;
+    m_shutdownBegan = m_clock.steadyNow();
+    m_log.line("info", "stopping", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
+    m_gateway.beginShutdown();
+}
+
+void Node::checkShutdown(SteadyTime now)
+{
+    if (!m_shutdownBegan)
+        return;
+    Duration elapsed = now - *m_shutdownBegan;
+    bool isEmpty = elapsed > leastShutdown && !m_gateway.exchangesInProgress();
+    if (!isEmpty && elapsed < m_boot.shutdownGrace - keptOfGrace)
+        return;
+    m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
+    m_log.flush();
+    m_context.stop();
+}
+
+void Node::scheduleTick()
+{
+    m_timer.expires_after(m_gateway.exchangesInProgress() ? tickInterval : idleTickInterval);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void Node::tick()
+{
+    SteadyTime now = m_clock.steadyNow();
+    m_tickedAt = now;
+    int removed = m_gateway.pools().removeMissing(missingGrace, now);
+    if (removed)
+        m_log.line("info", "missing_targets_removed", { { "count", std::int64_t { removed } } });
+    m_peers.tick(now);
+    m_gateway.setInstances(m_peers.livePeers() + 1);
+    m_gateway.metrics().peers.set(m_peers.livePeers());
+    m_gateway.tick();
+    m_settingsReader.tick(now);
+    m_targetReader.tick(now);
+    m_instanceReader.tick(now);
+    m_writer.tick(now);
+    sendNews(now);
+    m_log.flush();
+    checkShutdown(now);
+}
+
+void Node::sendNews(SteadyTime now)
+{
+    if (now - m_newsSentAt < m_peers.interval())
+        return;
+    m_newsSentAt = now;
+    InstanceNews news = m_gateway.news();
+    news.sequence = ++m_newsSequence;
+    m_peers.send(news);
+}
+
+bool Node::isReady() const { return !m_shutdownBegan && m_gateway.settings() && m_targetReader.hasRead(); }
+
+SmallAnswer Node::answerReadiness(const HttpRequest& request) const
+{
+    if (request.path != platform::readinessPath)
+        return { .status = 404 };
+    return { .status = isReady() ? 200 : 503 };
+}
+
+SmallAnswer Node::answerMetrics(const HttpRequest&) const { return { .body = m_gateway.metricsText() }; }
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/Node.h
@@ -0,0 +1,66 @@
+#pragma once
+
+/// One instance of the gateway as a process: listeners, store readers, peers, signals and timers
+/// around `Gateway`.
+
+#include "gateway/Gateway.h"
+#include "gateway/PeerNews.h"
+#include "gateway/SmallServer.h"
+#include "gateway/StoreReader.h"
+#include "gateway/StoreWriter.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace limpetpond {
+
+class Node {
+public:
+    Node(boost::asio::io_context&, const Clock&, const platform::BootSettings&);
+
+    /// Opens all listeners and begins to read the store; an error text where a listener can't be opened.
+    std::optional<std::string> start();
+
+private:
+    void acceptCallers();
+    void takeSettingsRows(TableNews);
+    void takeTargetRows(TableNews);
+    void takeInstanceRows(const TableNews&);
+    bool putTargetRow(const platform::Row&);
+    void dropTarget(const TargetId&, bool afterOutage);
+    StoreReader makeReader(std::string_view table, bool followsChanges, std::function<void(TableNews)> onNews);
+    void waitForSignal();
+    void beginShutdown();
+    void checkShutdown(SteadyTime now);
+    void scheduleTick();
+    void tick();
+    void sendNews(SteadyTime now);
+    bool isReady() const;
+    SmallAnswer answerReadiness(const HttpRequest&) const;
+    SmallAnswer answerMetrics(const HttpRequest&) const;
+
+    boost::asio::io_context& m_context;
+    const Clock& m_clock;
+    const platform::BootSettings& m_boot;
+    EventLog m_log;
+    Gateway m_gateway;
+    PeerNews m_peers;
+    boost::asio::ip::tcp::acceptor m_callers;
+    SmallServer m_readiness;
+    SmallServer m_metricsServer;
+    StoreReader m_settingsReader;
+    StoreReader m_targetReader;
+    StoreReader m_instanceReader;
+    StoreWriter m_writer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    std::uint64_t m_newsSequence { 0 };
+    SteadyTime m_newsSentAt;
+    SteadyTime m_tickedAt;
+    std::optional<SteadyTime> m_shutdownBegan;
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/PeerNews.h
@@ -0,0 +1,100 @@
+#pragma once
+
+/// Load news between instances: one small datagram to each peer several times a second.
+///
+/// A lost datagram does no harm: each one carries the whole state, and counts since the sender's start.
+
+#include "limpetpond/Clock.h"
+#include "limpetpond/Ids.h"
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace limpetpond {
+
+/// What one instance tells the others.
+struct InstanceNews {
+    InstanceId instance;
+    std::uint64_t incarnation { 0 };
+    std::uint64_t sequence { 0 };
+    SettingsVersion settingsVersion;
+    bool isLeaving { false };
+    struct TargetWork {
+        std::uint32_t target { 0 }; ///< `shortHash` of the id.
+        int inProgress { 0 };
+    };
+    std::vector<TargetWork> targets; ///< Those with work of the sender.
+    struct AccountUse {
+        std::uint32_t account { 0 }; ///< `shortHash` of the id.
+        double admitted { 0 }; ///< Units since the sender's start.
+    };
+    std::vector<AccountUse> accounts;
+};
+
+/// The bytes of one datagram and back; nothing where they can't be read.
+///
+///     std::optional<InstanceNews> news = decodeNews(encodeNews(own));
+std::string encodeNews(const InstanceNews&);
+std::optional<InstanceNews> decodeNews(std::string_view bytes);
+
+struct PeerNewsOptions {
+    InstanceId self;
+    std::string ip;
+    int port { 0 }; ///< The same on every instance.
+    std::function<void(InstanceNews&&)> onNews; ///< Newer than what came from that peer before.
+    std::function<void(const InstanceId&)> onSilent; ///< The peer sends nothing any more.
+};
+
+/// The socket, and who is known to be there.
+class PeerNews {
+public:
+    PeerNews(boost::asio::io_context&, const Clock&, PeerNewsOptions);
+
+    /// Binds the socket; an error text where that fails.
+    std::optional<std::string> start();
+
+    /// Adds an address to send to.
+    void addPeer(const std::string& ip);
+
+    void send(const InstanceNews&);
+
+    /// Finds peers that fell silent.
+    void tick(SteadyTime now);
+
+    /// Peers heard from lately.
+    int livePeers() const;
+
+    /// How often news should be sent, so that many instances don't spend much on each other.
+    Duration interval() const;
+
+private:
+    void receive();
+    void take(std::string_view bytes, const boost::asio::ip::udp::endpoint& from);
+
+    struct Peer {
+        SteadyTime addedAt;
+        std::optional<SteadyTime> heardAt;
+    };
+    struct Heard {
+        std::uint64_t incarnation { 0 };
+        std::uint64_t sequence { 0 };
+        SteadyTime at;
+        bool isLive { false };
+    };
+
+    const Clock& m_clock;
+    PeerNewsOptions m_options;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_from;
+    std::array<char, 16384> m_buffer {};
+    std::map<boost::asio::ip::address, Peer> m_peers;
+    std::map<InstanceId, Heard> m_heard;
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/Pools.cpp
@@ -0,0 +1,196 @@
+#include "gateway/Pools.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace limpetpond {
+
+namespace {
+
+    constexpr std::size_t mostIdleChannels = 8; ///< For each target; a target runs about this many requests at once.
+
+    bool isSameEntry(const TargetEntry& a, const TargetEntry& b)
+    {
+        return a.pool == b.pool && a.address == b.address && a.isDraining == b.isDraining && a.slots == b.slots
+            && a.startedAt == b.startedAt && a.failureDomain == b.failureDomain;
+    }
+
+    /// An entry of an earlier moment of the same incarnation, or of an earlier incarnation.
+    bool isOlder(const TargetEntry& entry, const TargetEntry& known)
+    {
+        if (entry.startedAt != known.startedAt)
+            return entry.startedAt < known.startedAt;
+        return entry.sequence < known.sequence;
+    }
+
+} // namespace
+
+std::uint32_t shortHash(const std::string& id) { return XXH32(id.data(), id.size(), 0); }
+
+Pools::Pools(boost::asio::io_context& context, const Clock& clock, ResendBudgetOptions resendOptions)
+    : m_context(context)
+    , m_clock(clock)
+    , m_resendOptions(resendOptions)
+{
+}
+
+PoolState& Pools::pool(const PoolId& id)
+{
+    auto [found, isNew] = m_pools.try_emplace(id);
+    if (isNew) {
+        found->second.id = id;
+        found->second.resends.options = m_resendOptions;
+    }
+    return found->second;
+}
+
+std::optional<Pools::Place> Pools::placeOf(const TargetId& target) const
+{
+    auto known = m_poolOfTarget.find(target);
+    if (known == m_poolOfTarget.end())
+        return std::nullopt;
+    const PoolState& pool = m_pools.at(known->second);
+    for (std::size_t i = 0; i < pool.targets.size(); ++i) {
+        if (pool.targets[i].entry.id == target)
+            return Place { known->second, i };
+    }
+    return std::nullopt;
+}
+
+TargetState* Pools::findTarget(const TargetId& target)
+{
+    std::optional<Place> place = placeOf(target);
+    return place ? &m_pools.at(place->pool).targets[place->index] : nullptr;
+}
+
+bool Pools::putTarget(const TargetEntry& entry)
+{
+    std::optional<boost::asio::ip::tcp::endpoint> endpoint = parseEndpoint(entry.address);
+    if (!endpoint)
+        return false;
+    if (TargetState* known = findTarget(entry.id)) {
+        if (isOlder(entry, known->entry))
+            return false;
+        known->missingSince.reset();
+        bool isSame = isSameEntry(entry, known->entry);
+        bool isSameProcess = entry.pool == known->entry.pool && entry.address == known->entry.address && entry.startedAt == known->entry.startedAt;
+        if (isSameProcess) {
+            known->entry = entry;
+            return !isSame;
+        }
+        removeTarget(entry.id);
+    }
+    PoolState& state = pool(entry.pool);
+    TargetLink link { .hash = shortHash(entry.id.value()), .endpoint = *endpoint };
+    TargetState target { .entry = entry };
+    target.peersInProgress = knownPeerWork(link.hash);
+    state.targets.push_back(std::move(target));
+    state.links.push_back(std::move(link));
+    m_poolOfTarget[entry.id] = entry.pool;
+    return true;
+}
+
+void Pools::removeTarget(const TargetId& target)
+{
+    std::optional<Place> place = placeOf(target);
+    m_poolOfTarget.erase(target);
+    if (!place)
+        return;
+    PoolState& pool = m_pools.at(place->pool);
+    for (const std::shared_ptr<HttpChannel>& channel : pool.links[place->index].idle)
+        channel->abandon();
+    pool.targets.erase(pool.targets.begin() + static_cast<std::ptrdiff_t>(place->index));
+    pool.links.erase(pool.links.begin() + static_cast<std::ptrdiff_t>(place->index));
+}
+
+void Pools::markMissing(const TargetId& target, SteadyTime now)
+{
+    TargetState* known = findTarget(target);
+    if (known && !known->missingSince)
+        known->missingSince = now;
+}
+
+int Pools::removeMissing(Duration grace, SteadyTime now)
+{
+    std::vector<TargetId> gone;
+    for (const auto& [id, pool] : m_pools) {
+        for (const TargetState& target : pool.targets) {
+            if (target.missingSince && now - *target.missingSince > grace)
+                gone.push_back(target.entry.id);
+        }
+    }
+    for (const TargetId& target : gone)
+        removeTarget(target);
+    return static_cast<int>(gone.size());
+}
+
+std::vector<TargetId> Pools::targetIds() const
+{
+    std::vector<TargetId> ids;
+    for (const auto& [target, pool] : m_poolOfTarget)
+        ids.push_back(target);
+    return ids;
+}
+
+std::shared_ptr<HttpChannel> Pools::takeChannel(PoolState& pool, std::size_t place, SteadyTime now)
+{
+    TargetLink& link = pool.links[place];
+    while (!link.idle.empty()) {
+        std::shared_ptr<HttpChannel> channel = std::move(link.idle.back());
+        link.idle.pop_back();
+        if (channel->isReusable(now))
+            return channel;
+        channel->abandon();
+    }
+    ++m_connectionsOpened;
+    return std::make_shared<HttpChannel>(m_context, m_clock, link.endpoint);
+}
+
+void Pools::keepChannel(const TargetId& target, const std::shared_ptr<HttpChannel>& channel, SteadyTime now)
+{
+    std::optional<Place> place = placeOf(target);
+    if (!place || !channel->isReusable(now)) {
+        channel->abandon();
+        return;
+    }
+    std::vector<std::shared_ptr<HttpChannel>>& idle = m_pools.at(place->pool).links[place->index].idle;
+    idle.push_back(channel);
+    if (idle.size() <= mostIdleChannels)
+        return;
+    idle.front()->abandon();
+    idle.erase(idle.begin());
+}
+
+void Pools::setPeerWork(const InstanceId& peer, std::unordered_map<std::uint32_t, int> work)
+{
+    std::unordered_map<std::uint32_t, int>& known = m_peerWork[peer];
+    addPeerWork(known, -1);
+    addPeerWork(work, 1);
+    known = std::move(work);
+}
+
+void Pools::addPeerWork(const std::unordered_map<std::uint32_t, int>& work, int sign)
+{
+    if (work.empty())
+        return;
+    for (auto& [id, pool] : m_pools) {
+        for (std::size_t i = 0; i < pool.targets.size(); ++i) {
+            auto found = work.find(pool.links[i].hash);
+            if (found != work.end())
+                pool.targets[i].peersInProgress += sign * found->second;
+        }
+    }
+}
+
+int Pools::knownPeerWork(std::uint32_t hash) const
+{
+    int sum = 0;
+    for (const auto& [peer, work] : m_peerWork) {
+        auto found = work.find(hash);
+        if (found != work.end())
+            sum += found->second;
+    }
+    return sum;
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/Pools.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/// The targets of each pool, the requests that wait for them and the connections to them.
+
+#include "core/Placement.h"
+#include "core/ResendBudget.h"
+#include "core/ServingSettings.h"
+#include "core/WaitingLine.h"
+#include "traffic/HttpChannel.h"
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace limpetpond {
+
+/// The number that stands for an id in news between instances.
+std::uint32_t shortHash(const std::string& id);
+
+/// Connections to one target.
+struct TargetLink {
+    std::uint32_t hash { 0 }; ///< `shortHash` of the target's id.
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::vector<std::shared_ptr<HttpChannel>> idle; ///< Used last at the back.
+};
+
+/// One pool at this instance. `targets` and `links` run in parallel.
+struct PoolState {
+    PoolId id;
+    std::vector<TargetState> targets;
+    std::vector<TargetLink> links;
+    WaitingLine line;
+    SendRate sendRate;
+    ResendBudget resends;
+    double plainServiceMilliseconds { 0 }; ///< Learned time of a whole plain call.
+};
+
+/// All pools, and the place of each target in them.
+class Pools {
+public:
+    Pools(boost::asio::io_context&, const Clock&, ResendBudgetOptions);
+
+    /// The pool's state; made where it is new.
+    PoolState& pool(const PoolId&);
+    std::map<PoolId, PoolState>& all() { return m_pools; }
+
+    /// Adds a target or takes over a newer entry of a known one; tells whether anything changed.
+    bool putTarget(const TargetEntry&);
+
+    /// Removes a target from the choice; what is in progress there goes on.
+    void removeTarget(const TargetId&);
+
+    /// Notes that the entry lapsed while the store could not be read.
+    void markMissing(const TargetId&, SteadyTime now);
+
+    /// Removes the targets that are missing for longer than the grace; tells how many.
+    int removeMissing(Duration grace, SteadyTime now);
+
+    TargetState* findTarget(const TargetId&);
+    std::vector<TargetId> targetIds() const;
+
+    /// A connection to the pool's target at `place`: an idle one, or a new one.
+    std::shared_ptr<HttpChannel> takeChannel(PoolState&, std::size_t place, SteadyTime now);
+
+    /// Keeps a connection for later use, where it can be used again.
+    void keepChannel(const TargetId&, const std::shared_ptr<HttpChannel>&, SteadyTime now);
+
+    /// Replaces what a peer has in progress at each target.
+    void setPeerWork(const InstanceId&, std::unordered_map<std::uint32_t, int> work);
+
+    std::int64_t connectionsOpened() const { return m_connectionsOpened; }
+
+private:
+    struct Place {
+        PoolId pool;
+        std::size_t index { 0 };
+    };
+    std::optional<Place> placeOf(const TargetId&) const;
+    void addPeerWork(const std::unordered_map<std::uint32_t, int>& work, int sign);
+    int knownPeerWork(std::uint32_t hash) const;
+
+    boost::asio::io_context& m_context;
+    const Clock& m_clock;
+    ResendBudgetOptions m_resendOptions;
+    std::map<PoolId, PoolState> m_pools;
+    std::unordered_map<TargetId, PoolId> m_poolOfTarget;
+    std::map<InstanceId, std::unordered_map<std::uint32_t, int>> m_peerWork;
+    std::int64_t m_connectionsOpened { 0 };
+};
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/traffic/CallerConnection.cpp
@@ -0,0 +1,208 @@
+#include "traffic/CallerConnection.h"
+
+#include "traffic/HttpChannel.h"
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace limpetpond {
+
+namespace asio = boost::asio;
+using platform::Field;
+
+namespace {
+
+    constexpr std::size_t readPiece = 16384; ///< Bytes.
+    constexpr std::size_t mostHeldWhileServing = 65536; ///< Bytes of requests sent ahead.
+
+    int statusOfError(boost::system::error_code error)
+    {
+        namespace http = boost::beast::http;
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            return 431;
+        if (error == http::error::body_limit)
+            return 413;
+        return 400;
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, const Clock& clock, RequestHandler& handler)
+    : m_socket(std::move(socket))
+    , m_clock(clock)
+    , m_handler(handler)
+    , m_idleSince(clock.steadyNow())
+{
+}
+
+void CallerConnection::start()
+{
+    setLivenessOptions(m_socket);
+    startRead();
+}
+
+void CallerConnection::startRead()
+{
+    if (m_isReading || m_isClosed || (m_isServing && m_input.size() >= mostHeldWhileServing))
+        return;
+    m_isReading = true;
+    m_piece.resize(readPiece);
+    m_socket.async_read_some(asio::buffer(m_piece), [self = shared_from_this()](boost::system::error_code error, std::size_t count) {
+        self->m_isReading = false;
+        self->onRead(error, count);
+    });
+}
+
+void CallerConnection::onRead(boost::system::error_code error, std::size_t count)
+{
+    if (m_isClosed)
+        return;
+    if (error) {
+        if (m_isServing)
+            m_handler.onCallerGone(*this);
+        close();
+        return;
+    }
+    m_input.append(m_piece.data(), count);
+    if (!m_isServing)
+        parse();
+    startRead();
+}
+
+void CallerConnection::parse()
+{
+    while (!m_isServing && !m_isClosed && !m_input.empty()) {
+        if (!m_parser) {
+            CallerLimits limits = m_handler.callerLimits();
+            m_parser = std::make_unique<RequestParser>(limits.headerBytes, limits.bodyBytes);
+            m_requestBegan = m_clock.steadyNow();
+            m_sentContinue = false;
+        }
+        std::size_t headerEnd = m_parser->is_header_done() ? std::string::npos : m_input.find("\r\n\r\n");
+        if (headerEnd != std::string::npos && hasFoldedField(std::string_view(m_input).substr(0, headerEnd))) {
+            refuse(boost::beast::http::error::bad_field);
+            return;
+        }
+        boost::system::error_code error;
+        std::size_t used = m_parser->put(asio::buffer(m_input), error);
+        m_input.erase(0, used);
+        if (error && error != boost::beast::http::error::need_more) {
+            refuse(error);
+            return;
+        }
+        if (m_parser->is_header_done() && !m_parser->is_done() && !m_sentContinue && hasField(m_parser->request().fields, Field::Expect)) {
+            m_sentContinue = true;
+            write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (!m_parser->is_done()) {
+            if (error || !used)
+                return;
+            continue;
+        }
+        HttpRequest request = m_parser->takeRequest();
+        m_parser.reset();
+        m_isServing = true;
+        m_handler.onRequest(shared_from_this(), std::move(request));
+    }
+}
+
+void CallerConnection::refuse(boost::system::error_code error)
+{
+    m_isServing = true;
+    int status = statusOfError(error);
+    write("HTTP/1.1 " + std::to_string(status) + " Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    finishAnswer(false);
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    if (m_isClosed)
+        return;
+    m_pending.append(bytes);
+    if (m_writing.empty())
+        startWrite();
+}
+
+void CallerConnection::startWrite()
+{
+    m_writing.swap(m_pending);
+    asio::async_write(m_socket, asio::buffer(m_writing), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+        self->m_writing.clear();
+        if (self->m_isClosed)
+            return;
+        if (error) {
+            if (self->m_isServing)
+                self->m_handler.onCallerGone(*self);
+            self->close();
+            return;
+        }
+        if (!self->m_pending.empty()) {
+            self->startWrite();
+            return;
+        }
+        if (self->m_closesWhenWritten) {
+            boost::system::error_code ignored; // The caller may have closed already.
+            self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+            self->close();
+            return;
+        }
+        self->m_handler.onDrained(*self);
+    });
+}
+
+void CallerConnection::finishAnswer(bool keepAlive)
+{
+    if (m_isClosed)
+        return;
+    if (!keepAlive) {
+        m_closesWhenWritten = true;
+        if (m_writing.empty() && m_pending.empty())
+            close();
+        return;
+    }
+    m_isServing = false;
+    m_idleSince = m_clock.steadyNow();
+    if (m_input.empty()) {
+        startRead();
+        return;
+    }
+    // Requests sent ahead are taken in a turn of their own, so that a long series can't deepen the stack.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_isServing)
+            self->parse();
+        self->startRead();
+    });
+}
+
+void CallerConnection::breakOff()
+{
+    if (m_isClosed)
+        return;
+    // What was written is whole as far as it goes; the missing end tells the caller that more was due.
+    finishAnswer(false);
+}
+
+void CallerConnection::closeIfIdle(SteadyTime now)
+{
+    if (m_isServing || m_isClosed)
+        return;
+    CallerLimits limits = m_handler.callerLimits();
+    bool isReadingRequest = m_parser && !m_parser->is_header_done();
+    if (isReadingRequest && now - m_requestBegan > limits.headerTime)
+        close();
+    else if (!m_parser && now - m_idleSince > limits.idleTime)
+        close();
+}
+
+void CallerConnection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    auto self = shared_from_this();
+    boost::system::error_code ignored; // Nothing is left to do with a socket that fails to close.
+    m_socket.close(ignored);
+    m_handler.onConnectionEnd(*this);
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/traffic/HttpChannel.cpp
@@ -0,0 +1,286 @@
+#include "traffic/HttpChannel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace limpetpond {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using platform::Field;
+
+namespace {
+
+    constexpr std::size_t readPiece = 8192; ///< Bytes.
+    constexpr Duration connectTime = std::chrono::milliseconds(400); ///< Failure domains are a few milliseconds apart.
+    constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
+    constexpr double usedIdleShare = 0.6; ///< Of the time that the other side promises to keep an idle connection.
+    constexpr int unacknowledgedMilliseconds = 2000;
+    constexpr int probeIdleSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 2;
+
+    void setOption(int socket, int level, int option, int value) { setsockopt(socket, level, option, &value, sizeof value); }
+
+} // namespace
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string& address)
+{
+    std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    boost::system::error_code error;
+    asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), error);
+    unsigned short port = 0;
+    auto parsed = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != address.data() + address.size() || !port)
+        return std::nullopt;
+    return tcp::endpoint(ip, port);
+}
+
+void setLivenessOptions(tcp::socket& socket)
+{
+    int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+}
+
+HttpChannel::HttpChannel(asio::io_context& context, const Clock& clock, tcp::endpoint endpoint)
+    : m_socket(context)
+    , m_clock(clock)
+    , m_endpoint(std::move(endpoint))
+    , m_idleLimit(defaultIdleLimit)
+{
+}
+
+HttpChannel::~HttpChannel() = default;
+
+void HttpChannel::send(std::string bytes, std::string requestId, bool answerHasNoBody, ExchangeHandler& handler)
+{
+    m_handler = &handler;
+    m_output = std::move(bytes);
+    m_requestId = std::move(requestId);
+    m_answerHasNoBody = answerHasNoBody;
+    m_wroteBytes = false;
+    m_parser.reset();
+    m_isSkipping = false;
+    if (!m_isConnected) {
+        connect();
+        return;
+    }
+    startWrite();
+}
+
+void HttpChannel::connect()
+{
+    m_isConnecting = true;
+    m_connectDeadline = m_clock.steadyNow() + connectTime;
+    boost::system::error_code error;
+    m_socket.open(tcp::v4(), error);
+    if (error) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(ChannelFailure::NotConnected); });
+        return;
+    }
+    setLivenessOptions(m_socket);
+    m_socket.async_connect(m_endpoint, [self = shared_from_this()](boost::system::error_code failure) {
+        self->m_isConnecting = false;
+        if (self->m_isBroken)
+            return;
+        if (failure) {
+            self->fail(ChannelFailure::NotConnected);
+            return;
+        }
+        self->m_isConnected = true;
+        self->startWrite();
+    });
+}
+
+void HttpChannel::failConnect() { fail(ChannelFailure::NotConnected); }
+
+void HttpChannel::startWrite()
+{
+    m_isWriting = true;
+    m_wroteBytes = true;
+    asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+        self->m_isWriting = false;
+        // The answer may be on its way although the rest of the request was refused: the read tells.
+        if (error)
+            self->m_mayReuse = false;
+    });
+    startRead();
+}
+
+void HttpChannel::startRead()
+{
+    if (m_isReading || m_isPaused || m_isBroken)
+        return;
+    m_isReading = true;
+    m_piece.resize(readPiece);
+    m_socket.async_read_some(asio::buffer(m_piece), [self = shared_from_this()](boost::system::error_code error, std::size_t count) {
+        self->m_isReading = false;
+        self->onRead(error, count);
+    });
+}
+
+void HttpChannel::onRead(boost::system::error_code error, std::size_t count)
+{
+    if (m_isBroken)
+        return;
+    if (error) {
+        if (error == asio::error::eof && m_handler && m_parser)
+            parseEnd();
+        else
+            fail(ChannelFailure::Closed);
+        return;
+    }
+    auto self = shared_from_this();
+    if (!m_handler) {
+        // Nothing was asked for: an extra answer.
+        fail(ChannelFailure::Malformed);
+        return;
+    }
+    m_input.append(m_piece.data(), count);
+    parse();
+    if (m_handler && !m_isBroken)
+        m_handler->onPiecesRead();
+    startRead();
+}
+
+void HttpChannel::parse()
+{
+    while (m_handler && !m_input.empty() && !m_isBroken) {
+        if (!m_parser) {
+            m_parser = std::make_unique<AnswerParser>(*this);
+            if (m_answerHasNoBody)
+                m_parser->skip(true);
+        }
+        boost::system::error_code error;
+        std::size_t used = m_parser->put(asio::buffer(m_input), error);
+        if (m_isBroken || !m_handler)
+            return;
+        m_input.erase(0, used);
+        if (error == boost::beast::http::error::need_more)
+            return;
+        if (error) {
+            fail(ChannelFailure::Malformed);
+            return;
+        }
+        if (m_parser->is_done())
+            answerFinished();
+        else if (!used)
+            return;
+    }
+}
+
+void HttpChannel::parseEnd()
+{
+    boost::system::error_code error;
+    m_parser->put_eof(error);
+    m_mayReuse = false;
+    if (error || !m_parser->is_done()) {
+        fail(ChannelFailure::Closed);
+        return;
+    }
+    answerFinished();
+    if (m_handler)
+        fail(ChannelFailure::Closed);
+}
+
+void HttpChannel::answerFinished()
+{
+    m_parser.reset();
+    if (m_isInformational) {
+        m_isInformational = false;
+        return;
+    }
+    if (m_isSkipping) {
+        m_isSkipping = false;
+        m_mayReuse = false;
+        return;
+    }
+    // A body that is still being sent would be read as the next request.
+    if (m_isWriting || !m_input.empty())
+        m_mayReuse = false;
+    ExchangeHandler* handler = std::exchange(m_handler, nullptr);
+    m_idleSince = m_clock.steadyNow();
+    if (!m_mayReuse)
+        closeSocket();
+    handler->onWhole();
+}
+
+void HttpChannel::onAnswerHead(HttpAnswerHead&& head)
+{
+    m_isInformational = head.status < 200;
+    if (m_isInformational || !m_handler)
+        return;
+    std::string_view answered = fieldValue(head.fields, Field::RequestId);
+    m_isSkipping = !m_requestId.empty() && !answered.empty() && answered != m_requestId;
+    if (!head.keepAlive || head.endsWithConnection)
+        m_mayReuse = false;
+    learnIdleTime(head);
+    if (!m_isSkipping)
+        m_handler->onHead(std::move(head));
+}
+
+void HttpChannel::onAnswerBody(std::string_view body)
+{
+    if (m_handler && !m_isSkipping && !m_isInformational)
+        m_handler->onBody(body);
+}
+
+void HttpChannel::learnIdleTime(const HttpAnswerHead& head)
+{
+    std::string_view value = fieldValue(head.fields, Field::IdleTime);
+    constexpr std::string_view parameter = "timeout=";
+    std::size_t at = value.find(parameter);
+    if (at == std::string_view::npos)
+        return;
+    int seconds = 0;
+    std::from_chars(value.data() + at + parameter.size(), value.data() + value.size(), seconds);
+    m_idleLimit = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds * usedIdleShare));
+}
+
+bool HttpChannel::isReusable(SteadyTime now) const
+{
+    return m_isConnected && !m_isBroken && !m_handler && m_mayReuse && now - m_idleSince < m_idleLimit;
+}
+
+void HttpChannel::setPaused(bool paused)
+{
+    m_isPaused = paused;
+    if (!paused && m_isConnected && !m_isBroken)
+        startRead();
+}
+
+void HttpChannel::abandon()
+{
+    m_handler = nullptr;
+    closeSocket();
+}
+
+void HttpChannel::fail(ChannelFailure failure)
+{
+    if (m_isBroken)
+        return;
+    closeSocket();
+    ExchangeHandler* handler = std::exchange(m_handler, nullptr);
+    if (handler)
+        handler->onFailure(failure, m_wroteBytes);
+}
+
+void HttpChannel::closeSocket()
+{
+    m_isBroken = true;
+    m_mayReuse = false;
+    boost::system::error_code ignored; // A socket that can't be closed twice is closed all the same.
+    m_socket.close(ignored);
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/traffic/HttpParser.cpp
@@ -0,0 +1,146 @@
+#include "traffic/HttpParser.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace limpetpond {
+
+namespace http = boost::beast::http;
+using platform::Field;
+
+namespace {
+
+    constexpr std::uint32_t answerHeaderLimit = 65536; ///< Bytes.
+
+    std::string toString(boost::beast::string_view text) { return std::string(text.data(), text.size()); }
+
+    HeaderField fieldOf(boost::beast::string_view name, boost::beast::string_view value)
+    {
+        HeaderField field { .name = toString(name), .value = toString(value) };
+        field.meaning = platform::classifyField(field.name);
+        return field;
+    }
+
+} // namespace
+
+std::string_view fieldValue(const std::vector<HeaderField>& fields, Field meaning)
+{
+    auto found = std::find_if(fields.begin(), fields.end(), [meaning](const HeaderField& field) { return field.meaning == meaning; });
+    return found == fields.end() ? std::string_view() : std::string_view(found->value);
+}
+
+bool hasField(const std::vector<HeaderField>& fields, Field meaning)
+{
+    return std::any_of(fields.begin(), fields.end(), [meaning](const HeaderField& field) { return field.meaning == meaning; });
+}
+
+bool isPassedOn(Field meaning)
+{
+    switch (meaning) {
+    case Field::Hop:
+    case Field::ApiKey:
+    case Field::Reserved:
+    case Field::TimeLeft:
+    case Field::ContentLength:
+    case Field::Expect:
+    case Field::IdleTime:
+    case Field::ConnectionOptions:
+        return false;
+    default:
+        return true;
+    }
+}
+
+RequestParser::RequestParser(ByteCount headerLimit, ByteCount bodyLimit)
+{
+    header_limit(static_cast<std::uint32_t>(headerLimit.count()));
+    body_limit(static_cast<std::uint64_t>(bodyLimit.count()));
+    eager(true);
+}
+
+void RequestParser::on_request_impl(http::verb, View method, View target, int version, Error&)
+{
+    m_request.method = toString(method);
+    m_request.path = toString(target);
+    m_request.version = version;
+}
+
+void RequestParser::on_field_impl(http::field known, View name, View value, Error& error)
+{
+    if (known == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
+    if (known == http::field::content_length && hasField(m_request.fields, Field::ContentLength)) {
+        error = http::error::multiple_content_length;
+        return;
+    }
+    if (known == http::field::host && ++m_hosts > 1) {
+        error = http::error::bad_field;
+        return;
+    }
+    m_request.fields.push_back(fieldOf(name, value));
+}
+
+void RequestParser::on_header_impl(Error&) { m_request.keepAlive = keep_alive(); }
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length, Error&)
+{
+    constexpr std::uint64_t reservedAtOnce = 131072; ///< Bytes; a stated length alone claims no more memory.
+    if (length)
+        m_request.body.reserve(std::min(*length, reservedAtOnce));
+}
+
+std::size_t RequestParser::on_body_impl(View body, Error&)
+{
+    m_request.body.append(body.data(), body.size());
+    return body.size();
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, View body, Error& error) { return on_body_impl(body, error); }
+
+AnswerParser::AnswerParser(AnswerSink& sink)
+    : m_sink(sink)
+{
+    header_limit(answerHeaderLimit);
+    body_limit(boost::none);
+    eager(true);
+}
+
+void AnswerParser::on_response_impl(int status, View, int, Error&) { m_head.status = status; }
+
+void AnswerParser::on_field_impl(http::field known, View name, View value, Error& error)
+{
+    if (known == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
+    m_head.fields.push_back(fieldOf(name, value));
+}
+
+void AnswerParser::on_header_impl(Error&)
+{
+    m_head.keepAlive = keep_alive();
+    m_head.endsWithConnection = need_eof();
+    m_sink.onAnswerHead(std::move(m_head));
+}
+
+std::size_t AnswerParser::on_body_impl(View body, Error&)
+{
+    m_sink.onAnswerBody({ body.data(), body.size() });
+    return body.size();
+}
+
+std::size_t AnswerParser::on_chunk_body_impl(std::uint64_t, View body, Error& error) { return on_body_impl(body, error); }
+
+bool hasFoldedField(std::string_view header)
+{
+    for (std::size_t end = header.find('\n'); end != std::string_view::npos && end + 1 < header.size(); end = header.find('\n', end + 1)) {
+        if (header[end + 1] == ' ' || header[end + 1] == '\t')
+            return true;
+    }
+    return false;
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/thrift/instance_news.thrift
@@ -0,0 +1,16 @@
+// What instances in front of one platform tell each other, several times a second, in one datagram.
+// Fields are only ever added, with new numbers. Lists that name the same things run in parallel.
+
+namespace cpp limpetpond.rpc
+
+struct InstanceNews {
+  1: string instance
+  2: i64 incarnation           // unix milliseconds of the sender's start
+  3: i64 sequence              // rises with each message of one incarnation
+  4: i64 settingsVersion       // 0 for none
+  5: list<i32> targets         // hashes of the ids of targets that have work of the sender
+  6: list<i16> inProgress      // requests of the sender at each of them
+  7: list<i32> accounts        // hashes of the ids of client accounts
+  8: list<i64> admitted        // units that the sender admitted of each, since its start
+  9: bool leaving
+}
