--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -18,6 +18,18 @@
     /// The estimate never goes below this many seconds of refill, so that one wrong report can't close an account for long.
     constexpr double deepestDebtSeconds = 1.0;
 
+    /// What less urgent requests leave for more urgent ones: this share of the burst for each rank,
+    /// but no more than this many times their own size, since a small request delays others little.
+    constexpr double reservedShareOfRank = 0.25;
+    constexpr double mostReservedShare = 0.5;
+    constexpr double reservedTimesOwnSize = 20;
+
+    double reservedFor(const AccountQuota& quota, const QuotaDemand& demand)
+    {
+        double share = std::min(reservedShareOfRank * std::max(demand.rank, 0), mostReservedShare);
+        return std::min(share * quota.burst, reservedTimesOwnSize * demand.units);
+    }
+
     void take(AccountQuota& quota, double units)
     {
         quota.left = std::max(quota.left - units, -deepestDebtSeconds * quota.perSecond);
@@ -58,16 +70,16 @@
     quota.filledAt = now;
 }
 
-bool admit(AccountQuota& quota, double units, SteadyTime now)
+bool admit(AccountQuota& quota, const QuotaDemand& demand, SteadyTime now)
 {
     if (quota.perSecond > 0) {
         refill(quota, now);
         // A request larger than the whole burst is admitted by a full bucket: it would never be otherwise.
-        if (quota.left < std::min(units, quota.burst))
+        if (quota.left < std::min(demand.units + reservedFor(quota, demand), quota.burst))
             return false;
-        take(quota, units);
+        take(quota, demand.units);
     }
-    quota.admittedHere += units;
+    quota.admittedHere += demand.units;
     return true;
 }
 
--- a/src/core/AccountQuota.h
+++ b/src/core/AccountQuota.h
@@ -5,7 +5,8 @@
 /// Load pattern: one account sends many times its usual. Each instance keeps a whole token bucket and
 /// takes out of it what it admits and what its peers report to have admitted, so the bucket drifts only by
 /// what peers admitted since their last news. A peer that falls silent is counted with the rate that
-/// it last had, until it is held for departed.
+/// it last had, until it is held for departed. While an account asks for more than its quota, the most urgent
+/// of its requests go first: less urgent ones are admitted only where enough is left behind them.
 
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
@@ -39,16 +40,26 @@
 ///     admit(quota, 1, now);
 void setQuota(AccountQuota&, double perSecond, double burst, SteadyTime now);
 
-/// Admits a request of `units` where the quota allows it.
+/// What a request asks of its account's quota.
+struct QuotaDemand {
+    double units { 1 };
+    int rank { 0 }; ///< Of the route; 0 is the most urgent.
+};
+
+/// Admits a request where the quota allows it.
 ///
-///     if (!admit(quota, tokens, now))
+///     if (!admit(quota, { .units = tokens, .rank = route.rank }, now))
 ///         refuse(timeUntil(quota, tokens, now));
-bool admit(AccountQuota&, double units, SteadyTime now);
+bool admit(AccountQuota&, const QuotaDemand&, SteadyTime now);
 
 /// Gives back what a request took that never reached a target.
+///
+///     giveBack(quota, tokens);
 void giveBack(AccountQuota&, double units);
 
 /// How long until `units` would be admitted if nobody else sent.
+///
+///     Duration retryAfter = timeUntil(quota, tokens, now);
 Duration timeUntil(const AccountQuota&, double units, SteadyTime now);
 
 /// Takes in a peer's count of admitted units since its start.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -207,10 +207,13 @@
         facts.quotaUnits = tokens.isStated ? tokens.prompt + tokens.mostAnswer : account->defaultTokens;
     }
     AccountQuota& quota = m_quotas[account->id];
-    if (admit(quota, facts.quotaUnits, facts.arrivedAt))
+    if (admit(quota, { .units = facts.quotaUnits, .rank = facts.route->rank }, facts.arrivedAt))
         return std::nullopt;
     Duration retryAfter = std::max(timeUntil(quota, facts.quotaUnits, facts.arrivedAt), leastQuotaRetryAfter);
     m_metrics.refusedQuota.add();
+    m_log.line("info", "quota_exceeded",
+        { { "request", facts.id }, { "account", facts.account }, { "units", facts.quotaUnits }, { "left", quota.left }, { "per_second", quota.perSecond },
+            { "burst", quota.burst }, { "admitted_here", quota.admittedHere } });
     return Refusal { .status = 429, .reason = "over_quota", .retryAfter = retryAfter };
 }
 
