--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -13,6 +13,7 @@
 
     constexpr Duration unknownDeadline = std::chrono::seconds(30); ///< Neither the caller nor the route states one.
     constexpr Duration retryAfterNoSettings = std::chrono::milliseconds(500);
+    constexpr Duration retryAfterStopping = std::chrono::milliseconds(100); ///< Another instance takes the next connection.
     constexpr Duration retryAfterNoTarget = std::chrono::milliseconds(800);
     constexpr Duration leastQuotaRetryAfter = std::chrono::milliseconds(200);
     constexpr double tokensPerEvent = 5; ///< Only compares targets of one pool, where it cancels out.
@@ -151,6 +152,23 @@
     connection->start();
 }
 
+void Gateway::stopTakingRequests()
+{
+    m_takesRequests = false;
+    for (const std::shared_ptr<CallerConnection>& connection : openConnections())
+        connection->closeIfUnused();
+}
+
+std::vector<std::shared_ptr<CallerConnection>> Gateway::openConnections() const
+{
+    std::vector<std::shared_ptr<CallerConnection>> open;
+    for (const auto& [key, connection] : m_connections) {
+        if (std::shared_ptr<CallerConnection> kept = connection.lock())
+            open.push_back(std::move(kept));
+    }
+    return open;
+}
+
 CallerLimits Gateway::callerLimits() const { return m_settings ? m_settings->settings.limits : CallerLimits {}; }
 
 void Gateway::onRequest(const std::shared_ptr<CallerConnection>& caller, HttpRequest&& request)
@@ -171,6 +189,8 @@
 std::optional<Gateway::Refusal> Gateway::readFacts(const HttpRequest& request, RequestFacts& facts)
 {
     facts.id = fieldValue(request.fields, Field::RequestId);
+    if (!m_takesRequests)
+        return Refusal { .reason = "stopping", .retryAfter = retryAfterStopping };
     if (!m_settings)
         return Refusal { .reason = "no_settings_yet", .retryAfter = retryAfterNoSettings };
     if (facts.id.empty())
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -50,6 +50,8 @@
 
     /// From now on answers ask callers to close their connections.
     void beginShutdown() { m_isShuttingDown = true; }
+    /// From now on idle connections are closed and requests that still come are turned away.
+    void stopTakingRequests();
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
 
     void addConnection(const std::shared_ptr<CallerConnection>&);
@@ -85,6 +87,7 @@
     void finishWithFailure(Exchange&, bool timedOut, std::string_view reason);
     void finish(Exchange&);
 
+    std::vector<std::shared_ptr<CallerConnection>> openConnections() const;
     void checkWaiting(SteadyTime now);
     void checkInProgress(SteadyTime now);
     void checkAttempt(Exchange&, SteadyTime now);
@@ -105,6 +108,7 @@
     std::uint64_t m_incarnation { 0 };
     int m_instances { 1 };
     bool m_isShuttingDown { false };
+    bool m_takesRequests { true };
     SteadyTime m_idleCheckedAt;
 };
 
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -165,12 +165,7 @@
     if (now - m_idleCheckedAt < idleCheckInterval)
         return;
     m_idleCheckedAt = now;
-    std::vector<std::shared_ptr<CallerConnection>> connections;
-    for (const auto& [key, connection] : m_connections) {
-        if (std::shared_ptr<CallerConnection> open = connection.lock())
-            connections.push_back(std::move(open));
-    }
-    for (const std::shared_ptr<CallerConnection>& connection : connections)
+    for (const std::shared_ptr<CallerConnection>& connection : openConnections())
         connection->closeIfIdle(now);
 }
 
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -18,7 +18,7 @@
     /// must get nothing two seconds after its leaving was acknowledged.
     constexpr Duration missingGrace = std::chrono::milliseconds(1600);
     /// The balancer asks once a second and needs two misses: until then new connections still come.
-    constexpr Duration leastShutdown = std::chrono::milliseconds(3500);
+    constexpr Duration takingWhileStopping = std::chrono::milliseconds(2800);
     constexpr Duration keptOfGrace = std::chrono::milliseconds(400); ///< To end in order before the kill.
 
     tcp::endpoint storeEndpoint(const platform::BootSettings& boot)
@@ -213,7 +213,9 @@
     if (!m_shutdownBegan)
         return;
     Duration elapsed = now - *m_shutdownBegan;
-    bool isEmpty = elapsed > leastShutdown && !m_gateway.exchangesInProgress();
+    if (elapsed > takingWhileStopping)
+        m_gateway.stopTakingRequests();
+    bool isEmpty = elapsed > takingWhileStopping && !m_gateway.exchangesInProgress();
     if (!isEmpty && elapsed < m_boot.shutdownGrace - keptOfGrace)
         return;
     m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
--- a/src/traffic/CallerConnection.cpp
+++ b/src/traffic/CallerConnection.cpp
@@ -194,6 +194,12 @@
         close();
 }
 
+void CallerConnection::closeIfUnused()
+{
+    if (!m_isServing && !m_parser && m_input.empty())
+        close();
+}
+
 void CallerConnection::close()
 {
     if (m_isClosed)
--- a/src/traffic/CallerConnection.h
+++ b/src/traffic/CallerConnection.h
@@ -47,6 +47,9 @@
     /// Closes a connection that waits for a request longer than allowed.
     void closeIfIdle(SteadyTime now);
 
+    /// Closes a connection on which no byte of a further request has arrived.
+    void closeIfUnused();
+
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size(); }
     bool isServing() const { return m_isServing; }
     bool isOpen() const { return !m_isClosed; }
