--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -13,15 +13,35 @@
     constexpr double failureHalfLifeSeconds = 3; ///< A target that gets no requests is trusted again by and by.
     constexpr int failuresUntilClosed = 2;
     constexpr Duration firstClosing = std::chrono::milliseconds(500);
+    constexpr double closedByPeersCost = 6; ///< Expected times added where peers can't reach the target.
+    constexpr double limitCutShare = 0.6; ///< What is left of the own limit after a target had no room.
+    constexpr double limitGrowth = 0.3; ///< Added to the own limit by as many answers as it counts.
+    constexpr double leastOwnLimit = 1;
     constexpr int longestClosingDoublings = 3;
     constexpr double promptTokensPerMillisecond = 100; ///< Before it is learned; engines read about this many.
     constexpr double otherDomainCost = 0.15; ///< Share of the expected time added for a target in another failure domain.
     constexpr double failedRequestCost = 8; ///< Expected times that a failed request costs.
     constexpr double loadCost = 0.04; ///< Share of the expected time added for each request in progress.
+    constexpr double roundingSlack = 1e-6; ///< A mean of whole numbers may miss a whole number by a little.
     constexpr double unknownSlowness = 1; ///< For pools of which no answer is known.
 
+    constexpr double notNearestCost = 0.25; ///< Share of the expected time added where another instance is nearer.
+    constexpr double distanceCost = 0.25; ///< Share added at the farthest instance, besides.
+    constexpr double mostRoomForEachSlot = 2.5;
+    constexpr double trustedIntervals = 3; ///< Requests that last this many news intervals are seen by peers in time.
+    constexpr double usedShareOfTimeLeft = 0.7; ///< The expected work is a guess that is often far off.
+
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+    std::uint64_t mixed(std::uint64_t a, std::uint64_t b)
+    {
+        // The finaliser of SplitMix64: every bit of both numbers reaches every bit of the result.
+        std::uint64_t x = a ^ (b * 0x9e3779b97f4a7c15U);
+        x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9U;
+        x = (x ^ (x >> 27)) * 0x94d049bb133111ebU;
+        return x ^ (x >> 31);
+    }
+
     double failureShareNow(const TargetState& target, SteadyTime now)
     {
         return target.failureShare * std::exp2(-seconds(now - target.failureShareAt) / failureHalfLifeSeconds);
@@ -47,23 +67,65 @@
         return known ? sum / known : unknownSlowness;
     }
 
-    bool isFree(const TargetState& target, SteadyTime now)
+    bool isOpen(const TargetState& target, SteadyTime now)
     {
-        if (target.entry.isDraining || now < target.closedUntil)
+        if (target.entry.isDraining || isClosed(target, now))
             return false;
-        if (target.failuresInRow >= failuresUntilClosed && target.trialInProgress)
+        return target.failuresInRow < failuresUntilClosed || !target.trialInProgress;
+    }
+
+    double slotsOf(const TargetState& target) { return std::max(target.entry.slots, 1); }
+
+    /// What is known of the whole pool.
+    struct PoolView {
+        double usualSlowness { 1 };
+        double peersForEachSlot { 0 };
+    };
+
+    PoolView viewOf(const std::vector<TargetState>& targets)
+    {
+        double peers = 0;
+        double slots = 0;
+        for (const TargetState& target : targets) {
+            peers += target.peersInProgress;
+            slots += slotsOf(target);
+        }
+        return { .usualSlowness = usualSlowness(targets), .peersForEachSlot = slots > 0 ? peers / slots : 0 };
+    }
+
+    /// Requests in progress at the target, by all instances.
+    double inProgress(const TargetState& target, const PlacementCase& wanted, const PoolView& pool)
+    {
+        double mean = pool.peersForEachSlot * slotsOf(target);
+        return target.ownInProgress + mean + wanted.trustInNews * (target.peersInProgress - mean);
+    }
+
+    bool hasRoom(const TargetState& target, const PlacementCase& wanted, const PoolView& pool)
+    {
+        if (target.isLeftToOthers || (target.ownLimit > 0 && target.ownInProgress + 1 > target.ownLimit + roundingSlack))
             return false;
-        return target.ownInProgress + target.peersInProgress < std::max(target.entry.slots, 1);
+        return inProgress(target, wanted, pool) + 1 <= std::floor(slotsOf(target) * wanted.roomForEachSlot) + roundingSlack;
     }
 
-    double expectedCost(const TargetState& target, const PlacementCase& wanted, double usual, SteadyTime now)
+    double expectedMilliseconds(const TargetState& target, const PlacementCase& wanted, double usual)
     {
         double slowness = target.slowness > 0 ? target.slowness : usual;
         double promptMilliseconds = (wanted.promptTokens + target.ownPromptTokens) / promptTokensPerMillisecond * (slowness / usual);
-        double expected = wanted.work * slowness + promptMilliseconds;
-        double factor = 1 + loadCost * (target.ownInProgress + target.peersInProgress) + failedRequestCost * failureShareNow(target, now);
+        return wanted.work * slowness + promptMilliseconds;
+    }
+
+    double expectedCost(const TargetState& target, const PlacementCase& wanted, const PoolView& pool, SteadyTime now)
+    {
+        double expected = expectedMilliseconds(target, wanted, pool.usualSlowness);
+        double busy = inProgress(target, wanted, pool);
+        double waits = std::max(busy + 1 - slotsOf(target), 0.0) / slotsOf(target);
+        double factor = 1 + loadCost * busy + waits + failedRequestCost * failureShareNow(target, now);
         if (target.entry.failureDomain != wanted.ownFailureDomain)
             factor += otherDomainCost;
+        if (target.closedByPeers > 0)
+            factor += closedByPeersCost;
+        if (target.distance > 0)
+            factor += notNearestCost + distanceCost * target.distance;
         return expected * factor;
     }
 
@@ -79,6 +141,8 @@
     target.failuresInRow = 0;
     target.closedUntil = {};
     learnFailure(target, 0, now);
+    if (target.ownLimit > 0)
+        target.ownLimit += limitGrowth / target.ownLimit;
     if (!unitMilliseconds)
         return;
     if (target.slowness <= 0)
@@ -102,21 +166,73 @@
     target.closedUntil = std::max(target.closedUntil, now + firstClosing * (1 << doublings));
 }
 
+void noteNoRoom(TargetState& target)
+{
+    double taken = std::max(target.ownInProgress - 1, 0);
+    double limit = target.ownLimit > 0 ? std::min(target.ownLimit, taken + 1) : taken + 1;
+    target.ownLimit = std::max(limit * limitCutShare, leastOwnLimit);
+}
+
+bool isClosed(const TargetState& target, SteadyTime now) { return now < target.closedUntil; }
+
 std::optional<std::size_t> choosePlace(const std::vector<TargetState>& targets, const PlacementCase& wanted, SteadyTime now)
 {
-    double usual = usualSlowness(targets);
+    PoolView pool = viewOf(targets);
+    double longest = usedShareOfTimeLeft * 1000 * seconds(wanted.timeLeft);
     double least = std::numeric_limits<double>::infinity();
     std::optional<std::size_t> place;
+    std::optional<std::size_t> slowPlace;
+    bool isAnyFastEnough = false;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        if (!isFree(targets[i], now) || isAvoided(targets[i], wanted))
+        if (!isOpen(targets[i], now) || isAvoided(targets[i], wanted))
             continue;
-        double cost = expectedCost(targets[i], wanted, usual, now);
+        bool isFastEnough = expectedMilliseconds(targets[i], wanted, pool.usualSlowness) <= longest;
+        isAnyFastEnough = isAnyFastEnough || isFastEnough;
+        if (!hasRoom(targets[i], wanted, pool))
+            continue;
+        double cost = expectedCost(targets[i], wanted, pool, now);
+        if (!isFastEnough) {
+            slowPlace = i;
+            continue;
+        }
         if (cost < least) {
             least = cost;
             place = i;
         }
     }
-    return place;
+    return isAnyFastEnough ? place : slowPlace;
+}
+
+double distanceOf(const FailureDomainId& targetDomain, std::uint64_t targetHash, const PlacingInstance& here, const std::vector<PlacingInstance>& all)
+{
+    auto isAmong = [&](const PlacingInstance& instance, bool onlyOwnDomain) { return !onlyOwnDomain || instance.failureDomain == targetDomain; };
+    bool onlyOwnDomain = std::any_of(all.begin(), all.end(), [&](const PlacingInstance& instance) { return instance.failureDomain == targetDomain; });
+    if (!isAmong(here, onlyOwnDomain))
+        return 1;
+    std::uint64_t own = mixed(here.hash, targetHash);
+    int nearer = 0;
+    int others = 0;
+    for (const PlacingInstance& instance : all) {
+        if (instance.hash == here.hash || !isAmong(instance, onlyOwnDomain))
+            continue;
+        ++others;
+        nearer += mixed(instance.hash, targetHash) > own;
+    }
+    return others ? static_cast<double>(nearer) / others : 0;
+}
+
+double roomForEachSlot(Duration serviceTime, Duration newsInterval)
+{
+    if (serviceTime <= Duration::zero())
+        return 1;
+    return std::min(1 + seconds(newsInterval) / seconds(serviceTime), mostRoomForEachSlot);
+}
+
+double trustInNews(Duration serviceTime, Duration newsInterval)
+{
+    if (serviceTime <= Duration::zero())
+        return 1;
+    return std::clamp(seconds(serviceTime) / (trustedIntervals * seconds(newsInterval)), 0.0, 1.0);
 }
 
 bool hasUsableTarget(const std::vector<TargetState>& targets)
--- a/src/core/Placement.h
+++ b/src/core/Placement.h
@@ -3,8 +3,10 @@
 /// Which target a request is sent to.
 ///
 /// Load pattern: unlike targets, some three times slower than others, some failing a part of their
-/// requests, shared by instances that learn of each other's sends only a few times a second. A target gets no
-/// more than its slots; among those with a free slot the one with the least expected time is taken.
+/// requests, shared by up to some dozens of instances that learn of each other's sends only a few times a second.
+/// A target gets little more than its slots; among those with room the one with the least expected time is
+/// taken. Each target is nearest to one instance, the next nearest to another and so on, so that instances with
+/// the same news don't all choose the same target.
 
 #include "core/ServingSettings.h"
 #include "limpetpond/Clock.h"
@@ -28,8 +30,24 @@
     int failuresInRow { 0 }; ///< Connections refused, cut or silent, with no answer between.
     SteadyTime closedUntil; ///< No request is sent before, but one trial after.
     bool trialInProgress { false };
+    double distance { 0 }; ///< 0 at the instance that the target is nearest to, up to 1 at the last one.
+    bool isLeftToOthers { false }; ///< An instance that has requests waiting is nearer: free places are its own to fill.
+    int closedByPeers { 0 }; ///< Peers that send nothing there after broken connections.
+    double ownLimit { 0 }; ///< Requests of this instance that the target took lately without refusing any; 0 for unknown.
 };
 
+/// One instance that places requests.
+struct PlacingInstance {
+    std::uint64_t hash { 0 }; ///< Of its id.
+    FailureDomainId failureDomain;
+};
+
+/// How far the target is from an instance among all that place requests: each target orders the instances of its
+/// own failure domain, or all where it has none there, by a hash of both.
+///
+///     target.distance = distanceOf(target.entry.failureDomain, targetHash, here, all);
+double distanceOf(const FailureDomainId& targetDomain, std::uint64_t targetHash, const PlacingInstance& here, const std::vector<PlacingInstance>& all);
+
 /// Notes an answer: `unitMilliseconds` is its time for a unit of work where it was measured.
 ///
 ///     noteAnswer(target, 4.1, now);
@@ -41,15 +59,27 @@
 /// Notes a connection that was refused, cut or silent.
 void noteBrokenConnection(TargetState&, SteadyTime now);
 
+/// Notes that the target had no room for a request: this instance sends it fewer at once for a while.
+///
+///     noteNoRoom(target);
+void noteNoRoom(TargetState&);
+
+/// True while nothing is sent to the target because of broken connections.
+bool isClosed(const TargetState&, SteadyTime now);
+
 /// What a place is wanted for.
 struct PlacementCase {
     FailureDomainId ownFailureDomain;
     double promptTokens { 0 };
     double work { 1 }; ///< Expected units of work, such as events of a stream.
+    Duration timeLeft { std::chrono::hours(1) }; ///< Until the answer is of no use any more.
+    double roomForEachSlot { 1 }; ///< Requests for each slot; over 1 where news of places come later than the places.
+    double trustInNews { 1 }; ///< Weight of what peers say of single targets against the pool's mean, 0 to 1.
     const std::vector<TargetId>* avoid { nullptr }; ///< Targets that were tried already.
 };
 
-/// The position of the target to send to; nothing where no target has a free slot.
+/// The position of the target to send to; nothing where no target has room, or only such that would take
+/// longer than the time left while others of the pool would not.
 ///
 ///     std::optional<std::size_t> place = choosePlace(targets, { .ownFailureDomain = here }, now);
 std::optional<std::size_t> choosePlace(const std::vector<TargetState>&, const PlacementCase&, SteadyTime now);
@@ -57,4 +87,16 @@
 /// True where the pool has at least one target that may be sent to at some time.
 bool hasUsableTarget(const std::vector<TargetState>&);
 
+/// How many requests may be in progress for each slot of a target. By the time that news of a place arrive, short
+/// calls have long ended: counting them in full would leave places empty.
+///
+///     wanted.roomForEachSlot = roomForEachSlot(50ms, 100ms);
+double roomForEachSlot(Duration serviceTime, Duration newsInterval);
+
+/// How far the difference between targets in peers' news may be trusted. Instances that all believe in the same old
+/// difference all send to the same target.
+///
+///     wanted.trustInNews = trustInNews(50ms, 100ms);
+double trustInNews(Duration serviceTime, Duration newsInterval);
+
 } // namespace limpetpond
--- a/src/core/WaitingLine.cpp
+++ b/src/core/WaitingLine.cpp
@@ -1,6 +1,7 @@
 #include "core/WaitingLine.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace limpetpond {
 
@@ -58,20 +59,28 @@
     line.requests.erase(found);
 }
 
-std::optional<WaitTicket> next(WaitingLine& line, SteadyTime now)
+std::vector<WaitTicket> firstWaiting(WaitingLine& line, std::size_t most, SteadyTime now)
 {
+    std::vector<WaitTicket> first;
+    auto take = [&](auto begin, auto end) {
+        for (auto waiting = begin; waiting != end && first.size() < most; ++waiting)
+            first.push_back(waiting->second);
+    };
+    const std::pair lastDue { now, std::numeric_limits<WaitTicket>::max() };
     for (auto& [level, rank] : line.ranks) {
         separateLate(line, rank, now);
-        if (!rank.late.empty() && rank.late.begin()->first <= now)
-            return rank.late.begin()->second;
-        if (!rank.inTime.empty())
-            return rank.inTime.begin()->second;
-    }
-    for (const auto& [level, rank] : line.ranks) {
-        if (!rank.late.empty())
-            return rank.late.begin()->second;
+        take(rank.late.begin(), rank.late.upper_bound(lastDue));
+        take(rank.inTime.begin(), rank.inTime.end());
     }
-    return std::nullopt;
+    for (const auto& [level, rank] : line.ranks)
+        take(rank.late.upper_bound(lastDue), rank.late.end());
+    return first;
+}
+
+std::optional<WaitTicket> next(WaitingLine& line, SteadyTime now)
+{
+    std::vector<WaitTicket> first = firstWaiting(line, 1, now);
+    return first.empty() ? std::nullopt : std::optional(first.front());
 }
 
 std::vector<WaitTicket> pastUse(const WaitingLine& line, SteadyTime now)
--- a/src/core/WaitingLine.h
+++ b/src/core/WaitingLine.h
@@ -49,8 +49,15 @@
 void removeWaiting(WaitingLine&, WaitTicket);
 
 /// The request to send next; nothing where none waits.
+///
+///     if (std::optional<WaitTicket> ticket = next(line, now)) trySending(*ticket);
 std::optional<WaitTicket> next(WaitingLine&, SteadyTime now);
 
+/// The first requests in the order of sending, at most `most`.
+///
+///     for (WaitTicket ticket : firstWaiting(line, 6, now)) trySending(ticket);
+std::vector<WaitTicket> firstWaiting(WaitingLine&, std::size_t most, SteadyTime now);
+
 /// Requests that have waited past the use of sending them; they stay in the line until removed.
 std::vector<WaitTicket> pastUse(const WaitingLine&, SteadyTime now);
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -24,6 +24,7 @@
     constexpr int pausesOfPatience = 8;
     constexpr int ranksInLevel = 1000; ///< An account's rank goes first, the route's orders within it.
     constexpr int mostUrgent = -1;
+    constexpr std::size_t mostPassedBy = 6; ///< Requests looked at in the order of the line.
     constexpr double retrySpread = 0.5; ///< Callers turned away together return over this share more of the time.
 
     Duration fromMilliseconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value)); }
@@ -78,7 +79,7 @@
     : m_clock(clock)
     , m_boot(boot)
     , m_log(log)
-    , m_pools(context, clock, { .ratio = boot.retryRatio, .slack = boot.retrySlack, .window = boot.retryWindow })
+    , m_pools(context, clock, { .hash = shortHash(boot.instance.value()), .failureDomain = boot.failureDomain }, { .ratio = boot.retryRatio, .slack = boot.retrySlack, .window = boot.retryWindow })
     , m_random(std::hash<std::string> {}(boot.instance.value()))
     , m_incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(clock.systemNow().time_since_epoch()).count()))
     , m_idleCheckedAt(clock.steadyNow())
@@ -109,10 +110,13 @@
 
 void Gateway::takePeerNews(const InstanceNews& news)
 {
-    std::unordered_map<std::uint32_t, int> work;
+    PeerView view { .failureDomain = news.failureDomain, .closedTargets = news.closedTargets, .waitingPools = news.waitingPools };
     for (const InstanceNews::TargetWork& target : news.targets)
-        work[target.target] = target.inProgress;
-    m_pools.setPeerWork(news.instance, std::move(work));
+        view.work[target.target] = target.inProgress;
+    std::sort(view.closedTargets.begin(), view.closedTargets.end());
+    std::sort(view.waitingPools.begin(), view.waitingPools.end());
+    m_pools.setPeer(news.instance, std::move(view));
+    m_metrics.peers.set(m_pools.peers());
     SteadyTime now = m_clock.steadyNow();
     for (const InstanceNews::AccountUse& use : news.accounts) {
         auto account = m_accountOfHash.find(use.account);
@@ -123,20 +127,30 @@
         pump(pool);
 }
 
-void Gateway::peerSilent(const InstanceId& peer) { m_pools.setPeerWork(peer, {}); }
+void Gateway::peerSilent(const InstanceId& peer)
+{
+    m_pools.removePeer(peer);
+    m_metrics.peers.set(m_pools.peers());
+}
 
 InstanceNews Gateway::news() const
 {
+    SteadyTime now = m_clock.steadyNow();
     InstanceNews news {
         .instance = m_boot.instance,
+        .failureDomain = m_boot.failureDomain,
         .incarnation = m_incarnation,
         .settingsVersion = m_settings ? m_settings->settings.version : SettingsVersion(),
         .isLeaving = m_isShuttingDown,
     };
-    for (const auto& [id, pool] : const_cast<Pools&>(m_pools).all()) {
+    for (const auto& [id, pool] : m_pools.all()) {
+        if (!pool.line.requests.empty())
+            news.waitingPools.push_back(shortHash(id.value()));
         for (std::size_t i = 0; i < pool.targets.size(); ++i) {
             if (pool.targets[i].ownInProgress > 0)
                 news.targets.push_back({ .target = pool.links[i].hash, .inProgress = pool.targets[i].ownInProgress });
+            if (isClosed(pool.targets[i], now))
+                news.closedTargets.push_back(pool.links[i].hash);
         }
     }
     for (const auto& [account, quota] : m_quotas) {
@@ -301,37 +315,48 @@
     finishWithFailure(*exchange, false, "overloaded");
 }
 
-PlacementCase Gateway::placementCase(const Exchange& exchange, bool avoidsTried) const
+PlacementCase Gateway::placementCase(const PoolState& pool, const Exchange& exchange, bool avoidsTried, SteadyTime now) const
 {
     const RequestFacts& facts = exchange.facts();
     return {
         .ownFailureDomain = m_boot.failureDomain,
         .promptTokens = facts.promptTokens,
         .work = exchange.isStreaming() ? std::max(facts.expectedAnswerTokens / tokensPerEvent, 1.0) : 1.0,
+        .timeLeft = facts.deadline - now,
+        .roomForEachSlot = roomForEachSlot(fromMilliseconds(pool.serviceMilliseconds), m_newsInterval),
+        .trustInNews = trustInNews(fromMilliseconds(pool.serviceMilliseconds), m_newsInterval),
         .avoid = avoidsTried ? &const_cast<Exchange&>(exchange).triedTargets() : nullptr,
     };
 }
 
 std::optional<std::size_t> Gateway::placeFor(const PoolState& pool, Exchange& exchange, SteadyTime now) const
 {
-    std::optional<std::size_t> place = choosePlace(pool.targets, placementCase(exchange, true), now);
+    std::optional<std::size_t> place = choosePlace(pool.targets, placementCase(pool, exchange, true, now), now);
     if (!place && !exchange.triedTargets().empty())
-        place = choosePlace(pool.targets, placementCase(exchange, false), now);
+        place = choosePlace(pool.targets, placementCase(pool, exchange, false, now), now);
     return place;
 }
 
 void Gateway::pump(PoolState& pool)
 {
     SteadyTime now = m_clock.steadyNow();
-    while (std::optional<WaitTicket> ticket = next(pool.line, now)) {
-        std::shared_ptr<Exchange> exchange = m_exchanges.at(*ticket);
-        std::optional<std::size_t> place = placeFor(pool, *exchange, now);
-        if (!place)
+    while (!pool.line.requests.empty()) {
+        bool sentAny = false;
+        // A request that waits for a fast target doesn't hold up the few behind it that others would do for.
+        for (WaitTicket ticket : firstWaiting(pool.line, mostPassedBy, now)) {
+            std::shared_ptr<Exchange> exchange = m_exchanges.at(ticket);
+            std::optional<std::size_t> place = placeFor(pool, *exchange, now);
+            if (!place)
+                continue;
+            removeWaiting(pool.line, ticket);
+            if (!pool.line.requests.empty())
+                noteSent(pool.sendRate, now);
+            sendTo(pool, *place, *exchange, now);
+            sentAny = true;
+            break;
+        }
+        if (!sentAny)
             return;
-        removeWaiting(pool.line, *ticket);
-        if (!pool.line.requests.empty())
-            noteSent(pool.sendRate, now);
-        sendTo(pool, *place, *exchange, now);
     }
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -40,7 +40,7 @@
 
     void takePeerNews(const InstanceNews&);
     void peerSilent(const InstanceId&);
-    void setInstances(int count) { m_instances = count; }
+    void setNewsInterval(Duration interval) { m_newsInterval = interval; }
 
     /// What peers are told; the sequence is the sender's to set.
     InstanceNews news() const;
@@ -77,9 +77,10 @@
     void answerRefusal(CallerConnection&, const HttpRequest&, std::string_view requestId, const Refusal&);
     void admitOrRefuse(const std::shared_ptr<Exchange>&);
     WaitingRequest waitingRequest(const Exchange&) const;
-    PlacementCase placementCase(const Exchange&, bool avoidsTried) const;
+    PlacementCase placementCase(const PoolState&, const Exchange&, bool avoidsTried, SteadyTime now) const;
     std::optional<std::size_t> placeFor(const PoolState&, Exchange&, SteadyTime now) const;
 
+    int instances() const { return m_pools.peers() + 1; }
     void pump(PoolState&);
     void sendTo(PoolState&, std::size_t place, Exchange&, SteadyTime now);
     void releaseAttempt(Exchange&, std::optional<AttemptEnd>);
@@ -106,7 +107,7 @@
     std::mt19937_64 m_random;
     WaitTicket m_lastTicket { 0 };
     std::uint64_t m_incarnation { 0 };
-    int m_instances { 1 };
+    Duration m_newsInterval { std::chrono::milliseconds(100) };
     bool m_isShuttingDown { false };
     bool m_takesRequests { true };
     SteadyTime m_idleCheckedAt;
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -10,6 +10,7 @@
     constexpr Duration leastTimeToSendAgain = std::chrono::milliseconds(100);
     constexpr int goalsUntilStalled = 2; ///< Without a first event or an answer.
     constexpr double pausesUntilStalled = 2.5; ///< Between two events.
+    constexpr double serviceTimeWeight = 0.05; ///< Of the newest request in the learned time at targets.
     constexpr int leastEventsMeasured = 4; ///< Of a stream whose speed is learned.
     constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
     constexpr double slowestPromptTokensPerMillisecond = 25;
@@ -78,6 +79,8 @@
             noteBrokenConnection(target, now);
             return;
         case AttemptEnd::NotRun:
+            noteNoRoom(target);
+            return;
         case AttemptEnd::WrongTarget:
             return;
         }
@@ -91,12 +94,17 @@
     exchange.attempt().reset();
     SteadyTime now = m_clock.steadyNow();
     if (TargetState* target = m_pools.findTarget(attempt.target)) {
+        if (end)
+            learnFromEnd(*target, exchange, attempt, *end, now);
         target->ownInProgress = std::max(target->ownInProgress - 1, 0);
         if (!attempt.isPromptRead)
             target->ownPromptTokens = std::max(target->ownPromptTokens - exchange.facts().promptTokens, 0.0);
         target->trialInProgress = false;
-        if (end)
-            learnFromEnd(*target, exchange, attempt, *end, now);
+    }
+    if (end == AttemptEnd::Answered) {
+        PoolState& pool = m_pools.pool(exchange.facts().pool);
+        double measured = milliseconds(now - attempt.sentAt);
+        pool.serviceMilliseconds += (pool.serviceMilliseconds > 0 ? serviceTimeWeight : 1) * (measured - pool.serviceMilliseconds);
     }
     m_pools.keepChannel(attempt.target, attempt.channel, now);
     if (end == AttemptEnd::WrongTarget)
@@ -149,7 +157,7 @@
     PoolState& pool = m_pools.pool(facts.pool);
     if (!hasUsableTarget(pool.targets))
         return false;
-    if (progress != SendProgress::NothingWritten && !takeResend(pool.resends, m_instances, now))
+    if (progress != SendProgress::NothingWritten && !takeResend(pool.resends, instances(), now))
         return false;
     if (exchange.hasBegunAnswer())
         m_metrics.resumes.add();
@@ -219,7 +227,7 @@
     }
     PoolState& pool = m_pools.pool(facts.pool);
     bool mayMove = mayRunAgain(route) && exchange.targetsSent() < route.maxTargets && route.goal.count() > 0;
-    if (!mayMove || !hasResend(pool.resends, m_instances, now))
+    if (!mayMove || !hasResend(pool.resends, instances(), now))
         return;
     Duration promptTime = std::chrono::milliseconds(static_cast<std::int64_t>(facts.promptTokens / slowestPromptTokensPerMillisecond));
     Duration limit = attempt.firstEventAt && route.longestPause.count() > 0
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -242,8 +242,7 @@
     if (removed)
         m_log.line("info", "missing_targets_removed", { { "count", std::int64_t { removed } } });
     m_peers.tick(now);
-    m_gateway.setInstances(m_peers.livePeers() + 1);
-    m_gateway.metrics().peers.set(m_peers.livePeers());
+    m_gateway.setNewsInterval(m_peers.interval());
     m_gateway.tick();
     m_settingsReader.tick(now);
     m_targetReader.tick(now);
--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -15,7 +15,7 @@
     constexpr Duration silentAfter = std::chrono::milliseconds(1500);
     constexpr Duration forgottenAfter = std::chrono::seconds(60); ///< An address that says nothing gets no news any more.
     constexpr Duration shortestInterval = std::chrono::milliseconds(50);
-    constexpr Duration intervalForEachPeer = std::chrono::milliseconds(17);
+    constexpr Duration intervalForEachPeer = std::chrono::milliseconds(4);
     constexpr Duration longestInterval = std::chrono::milliseconds(500);
 
     rpc::InstanceNews toWire(const InstanceNews& news)
@@ -26,10 +26,13 @@
         wire.sequence = static_cast<std::int64_t>(news.sequence);
         wire.settingsVersion = static_cast<std::int64_t>(news.settingsVersion.value());
         wire.leaving = news.isLeaving;
+        wire.failureDomain = news.failureDomain.value();
         for (const InstanceNews::TargetWork& work : news.targets) {
             wire.targets.push_back(static_cast<std::int32_t>(work.target));
             wire.inProgress.push_back(static_cast<std::int16_t>(work.inProgress));
         }
+        wire.closedTargets.assign(news.closedTargets.begin(), news.closedTargets.end());
+        wire.waitingPools.assign(news.waitingPools.begin(), news.waitingPools.end());
         for (const InstanceNews::AccountUse& use : news.accounts) {
             wire.accounts.push_back(static_cast<std::int32_t>(use.account));
             wire.admitted.push_back(static_cast<std::int64_t>(use.admitted));
@@ -41,6 +44,7 @@
     {
         InstanceNews news {
             .instance = InstanceId(wire.instance),
+            .failureDomain = FailureDomainId(wire.failureDomain),
             .incarnation = static_cast<std::uint64_t>(wire.incarnation),
             .sequence = static_cast<std::uint64_t>(wire.sequence),
             .settingsVersion = SettingsVersion(static_cast<std::uint64_t>(wire.settingsVersion)),
@@ -50,6 +54,8 @@
             news.targets.push_back({ .target = static_cast<std::uint32_t>(wire.targets[i]), .inProgress = wire.inProgress[i] });
         for (std::size_t i = 0; i < std::min(wire.accounts.size(), wire.admitted.size()); ++i)
             news.accounts.push_back({ .account = static_cast<std::uint32_t>(wire.accounts[i]), .admitted = static_cast<double>(wire.admitted[i]) });
+        news.closedTargets.assign(wire.closedTargets.begin(), wire.closedTargets.end());
+        news.waitingPools.assign(wire.waitingPools.begin(), wire.waitingPools.end());
         return news;
     }
 
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -21,6 +21,7 @@
 /// What one instance tells the others.
 struct InstanceNews {
     InstanceId instance;
+    FailureDomainId failureDomain;
     std::uint64_t incarnation { 0 };
     std::uint64_t sequence { 0 };
     SettingsVersion settingsVersion;
@@ -35,6 +36,8 @@
         double admitted { 0 }; ///< Units since the sender's start.
     };
     std::vector<AccountUse> accounts;
+    std::vector<std::uint32_t> closedTargets; ///< `shortHash` of the ids of targets that the sender can't reach.
+    std::vector<std::uint32_t> waitingPools; ///< `shortHash` of the ids of pools in which requests wait at the sender.
 };
 
 /// The bytes of one datagram and back; nothing where they can't be read.
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -23,14 +23,17 @@
         return entry.sequence < known.sequence;
     }
 
+    bool contains(const std::vector<std::uint32_t>& sorted, std::uint32_t hash) { return std::binary_search(sorted.begin(), sorted.end(), hash); }
+
 } // namespace
 
 std::uint32_t shortHash(const std::string& id) { return XXH32(id.data(), id.size(), 0); }
 
-Pools::Pools(boost::asio::io_context& context, const Clock& clock, ResendBudgetOptions resendOptions)
+Pools::Pools(boost::asio::io_context& context, const Clock& clock, PlacingInstance here, ResendBudgetOptions resendOptions)
     : m_context(context)
     , m_clock(clock)
     , m_resendOptions(resendOptions)
+    , m_here(std::move(here))
 {
 }
 
@@ -83,7 +86,7 @@
     PoolState& state = pool(entry.pool);
     TargetLink link { .hash = shortHash(entry.id.value()), .endpoint = *endpoint };
     TargetState target { .entry = entry };
-    target.peersInProgress = knownPeerWork(link.hash);
+    applyPeers(state, target, link.hash);
     state.targets.push_back(std::move(target));
     state.links.push_back(std::move(link));
     m_poolOfTarget[entry.id] = entry.pool;
@@ -161,36 +164,75 @@
     idle.erase(idle.begin());
 }
 
-void Pools::setPeerWork(const InstanceId& peer, std::unordered_map<std::uint32_t, int> work)
+void Pools::setPeer(const InstanceId& peer, PeerView view)
 {
-    std::unordered_map<std::uint32_t, int>& known = m_peerWork[peer];
-    addPeerWork(known, -1);
-    addPeerWork(work, 1);
-    known = std::move(work);
+    auto [found, isNew] = m_peers.try_emplace(peer);
+    PeerView& known = found->second;
+    bool changesPlaces = isNew || known.waitingPools != view.waitingPools;
+    addPeer(known, -1);
+    addPeer(view, 1);
+    known = std::move(view);
+    if (changesPlaces)
+        placeAllAmongPeers();
 }
 
-void Pools::addPeerWork(const std::unordered_map<std::uint32_t, int>& work, int sign)
+void Pools::removePeer(const InstanceId& peer)
 {
-    if (work.empty())
+    auto found = m_peers.find(peer);
+    if (found == m_peers.end())
+        return;
+    addPeer(found->second, -1);
+    m_peers.erase(found);
+    placeAllAmongPeers();
+}
+
+void Pools::addPeer(const PeerView& peer, int sign)
+{
+    if (peer.work.empty() && peer.closedTargets.empty())
         return;
     for (auto& [id, pool] : m_pools) {
         for (std::size_t i = 0; i < pool.targets.size(); ++i) {
-            auto found = work.find(pool.links[i].hash);
-            if (found != work.end())
+            std::uint32_t hash = pool.links[i].hash;
+            if (auto found = peer.work.find(hash); found != peer.work.end())
                 pool.targets[i].peersInProgress += sign * found->second;
+            if (contains(peer.closedTargets, hash))
+                pool.targets[i].closedByPeers += sign;
         }
     }
 }
 
-int Pools::knownPeerWork(std::uint32_t hash) const
+void Pools::applyPeers(const PoolState& pool, TargetState& target, std::uint32_t hash) const
+{
+    for (const auto& [peer, view] : m_peers) {
+        if (auto found = view.work.find(hash); found != view.work.end())
+            target.peersInProgress += found->second;
+        if (contains(view.closedTargets, hash))
+            ++target.closedByPeers;
+    }
+    placeAmongPeers(pool, target, hash);
+}
+
+void Pools::placeAllAmongPeers()
+{
+    for (auto& [id, pool] : m_pools) {
+        for (std::size_t i = 0; i < pool.targets.size(); ++i)
+            placeAmongPeers(pool, pool.targets[i], pool.links[i].hash);
+    }
+}
+
+void Pools::placeAmongPeers(const PoolState& pool, TargetState& target, std::uint32_t hash) const
 {
-    int sum = 0;
-    for (const auto& [peer, work] : m_peerWork) {
-        auto found = work.find(hash);
-        if (found != work.end())
-            sum += found->second;
+    std::vector<PlacingInstance> all { m_here };
+    std::vector<PlacingInstance> waiting { m_here };
+    std::uint32_t poolHash = shortHash(pool.id.value());
+    for (const auto& [peer, view] : m_peers) {
+        PlacingInstance instance { .hash = shortHash(peer.value()), .failureDomain = view.failureDomain };
+        if (contains(view.waitingPools, poolHash))
+            waiting.push_back(instance);
+        all.push_back(std::move(instance));
     }
-    return sum;
+    target.distance = distanceOf(target.entry.failureDomain, hash, m_here, all);
+    target.isLeftToOthers = distanceOf(target.entry.failureDomain, hash, m_here, waiting) > 0;
 }
 
 } // namespace limpetpond
--- a/src/gateway/Pools.h
+++ b/src/gateway/Pools.h
@@ -26,6 +26,14 @@
     std::vector<std::shared_ptr<HttpChannel>> idle; ///< Used last at the back.
 };
 
+/// What a peer last said.
+struct PeerView {
+    FailureDomainId failureDomain;
+    std::unordered_map<std::uint32_t, int> work; ///< Requests in progress by the hash of the target's id.
+    std::vector<std::uint32_t> closedTargets; ///< Hashes, in rising order.
+    std::vector<std::uint32_t> waitingPools; ///< Hashes of pools in which its requests wait, in rising order.
+};
+
 /// One pool at this instance. `targets` and `links` run in parallel.
 struct PoolState {
     PoolId id;
@@ -34,17 +42,18 @@
     WaitingLine line;
     SendRate sendRate;
     ResendBudget resends;
-    double plainServiceMilliseconds { 0 }; ///< Learned time of a whole plain call.
+    double serviceMilliseconds { 0 }; ///< Learned time of a request at a target, from its sending to its end.
 };
 
 /// All pools, and the place of each target in them.
 class Pools {
 public:
-    Pools(boost::asio::io_context&, const Clock&, ResendBudgetOptions);
+    Pools(boost::asio::io_context&, const Clock&, PlacingInstance here, ResendBudgetOptions);
 
     /// The pool's state; made where it is new.
     PoolState& pool(const PoolId&);
     std::map<PoolId, PoolState>& all() { return m_pools; }
+    const std::map<PoolId, PoolState>& all() const { return m_pools; }
 
     /// Adds a target or takes over a newer entry of a known one; tells whether anything changed.
     bool putTarget(const TargetEntry&);
@@ -67,8 +76,14 @@
     /// Keeps a connection for later use, where it can be used again.
     void keepChannel(const TargetId&, const std::shared_ptr<HttpChannel>&, SteadyTime now);
 
-    /// Replaces what a peer has in progress at each target.
-    void setPeerWork(const InstanceId&, std::unordered_map<std::uint32_t, int> work);
+    /// Replaces what a peer said; an empty value forgets the peer's work.
+    void setPeer(const InstanceId&, PeerView);
+
+    /// Forgets a peer that is silent.
+    void removePeer(const InstanceId&);
+
+    /// Peers heard from lately.
+    int peers() const { return static_cast<int>(m_peers.size()); }
 
     std::int64_t connectionsOpened() const { return m_connectionsOpened; }
 
@@ -78,15 +93,18 @@
         std::size_t index { 0 };
     };
     std::optional<Place> placeOf(const TargetId&) const;
-    void addPeerWork(const std::unordered_map<std::uint32_t, int>& work, int sign);
-    int knownPeerWork(std::uint32_t hash) const;
+    void addPeer(const PeerView&, int sign);
+    void applyPeers(const PoolState&, TargetState&, std::uint32_t hash) const;
+    void placeAmongPeers(const PoolState&, TargetState&, std::uint32_t hash) const;
+    void placeAllAmongPeers();
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
     ResendBudgetOptions m_resendOptions;
     std::map<PoolId, PoolState> m_pools;
     std::unordered_map<TargetId, PoolId> m_poolOfTarget;
-    std::map<InstanceId, std::unordered_map<std::uint32_t, int>> m_peerWork;
+    PlacingInstance m_here;
+    std::map<InstanceId, PeerView> m_peers;
     std::int64_t m_connectionsOpened { 0 };
 };
 
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -6,6 +6,8 @@
 
     constexpr int pollMilliseconds = 20000; ///< Long polls are cheaper than short ones; keep-alive probes notice a silent store.
     constexpr Duration pollTime = std::chrono::milliseconds(pollMilliseconds + 3000);
+    /// Between an answer with changes and the next call, so that a series of changes takes few calls.
+    constexpr Duration pauseAfterChanges = std::chrono::milliseconds(300);
     constexpr Duration readTime = std::chrono::milliseconds(1500);
     constexpr Duration firstBackoff = std::chrono::milliseconds(100);
     constexpr Duration longestBackoff = std::chrono::milliseconds(800);
@@ -90,9 +92,12 @@
     SteadyTime now = m_clock.steadyNow();
     bool afterOutage = m_wasUnreachable || now - m_reachableAgainAt < settlingTime;
     m_wasUnreachable = false;
-    if (!answer->rows.empty())
-        m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .rows = std::move(answer->rows) });
-    call();
+    if (answer->rows.empty()) {
+        call();
+        return;
+    }
+    m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .rows = std::move(answer->rows) });
+    callAfter(pauseAfterChanges);
 }
 
 void StoreReader::takePage(platform::RowsAnswer answer)
@@ -147,8 +152,13 @@
 
 void StoreReader::retryLater()
 {
-    m_timer.expires_after(m_backoff);
+    callAfter(m_backoff);
     m_backoff = std::min(m_backoff * 2, longestBackoff);
+}
+
+void StoreReader::callAfter(Duration pause)
+{
+    m_timer.expires_after(pause);
     m_timer.async_wait([this](boost::system::error_code error) {
         if (!error)
             call();
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -49,6 +49,7 @@
     void takePage(platform::RowsAnswer);
     void failed(std::string_view reason);
     void retryLater();
+    void callAfter(Duration pause);
     void noteReached();
 
     boost::asio::io_context& m_context;
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -53,6 +53,18 @@
 void InstanceNews::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void InstanceNews::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void InstanceNews::__set_closedTargets(const std::vector<int32_t> & val) {
+  this->closedTargets = val;
+}
+
+void InstanceNews::__set_waitingPools(const std::vector<int32_t> & val) {
+  this->waitingPools = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -201,6 +213,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->closedTargets.clear();
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->closedTargets.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
+            {
+              xfer += iprot->readI32(this->closedTargets[_i24]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.closedTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->waitingPools.clear();
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->waitingPools.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
+            {
+              xfer += iprot->readI32(this->waitingPools[_i29]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.waitingPools = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -237,10 +297,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->targets.size()));
-    std::vector<int32_t> ::const_iterator _iter20;
-    for (_iter20 = this->targets.begin(); _iter20 != this->targets.end(); ++_iter20)
+    std::vector<int32_t> ::const_iterator _iter30;
+    for (_iter30 = this->targets.begin(); _iter30 != this->targets.end(); ++_iter30)
     {
-      xfer += oprot->writeI32((*_iter20));
+      xfer += oprot->writeI32((*_iter30));
     }
     xfer += oprot->writeListEnd();
   }
@@ -249,10 +309,10 @@
   xfer += oprot->writeFieldBegin("inProgress", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->inProgress.size()));
-    std::vector<int16_t> ::const_iterator _iter21;
-    for (_iter21 = this->inProgress.begin(); _iter21 != this->inProgress.end(); ++_iter21)
+    std::vector<int16_t> ::const_iterator _iter31;
+    for (_iter31 = this->inProgress.begin(); _iter31 != this->inProgress.end(); ++_iter31)
     {
-      xfer += oprot->writeI16((*_iter21));
+      xfer += oprot->writeI16((*_iter31));
     }
     xfer += oprot->writeListEnd();
   }
@@ -261,10 +321,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int32_t> ::const_iterator _iter22;
-    for (_iter22 = this->accounts.begin(); _iter22 != this->accounts.end(); ++_iter22)
+    std::vector<int32_t> ::const_iterator _iter32;
+    for (_iter32 = this->accounts.begin(); _iter32 != this->accounts.end(); ++_iter32)
     {
-      xfer += oprot->writeI32((*_iter22));
+      xfer += oprot->writeI32((*_iter32));
     }
     xfer += oprot->writeListEnd();
   }
@@ -273,10 +333,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter23;
-    for (_iter23 = this->admitted.begin(); _iter23 != this->admitted.end(); ++_iter23)
+    std::vector<int64_t> ::const_iterator _iter33;
+    for (_iter33 = this->admitted.begin(); _iter33 != this->admitted.end(); ++_iter33)
     {
-      xfer += oprot->writeI64((*_iter23));
+      xfer += oprot->writeI64((*_iter33));
     }
     xfer += oprot->writeListEnd();
   }
@@ -286,6 +346,34 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("closedTargets", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->closedTargets.size()));
+    std::vector<int32_t> ::const_iterator _iter34;
+    for (_iter34 = this->closedTargets.begin(); _iter34 != this->closedTargets.end(); ++_iter34)
+    {
+      xfer += oprot->writeI32((*_iter34));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitingPools", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingPools.size()));
+    std::vector<int32_t> ::const_iterator _iter35;
+    for (_iter35 = this->waitingPools.begin(); _iter35 != this->waitingPools.end(); ++_iter35)
+    {
+      xfer += oprot->writeI32((*_iter35));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -302,32 +390,41 @@
   swap(a.accounts, b.accounts);
   swap(a.admitted, b.admitted);
   swap(a.leaving, b.leaving);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.closedTargets, b.closedTargets);
+  swap(a.waitingPools, b.waitingPools);
   swap(a.__isset, b.__isset);
 }
 
-InstanceNews::InstanceNews(const InstanceNews& other24) {
-  instance = other24.instance;
-  incarnation = other24.incarnation;
-  sequence = other24.sequence;
-  settingsVersion = other24.settingsVersion;
-  targets = other24.targets;
-  inProgress = other24.inProgress;
-  accounts = other24.accounts;
-  admitted = other24.admitted;
-  leaving = other24.leaving;
-  __isset = other24.__isset;
+InstanceNews::InstanceNews(const InstanceNews& other36) {
+  instance = other36.instance;
+  incarnation = other36.incarnation;
+  sequence = other36.sequence;
+  settingsVersion = other36.settingsVersion;
+  targets = other36.targets;
+  inProgress = other36.inProgress;
+  accounts = other36.accounts;
+  admitted = other36.admitted;
+  leaving = other36.leaving;
+  failureDomain = other36.failureDomain;
+  closedTargets = other36.closedTargets;
+  waitingPools = other36.waitingPools;
+  __isset = other36.__isset;
 }
-InstanceNews& InstanceNews::operator=(const InstanceNews& other25) {
-  instance = other25.instance;
-  incarnation = other25.incarnation;
-  sequence = other25.sequence;
-  settingsVersion = other25.settingsVersion;
-  targets = other25.targets;
-  inProgress = other25.inProgress;
-  accounts = other25.accounts;
-  admitted = other25.admitted;
-  leaving = other25.leaving;
-  __isset = other25.__isset;
+InstanceNews& InstanceNews::operator=(const InstanceNews& other37) {
+  instance = other37.instance;
+  incarnation = other37.incarnation;
+  sequence = other37.sequence;
+  settingsVersion = other37.settingsVersion;
+  targets = other37.targets;
+  inProgress = other37.inProgress;
+  accounts = other37.accounts;
+  admitted = other37.admitted;
+  leaving = other37.leaving;
+  failureDomain = other37.failureDomain;
+  closedTargets = other37.closedTargets;
+  waitingPools = other37.waitingPools;
+  __isset = other37.__isset;
   return *this;
 }
 void InstanceNews::printTo(std::ostream& out) const {
@@ -342,6 +439,9 @@
   out << ", " << "accounts=" << to_string(accounts);
   out << ", " << "admitted=" << to_string(admitted);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "closedTargets=" << to_string(closedTargets);
+  out << ", " << "waitingPools=" << to_string(waitingPools);
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -24,7 +24,7 @@
 class InstanceNews;
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -34,6 +34,9 @@
   bool accounts :1;
   bool admitted :1;
   bool leaving :1;
+  bool failureDomain :1;
+  bool closedTargets :1;
+  bool waitingPools :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -46,7 +49,8 @@
                  incarnation(0),
                  sequence(0),
                  settingsVersion(0),
-                 leaving(0) {
+                 leaving(0),
+                 failureDomain() {
   }
 
   virtual ~InstanceNews() noexcept;
@@ -59,6 +63,9 @@
   std::vector<int32_t>  accounts;
   std::vector<int64_t>  admitted;
   bool leaving;
+  std::string failureDomain;
+  std::vector<int32_t>  closedTargets;
+  std::vector<int32_t>  waitingPools;
 
   _InstanceNews__isset __isset;
 
@@ -80,6 +87,12 @@
 
   void __set_leaving(const bool val);
 
+  void __set_failureDomain(const std::string& val);
+
+  void __set_closedTargets(const std::vector<int32_t> & val);
+
+  void __set_waitingPools(const std::vector<int32_t> & val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -100,6 +113,12 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(closedTargets == rhs.closedTargets))
+      return false;
+    if (!(waitingPools == rhs.waitingPools))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/src/traffic/HttpChannel.cpp
+++ b/src/traffic/HttpChannel.cpp
@@ -15,7 +15,7 @@
 namespace {
 
     constexpr std::size_t readPiece = 8192; ///< Bytes.
-    constexpr Duration connectTime = std::chrono::milliseconds(400); ///< Failure domains are a few milliseconds apart.
+    constexpr Duration connectTime = std::chrono::milliseconds(200); ///< Failure domains are a few milliseconds apart.
     constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
     constexpr double usedIdleShare = 0.6; ///< Of the time that the other side promises to keep an idle connection.
     constexpr int unacknowledgedMilliseconds = 2000;
--- a/test/PeerNewsTest.cpp
+++ b/test/PeerNewsTest.cpp
@@ -11,6 +11,9 @@
     InstanceNews news { .instance = InstanceId("a"), .incarnation = 1770544563022, .sequence = 5, .settingsVersion = SettingsVersion(12), .isLeaving = true };
     news.targets.push_back({ .target = 0xfffffff0U, .inProgress = 6 });
     news.accounts.push_back({ .account = 7, .admitted = 123456 });
+    news.failureDomain = FailureDomainId("z1");
+    news.closedTargets = { 3, 0xfffffff1U };
+    news.waitingPools = { 9 };
     std::optional<InstanceNews> read = decodeNews(encodeNews(news));
     CHECK(read.has_value());
     CHECK(read->instance == news.instance);
@@ -19,6 +22,9 @@
     CHECK(read->isLeaving);
     CHECK(read->targets.at(0).target == 0xfffffff0U);
     LONGS_EQUAL(6, read->targets.at(0).inProgress);
+    CHECK(read->failureDomain == news.failureDomain);
+    CHECK(read->closedTargets == news.closedTargets);
+    CHECK(read->waitingPools == news.waitingPools);
     DOUBLES_EQUAL(123456, read->accounts.at(0).admitted, 0);
 }
 
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -106,3 +106,91 @@
     targets[0].ownPromptTokens = 40000;
     STRCMP_EQUAL("b", place().c_str());
 }
+
+// Load: 26 instances learn in the same moment that a target came back empty.
+TEST(Placement, aFreePlaceIsTakenByOneOfTheInstancesThatWait)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 26; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId(i % 3 ? "here" : "there") });
+    for (std::uint64_t target = 1; target <= 50; ++target) {
+        int nearest = 0;
+        for (const PlacingInstance& instance : instances)
+            nearest += distanceOf(FailureDomainId("here"), target, instance, instances) == 0;
+        LONGS_EQUAL(1, nearest);
+    }
+}
+
+TEST(Placement, targetsAreSharedEvenlyAmongInstances)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId("here") });
+    int nearest = 0;
+    for (std::uint64_t target = 1; target <= 500; ++target)
+        nearest += distanceOf(FailureDomainId("here"), target * 104729, instances[2], instances) == 0;
+    CHECK(nearest > 60);
+    CHECK(nearest < 140);
+}
+
+TEST(Placement, aTargetWithoutInstancesInItsDomainBelongsToOneOfAll)
+{
+    std::vector<PlacingInstance> instances { { .hash = 1, .failureDomain = FailureDomainId("a") }, { .hash = 2, .failureDomain = FailureDomainId("b") } };
+    double first = distanceOf(FailureDomainId("c"), 5, instances[0], instances);
+    double second = distanceOf(FailureDomainId("c"), 5, instances[1], instances);
+    DOUBLES_EQUAL(1, first + second, 0);
+    DOUBLES_EQUAL(1, distanceOf(FailureDomainId("a"), 5, instances[1], instances), 0);
+}
+
+TEST(Placement, aPlaceLeftToANearerInstanceIsNotTaken)
+{
+    add("a", "here", 10);
+    targets[0].isLeftToOthers = true;
+    STRCMP_EQUAL("", place().c_str());
+}
+
+// Load: a pool of two targets is asked for more than it carries by instances that can't see each other's calls in time.
+TEST(Placement, aTargetWithoutRoomGetsFewerAtOnceAndThenMoreAgain)
+{
+    add("a", "here", 10);
+    targets[0].ownInProgress = 5;
+    noteNoRoom(targets[0]);
+    targets[0].ownInProgress = 3;
+    STRCMP_EQUAL("", place().c_str());
+    for (int i = 0; i < 100; ++i)
+        noteAnswer(targets[0], 10.0, now);
+    STRCMP_EQUAL("a", place().c_str());
+}
+
+TEST(Placement, whatWouldNotEndInTimeWaitsForAFasterTarget)
+{
+    add("slow", "here", 100);
+    add("fast", "here", 10);
+    wanted.timeLeft = 2s;
+    targets[1].ownInProgress = 6;
+    STRCMP_EQUAL("", place().c_str());
+    wanted.timeLeft = 10s;
+    STRCMP_EQUAL("slow", place().c_str());
+}
+
+TEST(Placement, wherePlacesAreKnownTooLateMoreIsSentAndOldDifferencesAreNotBelieved)
+{
+    DOUBLES_EQUAL(1, roomForEachSlot(Duration::zero(), 100ms), 0);
+    DOUBLES_EQUAL(2, roomForEachSlot(100ms, 100ms), 0.01);
+    DOUBLES_EQUAL(2.5, roomForEachSlot(10ms, 100ms), 0.01);
+    DOUBLES_EQUAL(1, trustInNews(600ms, 100ms), 0);
+    CHECK(trustInNews(30ms, 100ms) < 0.2);
+    add("seems-full", "here", 10);
+    add("seems-empty", "here", 10);
+    targets[0].peersInProgress = 6;
+    wanted.trustInNews = 0;
+    STRCMP_EQUAL("seems-full", place().c_str());
+}
+
+TEST(Placement, whatPeersCannotReachGoesLast)
+{
+    add("lost", "here", 10);
+    add("good", "there", 10);
+    targets[0].closedByPeers = 1;
+    STRCMP_EQUAL("good", place().c_str());
+}
--- a/test/WaitingLineTest.cpp
+++ b/test/WaitingLineTest.cpp
@@ -108,3 +108,17 @@
     }
     DOUBLES_EQUAL(50, rate.perSecond, 2);
 }
+
+TEST(WaitingLine, theFirstFewAreGivenInTheOrderOfSending)
+{
+    add(1, 1, 600ms, 3s);
+    add(2, 0, 100ms, 3s);
+    now += 200ms;
+    add(3, 0, 600ms, 3s);
+    std::vector<WaitTicket> first = firstWaiting(line, 6, now);
+    LONGS_EQUAL(3, first.size());
+    LONGS_EQUAL(3, first[0]);
+    LONGS_EQUAL(1, first[1]);
+    LONGS_EQUAL(2, first[2]);
+    LONGS_EQUAL(2, firstWaiting(line, 2, now).size());
+}
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -13,4 +13,7 @@
   7: list<i32> accounts        // hashes of the ids of client accounts
   8: list<i64> admitted        // units that the sender admitted of each, since its start
   9: bool leaving
+  10: string failureDomain
+  11: list<i32> closedTargets  // hashes of the ids of targets that the sender can't reach
+  12: list<i32> waitingPools   // hashes of the ids of pools in which requests wait at the sender
 }
