Give free places to waiting instances by demand, urgent requests first

Change: weighted rendezvous hashing by demand, over all failure domains; a draft counts 12 times a request of the next rank. Pools with fewer targets than two for each waiting instance are not shared out: there the own limits hold.

--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -27,6 +27,12 @@
 
     constexpr double notNearestCost = 0.25; ///< Share of the expected time added where another instance is nearer.
     constexpr double distanceCost = 0.25; ///< Share added at the farthest instance, besides.
+    constexpr std::size_t leastTargetsForEachInstance = 2;
+    constexpr double leastTrustToShareOut = 0.5;
+    constexpr double leastDemand = 1; ///< Of an instance with a request that has just arrived.
+    constexpr double ownDomainDemand = 2; ///< An instance's demand counts this many times at targets of its failure domain.
+    constexpr double urgentDemand = 144; ///< What a request of the highest rank counts.
+    constexpr double demandRatio = 12; ///< Between two ranks: a few urgent requests outweigh a long line of others.
     constexpr double mostRoomForEachSlot = 2.5;
     constexpr double trustedIntervals = 3; ///< Requests that last this many news intervals are seen by peers in time.
     constexpr double usedShareOfTimeLeft = 0.7; ///< The expected work is a guess that is often far off.
@@ -221,6 +227,24 @@
     return others ? static_cast<double>(nearer) / others : 0;
 }
 
+bool isLeftToOthers(const FailureDomainId& targetDomain, std::uint64_t targetHash, const PlacingInstance& here, const std::vector<PlacingInstance>& waiting)
+{
+    auto lot = [&](const PlacingInstance& instance) {
+        double share = static_cast<double>(mixed(instance.hash, targetHash) >> 11) * 0x1p-53;
+        double weight = std::max(instance.demand, leastDemand) * (instance.failureDomain == targetDomain ? ownDomainDemand : 1);
+        return -std::log(std::max(share, 0x1p-53)) / weight;
+    };
+    double own = lot(here);
+    return std::any_of(waiting.begin(), waiting.end(), [&](const PlacingInstance& instance) { return lot(instance) < own; });
+}
+
+bool canShareOut(std::size_t targets, std::size_t waitingInstances, double trustInNews)
+{
+    return targets >= leastTargetsForEachInstance * waitingInstances && trustInNews >= leastTrustToShareOut;
+}
+
+double demandOf(int rank) { return std::max(urgentDemand / std::pow(demandRatio, std::max(rank, 0)), 1.0); }
+
 double roomForEachSlot(Duration serviceTime, Duration newsInterval)
 {
     if (serviceTime <= Duration::zero())
--- a/src/core/Placement.h
+++ b/src/core/Placement.h
@@ -31,7 +31,7 @@
     SteadyTime closedUntil; ///< No request is sent before, but one trial after.
     bool trialInProgress { false };
     double distance { 0 }; ///< 0 at the instance that the target is nearest to, up to 1 at the last one.
-    bool isLeftToOthers { false }; ///< An instance that has requests waiting is nearer: free places are its own to fill.
+    bool isLeftToOthers { false }; ///< Its free places are another instance's to fill, which has requests waiting.
     int closedByPeers { 0 }; ///< Peers that send nothing there after broken connections.
     double ownLimit { 0 }; ///< Requests of this instance that the target took lately without refusing any; 0 for unknown.
 };
@@ -40,6 +40,7 @@
 struct PlacingInstance {
     std::uint64_t hash { 0 }; ///< Of its id.
     FailureDomainId failureDomain;
+    double demand { 0 }; ///< Requests that wait there in the pool, the urgent ones counted several times.
 };
 
 /// How far the target is from an instance among all that place requests: each target orders the instances of its
@@ -48,6 +49,23 @@
 ///     target.distance = distanceOf(target.entry.failureDomain, targetHash, here, all);
 double distanceOf(const FailureDomainId& targetDomain, std::uint64_t targetHash, const PlacingInstance& here, const std::vector<PlacingInstance>& all);
 
+/// True where the target's free places are another instance's to fill. Places go to the instances in which
+/// requests wait, each target's to one of them, in proportion to their demand (weighted rendezvous hashing).
+///
+///     target.isLeftToOthers = isLeftToOthers(target.entry.failureDomain, targetHash, here, waitingPeers);
+bool isLeftToOthers(const FailureDomainId& targetDomain, std::uint64_t targetHash, const PlacingInstance& here, const std::vector<PlacingInstance>& waiting);
+
+/// True where whole targets can be shared out: each waiting instance gets some, and news of places come in time.
+/// Otherwise the instances' own limits keep them from sending too much.
+///
+///     if (canShareOut(targets.size(), waiting.size() + 1, trustInNews(serviceTime, newsInterval)))
+bool canShareOut(std::size_t targets, std::size_t waitingInstances, double trustInNews);
+
+/// What a waiting request of the rank adds to the demand of its instance.
+///
+///     here.demand += demandOf(request.rank);
+double demandOf(int rank);
+
 /// Notes an answer: `unitMilliseconds` is its time for a unit of work where it was measured.
 ///
 ///     noteAnswer(target, 4.1, now);
--- a/src/core/WaitingLine.cpp
+++ b/src/core/WaitingLine.cpp
@@ -8,7 +8,7 @@
 namespace {
 
     /// The learned rate is of the recent past: a request admitted on it must still be sent in time when it falls a little.
-    constexpr double trustedPatience = 0.8;
+    constexpr double trustedPatience = 0.5;
     /// Lines this short are drained by the next few answers, whatever the learned rate says.
     constexpr std::size_t alwaysAdmitted = 4;
     constexpr double leastSentPerSecond = 2;
--- a/src/core/WaitingLine.h
+++ b/src/core/WaitingLine.h
@@ -20,6 +20,9 @@
 /// Names a waiting request at this instance; unique for the life of the process.
 using WaitTicket = std::uint64_t;
 
+/// Ranks of routes within one rank of client accounts: an account's rank goes first, the route's orders within it.
+inline constexpr int ranksInLevel = 1000;
+
 /// What decides the place of a request in the line.
 struct WaitingRequest {
     WaitTicket ticket { 0 };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -22,7 +22,6 @@
     constexpr Duration leastPatience = std::chrono::seconds(2);
     constexpr int goalsOfPatience = 4;
     constexpr int pausesOfPatience = 8;
-    constexpr int ranksInLevel = 1000; ///< An account's rank goes first, the route's orders within it.
     constexpr int mostUrgent = -1;
     constexpr std::size_t mostPassedBy = 6; ///< Requests looked at in the order of the line.
     constexpr double retrySpread = 0.5; ///< Callers turned away together return over this share more of the time.
@@ -110,11 +109,12 @@
 
 void Gateway::takePeerNews(const InstanceNews& news)
 {
-    PeerView view { .failureDomain = news.failureDomain, .closedTargets = news.closedTargets, .waitingPools = news.waitingPools };
+    PeerView view { .failureDomain = news.failureDomain, .closedTargets = news.closedTargets };
+    for (const InstanceNews::PoolDemand& demand : news.demands)
+        view.demands[demand.pool] = demand.demand;
     for (const InstanceNews::TargetWork& target : news.targets)
         view.work[target.target] = target.inProgress;
     std::sort(view.closedTargets.begin(), view.closedTargets.end());
-    std::sort(view.waitingPools.begin(), view.waitingPools.end());
     m_pools.setPeer(news.instance, std::move(view));
     m_metrics.peers.set(m_pools.peers());
     SteadyTime now = m_clock.steadyNow();
@@ -145,7 +145,7 @@
     };
     for (const auto& [id, pool] : m_pools.all()) {
         if (!pool.line.requests.empty())
-            news.waitingPools.push_back(shortHash(id.value()));
+            news.demands.push_back({ .pool = shortHash(id.value()), .demand = static_cast<int>(waitingDemand(pool)) });
         for (std::size_t i = 0; i < pool.targets.size(); ++i) {
             if (pool.targets[i].ownInProgress > 0)
                 news.targets.push_back({ .target = pool.links[i].hash, .inProgress = pool.targets[i].ownInProgress });
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -117,10 +117,14 @@
     const RequestFacts& facts = exchange.facts();
     SteadyTime now = m_clock.steadyNow();
     TargetId target = exchange.attempt()->target;
+    SteadyTime sentAt = exchange.attempt()->sentAt;
+    int events = exchange.attempt()->events;
     std::optional<SteadyTime> firstEventAt = exchange.attempt()->firstEventAt;
     releaseAttempt(exchange, end);
     m_log.line(end == AttemptEnd::Answered ? "info" : "warning", "send_ended",
-        { { "request", facts.id }, { "target", target.value() }, { "end", textOf(end) }, { "after_ms", milliseconds(now - facts.arrivedAt) } });
+        { { "request", facts.id }, { "target", target.value() }, { "end", textOf(end) }, { "events", std::int64_t { events } },
+            { "first_event_after_send_ms", firstEventAt ? milliseconds(*firstEventAt - sentAt) : -1.0 }, { "after_send_ms", milliseconds(now - sentAt) },
+            { "after_ms", milliseconds(now - facts.arrivedAt) } });
     PoolState& pool = m_pools.pool(facts.pool);
     if (end == AttemptEnd::Answered) {
         m_metrics.answered.add();
@@ -183,6 +187,7 @@
     for (auto& [id, pool] : m_pools.all()) {
         for (WaitTicket ticket : pastUse(pool.line, now))
             finishWithFailure(*m_exchanges.at(ticket), true, "waited_too_long");
+        m_pools.sharePlaces(pool, m_newsInterval);
         pump(pool); // Targets whose closing time is over take requests again.
         waiting += static_cast<std::int64_t>(pool.line.requests.size());
     }
--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -32,7 +32,10 @@
             wire.inProgress.push_back(static_cast<std::int16_t>(work.inProgress));
         }
         wire.closedTargets.assign(news.closedTargets.begin(), news.closedTargets.end());
-        wire.waitingPools.assign(news.waitingPools.begin(), news.waitingPools.end());
+        for (const InstanceNews::PoolDemand& demand : news.demands) {
+            wire.waitingPools.push_back(static_cast<std::int32_t>(demand.pool));
+            wire.demands.push_back(demand.demand);
+        }
         for (const InstanceNews::AccountUse& use : news.accounts) {
             wire.accounts.push_back(static_cast<std::int32_t>(use.account));
             wire.admitted.push_back(static_cast<std::int64_t>(use.admitted));
@@ -55,7 +58,8 @@
         for (std::size_t i = 0; i < std::min(wire.accounts.size(), wire.admitted.size()); ++i)
             news.accounts.push_back({ .account = static_cast<std::uint32_t>(wire.accounts[i]), .admitted = static_cast<double>(wire.admitted[i]) });
         news.closedTargets.assign(wire.closedTargets.begin(), wire.closedTargets.end());
-        news.waitingPools.assign(wire.waitingPools.begin(), wire.waitingPools.end());
+        for (std::size_t i = 0; i < std::min(wire.waitingPools.size(), wire.demands.size()); ++i)
+            news.demands.push_back({ .pool = static_cast<std::uint32_t>(wire.waitingPools[i]), .demand = wire.demands[i] });
         return news;
     }
 
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -37,7 +37,12 @@
     };
     std::vector<AccountUse> accounts;
     std::vector<std::uint32_t> closedTargets; ///< `shortHash` of the ids of targets that the sender can't reach.
-    std::vector<std::uint32_t> waitingPools; ///< `shortHash` of the ids of pools in which requests wait at the sender.
+    struct PoolDemand {
+        std::uint32_t pool { 0 }; ///< `shortHash` of the id.
+        int demand { 0 }; ///< Requests that wait at the sender, the urgent ones counted several times.
+        bool operator==(const PoolDemand&) const = default;
+    };
+    std::vector<PoolDemand> demands;
 };
 
 /// The bytes of one datagram and back; nothing where they can't be read.
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -86,7 +86,8 @@
     PoolState& state = pool(entry.pool);
     TargetLink link { .hash = shortHash(entry.id.value()), .endpoint = *endpoint };
     TargetState target { .entry = entry };
-    applyPeers(state, target, link.hash);
+    applyPeers(target, link.hash);
+    state.hasStaleShares = true;
     state.targets.push_back(std::move(target));
     state.links.push_back(std::move(link));
     m_poolOfTarget[entry.id] = entry.pool;
@@ -168,12 +169,13 @@
 {
     auto [found, isNew] = m_peers.try_emplace(peer);
     PeerView& known = found->second;
-    bool changesPlaces = isNew || known.waitingPools != view.waitingPools;
+    for (auto& [id, pool] : m_pools)
+        pool.hasStaleShares = pool.hasStaleShares || !known.demands.empty() || !view.demands.empty();
     addPeer(known, -1);
     addPeer(view, 1);
     known = std::move(view);
-    if (changesPlaces)
-        placeAllAmongPeers();
+    if (isNew)
+        peersChanged();
 }
 
 void Pools::removePeer(const InstanceId& peer)
@@ -183,7 +185,7 @@
         return;
     addPeer(found->second, -1);
     m_peers.erase(found);
-    placeAllAmongPeers();
+    peersChanged();
 }
 
 void Pools::addPeer(const PeerView& peer, int sign)
@@ -201,7 +203,7 @@
     }
 }
 
-void Pools::applyPeers(const PoolState& pool, TargetState& target, std::uint32_t hash) const
+void Pools::applyPeers(TargetState& target, std::uint32_t hash) const
 {
     for (const auto& [peer, view] : m_peers) {
         if (auto found = view.work.find(hash); found != view.work.end())
@@ -209,30 +211,53 @@
         if (contains(view.closedTargets, hash))
             ++target.closedByPeers;
     }
-    placeAmongPeers(pool, target, hash);
+    placeAmongAll(target, hash);
 }
 
-void Pools::placeAllAmongPeers()
+void Pools::peersChanged()
 {
     for (auto& [id, pool] : m_pools) {
+        pool.hasStaleShares = true;
         for (std::size_t i = 0; i < pool.targets.size(); ++i)
-            placeAmongPeers(pool, pool.targets[i], pool.links[i].hash);
+            placeAmongAll(pool.targets[i], pool.links[i].hash);
     }
 }
 
-void Pools::placeAmongPeers(const PoolState& pool, TargetState& target, std::uint32_t hash) const
+void Pools::placeAmongAll(TargetState& target, std::uint32_t hash) const
 {
     std::vector<PlacingInstance> all { m_here };
-    std::vector<PlacingInstance> waiting { m_here };
+    for (const auto& [peer, view] : m_peers)
+        all.push_back({ .hash = shortHash(peer.value()), .failureDomain = view.failureDomain });
+    target.distance = distanceOf(target.entry.failureDomain, hash, m_here, all);
+}
+
+void Pools::sharePlaces(PoolState& pool, Duration newsInterval)
+{
+    double demand = waitingDemand(pool);
+    if (!pool.hasStaleShares && demand == pool.ownDemand)
+        return;
+    pool.hasStaleShares = false;
+    pool.ownDemand = demand;
+    PlacingInstance here = m_here;
+    here.demand = demand;
+    std::vector<PlacingInstance> waiting;
     std::uint32_t poolHash = shortHash(pool.id.value());
     for (const auto& [peer, view] : m_peers) {
-        PlacingInstance instance { .hash = shortHash(peer.value()), .failureDomain = view.failureDomain };
-        if (contains(view.waitingPools, poolHash))
-            waiting.push_back(instance);
-        all.push_back(std::move(instance));
+        if (auto found = view.demands.find(poolHash); found != view.demands.end())
+            waiting.push_back({ .hash = shortHash(peer.value()), .failureDomain = view.failureDomain, .demand = found->second });
     }
-    target.distance = distanceOf(target.entry.failureDomain, hash, m_here, all);
-    target.isLeftToOthers = distanceOf(target.entry.failureDomain, hash, m_here, waiting) > 0;
+    auto serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(pool.serviceMilliseconds));
+    bool isSharedOut = canShareOut(pool.targets.size(), waiting.size() + 1, trustInNews(serviceTime, newsInterval));
+    for (std::size_t i = 0; i < pool.targets.size(); ++i)
+        pool.targets[i].isLeftToOthers = isSharedOut && isLeftToOthers(pool.targets[i].entry.failureDomain, pool.links[i].hash, here, waiting);
+}
+
+double waitingDemand(const PoolState& pool)
+{
+    double demand = 0;
+    for (const auto& [level, rank] : pool.line.ranks)
+        demand += demandOf(level % ranksInLevel) * static_cast<double>(rank.inTime.size() + rank.late.size());
+    return demand;
 }
 
 } // namespace limpetpond
--- a/src/gateway/Pools.h
+++ b/src/gateway/Pools.h
@@ -31,7 +31,7 @@
     FailureDomainId failureDomain;
     std::unordered_map<std::uint32_t, int> work; ///< Requests in progress by the hash of the target's id.
     std::vector<std::uint32_t> closedTargets; ///< Hashes, in rising order.
-    std::vector<std::uint32_t> waitingPools; ///< Hashes of pools in which its requests wait, in rising order.
+    std::unordered_map<std::uint32_t, double> demands; ///< Of its waiting requests, by the hash of the pool's id.
 };
 
 /// One pool at this instance. `targets` and `links` run in parallel.
@@ -42,9 +42,14 @@
     WaitingLine line;
     SendRate sendRate;
     ResendBudget resends;
+    double ownDemand { 0 }; ///< Of the requests that wait here, when places were last shared.
+    bool hasStaleShares { true }; ///< Demands changed since places were last shared.
     double serviceMilliseconds { 0 }; ///< Learned time of a request at a target, from its sending to its end.
 };
 
+/// The demand of the requests that wait in the pool here.
+double waitingDemand(const PoolState&);
+
 /// All pools, and the place of each target in them.
 class Pools {
 public:
@@ -79,6 +84,10 @@
     /// Replaces what a peer said; an empty value forgets the peer's work.
     void setPeer(const InstanceId&, PeerView);
 
+    /// Decides again which targets' free places are this instance's to fill, as far as demands have changed.
+    /// To be called some times a second.
+    void sharePlaces(PoolState&, Duration newsInterval);
+
     /// Forgets a peer that is silent.
     void removePeer(const InstanceId&);
 
@@ -94,9 +103,9 @@
     };
     std::optional<Place> placeOf(const TargetId&) const;
     void addPeer(const PeerView&, int sign);
-    void applyPeers(const PoolState&, TargetState&, std::uint32_t hash) const;
-    void placeAmongPeers(const PoolState&, TargetState&, std::uint32_t hash) const;
-    void placeAllAmongPeers();
+    void applyPeers(TargetState&, std::uint32_t hash) const;
+    void peersChanged();
+    void placeAmongAll(TargetState&, std::uint32_t hash) const;
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -65,6 +65,10 @@
 void InstanceNews::__set_waitingPools(const std::vector<int32_t> & val) {
   this->waitingPools = val;
 }
+
+void InstanceNews::__set_demands(const std::vector<int32_t> & val) {
+  this->demands = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -261,6 +265,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->demands.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += iprot->readI32(this->demands[_i34]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -297,10 +321,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->targets.size()));
-    std::vector<int32_t> ::const_iterator _iter30;
-    for (_iter30 = this->targets.begin(); _iter30 != this->targets.end(); ++_iter30)
+    std::vector<int32_t> ::const_iterator _iter35;
+    for (_iter35 = this->targets.begin(); _iter35 != this->targets.end(); ++_iter35)
     {
-      xfer += oprot->writeI32((*_iter30));
+      xfer += oprot->writeI32((*_iter35));
     }
     xfer += oprot->writeListEnd();
   }
@@ -309,10 +333,10 @@
   xfer += oprot->writeFieldBegin("inProgress", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->inProgress.size()));
-    std::vector<int16_t> ::const_iterator _iter31;
-    for (_iter31 = this->inProgress.begin(); _iter31 != this->inProgress.end(); ++_iter31)
+    std::vector<int16_t> ::const_iterator _iter36;
+    for (_iter36 = this->inProgress.begin(); _iter36 != this->inProgress.end(); ++_iter36)
     {
-      xfer += oprot->writeI16((*_iter31));
+      xfer += oprot->writeI16((*_iter36));
     }
     xfer += oprot->writeListEnd();
   }
@@ -321,10 +345,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int32_t> ::const_iterator _iter32;
-    for (_iter32 = this->accounts.begin(); _iter32 != this->accounts.end(); ++_iter32)
+    std::vector<int32_t> ::const_iterator _iter37;
+    for (_iter37 = this->accounts.begin(); _iter37 != this->accounts.end(); ++_iter37)
     {
-      xfer += oprot->writeI32((*_iter32));
+      xfer += oprot->writeI32((*_iter37));
     }
     xfer += oprot->writeListEnd();
   }
@@ -333,10 +357,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter33;
-    for (_iter33 = this->admitted.begin(); _iter33 != this->admitted.end(); ++_iter33)
+    std::vector<int64_t> ::const_iterator _iter38;
+    for (_iter38 = this->admitted.begin(); _iter38 != this->admitted.end(); ++_iter38)
     {
-      xfer += oprot->writeI64((*_iter33));
+      xfer += oprot->writeI64((*_iter38));
     }
     xfer += oprot->writeListEnd();
   }
@@ -353,10 +377,10 @@
   xfer += oprot->writeFieldBegin("closedTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->closedTargets.size()));
-    std::vector<int32_t> ::const_iterator _iter34;
-    for (_iter34 = this->closedTargets.begin(); _iter34 != this->closedTargets.end(); ++_iter34)
+    std::vector<int32_t> ::const_iterator _iter39;
+    for (_iter39 = this->closedTargets.begin(); _iter39 != this->closedTargets.end(); ++_iter39)
     {
-      xfer += oprot->writeI32((*_iter34));
+      xfer += oprot->writeI32((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -365,10 +389,22 @@
   xfer += oprot->writeFieldBegin("waitingPools", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingPools.size()));
-    std::vector<int32_t> ::const_iterator _iter35;
-    for (_iter35 = this->waitingPools.begin(); _iter35 != this->waitingPools.end(); ++_iter35)
+    std::vector<int32_t> ::const_iterator _iter40;
+    for (_iter40 = this->waitingPools.begin(); _iter40 != this->waitingPools.end(); ++_iter40)
     {
-      xfer += oprot->writeI32((*_iter35));
+      xfer += oprot->writeI32((*_iter40));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
+    std::vector<int32_t> ::const_iterator _iter41;
+    for (_iter41 = this->demands.begin(); _iter41 != this->demands.end(); ++_iter41)
+    {
+      xfer += oprot->writeI32((*_iter41));
     }
     xfer += oprot->writeListEnd();
   }
@@ -393,38 +429,41 @@
   swap(a.failureDomain, b.failureDomain);
   swap(a.closedTargets, b.closedTargets);
   swap(a.waitingPools, b.waitingPools);
+  swap(a.demands, b.demands);
   swap(a.__isset, b.__isset);
 }
 
-InstanceNews::InstanceNews(const InstanceNews& other36) {
-  instance = other36.instance;
-  incarnation = other36.incarnation;
-  sequence = other36.sequence;
-  settingsVersion = other36.settingsVersion;
-  targets = other36.targets;
-  inProgress = other36.inProgress;
-  accounts = other36.accounts;
-  admitted = other36.admitted;
-  leaving = other36.leaving;
-  failureDomain = other36.failureDomain;
-  closedTargets = other36.closedTargets;
-  waitingPools = other36.waitingPools;
-  __isset = other36.__isset;
+InstanceNews::InstanceNews(const InstanceNews& other42) {
+  instance = other42.instance;
+  incarnation = other42.incarnation;
+  sequence = other42.sequence;
+  settingsVersion = other42.settingsVersion;
+  targets = other42.targets;
+  inProgress = other42.inProgress;
+  accounts = other42.accounts;
+  admitted = other42.admitted;
+  leaving = other42.leaving;
+  failureDomain = other42.failureDomain;
+  closedTargets = other42.closedTargets;
+  waitingPools = other42.waitingPools;
+  demands = other42.demands;
+  __isset = other42.__isset;
 }
-InstanceNews& InstanceNews::operator=(const InstanceNews& other37) {
-  instance = other37.instance;
-  incarnation = other37.incarnation;
-  sequence = other37.sequence;
-  settingsVersion = other37.settingsVersion;
-  targets = other37.targets;
-  inProgress = other37.inProgress;
-  accounts = other37.accounts;
-  admitted = other37.admitted;
-  leaving = other37.leaving;
-  failureDomain = other37.failureDomain;
-  closedTargets = other37.closedTargets;
-  waitingPools = other37.waitingPools;
-  __isset = other37.__isset;
+InstanceNews& InstanceNews::operator=(const InstanceNews& other43) {
+  instance = other43.instance;
+  incarnation = other43.incarnation;
+  sequence = other43.sequence;
+  settingsVersion = other43.settingsVersion;
+  targets = other43.targets;
+  inProgress = other43.inProgress;
+  accounts = other43.accounts;
+  admitted = other43.admitted;
+  leaving = other43.leaving;
+  failureDomain = other43.failureDomain;
+  closedTargets = other43.closedTargets;
+  waitingPools = other43.waitingPools;
+  demands = other43.demands;
+  __isset = other43.__isset;
   return *this;
 }
 void InstanceNews::printTo(std::ostream& out) const {
@@ -442,6 +481,7 @@
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "closedTargets=" << to_string(closedTargets);
   out << ", " << "waitingPools=" << to_string(waitingPools);
+  out << ", " << "demands=" << to_string(demands);
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -24,7 +24,7 @@
 class InstanceNews;
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -37,6 +37,7 @@
   bool failureDomain :1;
   bool closedTargets :1;
   bool waitingPools :1;
+  bool demands :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -66,6 +67,7 @@
   std::string failureDomain;
   std::vector<int32_t>  closedTargets;
   std::vector<int32_t>  waitingPools;
+  std::vector<int32_t>  demands;
 
   _InstanceNews__isset __isset;
 
@@ -93,6 +95,8 @@
 
   void __set_waitingPools(const std::vector<int32_t> & val);
 
+  void __set_demands(const std::vector<int32_t> & val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -119,6 +123,8 @@
       return false;
     if (!(waitingPools == rhs.waitingPools))
       return false;
+    if (!(demands == rhs.demands))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/test/PeerNewsTest.cpp
+++ b/test/PeerNewsTest.cpp
@@ -13,7 +13,7 @@
     news.accounts.push_back({ .account = 7, .admitted = 123456 });
     news.failureDomain = FailureDomainId("z1");
     news.closedTargets = { 3, 0xfffffff1U };
-    news.waitingPools = { 9 };
+    news.demands = { { .pool = 9, .demand = 17 } };
     std::optional<InstanceNews> read = decodeNews(encodeNews(news));
     CHECK(read.has_value());
     CHECK(read->instance == news.instance);
@@ -24,7 +24,7 @@
     LONGS_EQUAL(6, read->targets.at(0).inProgress);
     CHECK(read->failureDomain == news.failureDomain);
     CHECK(read->closedTargets == news.closedTargets);
-    CHECK(read->waitingPools == news.waitingPools);
+    CHECK(read->demands == news.demands);
     DOUBLES_EQUAL(123456, read->accounts.at(0).admitted, 0);
 }
 
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -1,4 +1,5 @@
 #include "core/Placement.h"
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -194,3 +195,42 @@
     targets[0].closedByPeers = 1;
     STRCMP_EQUAL("good", place().c_str());
 }
+
+// Load: instances whose callers are unevenly spread all have requests waiting.
+TEST(Placement, freePlacesGoToWaitingInstancesInProportionToTheirDemand)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 8; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId("here"), .demand = i == 1 ? 30.0 : 10.0 });
+    std::map<std::uint64_t, int> owned;
+    for (std::uint64_t target = 1; target <= 2000; ++target) {
+        int owners = 0;
+        for (const PlacingInstance& instance : instances) {
+            std::vector<PlacingInstance> others = instances;
+            std::erase_if(others, [&](const PlacingInstance& other) { return other.hash == instance.hash; });
+            if (isLeftToOthers(FailureDomainId("here"), target, instance, others))
+                continue;
+            ++owners;
+            ++owned[instance.hash];
+        }
+        LONGS_EQUAL(1, owners);
+    }
+    DOUBLES_EQUAL(0.3, owned[7919] / 2000.0, 0.05);
+    DOUBLES_EQUAL(0.1, owned[3 * 7919] / 2000.0, 0.04);
+}
+
+TEST(Placement, urgentRequestsCountMore)
+{
+    CHECK(demandOf(0) > 2 * demandOf(1));
+    CHECK(demandOf(1) > demandOf(2));
+    CHECK(demandOf(9) >= 1);
+}
+
+// Load: 26 instances in front of two plain targets, all with requests waiting.
+TEST(Placement, aFewTargetsAreNotSharedOutAmongManyInstances)
+{
+    CHECK(canShareOut(140, 26, 1));
+    CHECK(canShareOut(9, 4, 1));
+    CHECK_FALSE(canShareOut(2, 26, 1));
+    CHECK_FALSE(canShareOut(140, 26, 0.1));
+}
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -16,4 +16,5 @@
   10: string failureDomain
   11: list<i32> closedTargets  // hashes of the ids of targets that the sender can't reach
   12: list<i32> waitingPools   // hashes of the ids of pools in which requests wait at the sender
+  13: list<i32> demands        // of each of them: waiting requests, the urgent ones counted several times
 }
