--- a/test/fakes/edge/TargetFake.h
+++ b/test/fakes/edge/TargetFake.h
@@ -93,8 +93,8 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        ::listen(m_listener, 64);
+        if (::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address) || ::listen(m_listener, 64))
+            return;
         socklen_t length = sizeof address;
         ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
         m_port = ntohs(address.sin_port);
@@ -104,7 +104,8 @@
     ~TargetFake()
     {
         m_stops = true;
-        m_acceptor.join();
+        if (m_acceptor.joinable())
+            m_acceptor.join();
         for (std::thread& thread : m_threads)
             thread.join();
         ::close(m_listener);
@@ -172,7 +173,7 @@
 
     Handler m_handler;
     int m_listener;
-    int m_port { 0 };
+    int m_port { 0 }; ///< 0 where no port could be opened.
     std::atomic<int> m_calls { 0 };
     std::atomic<bool> m_stops { false };
     std::thread m_acceptor;
