--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -216,7 +216,7 @@
         LONGS_EQUAL(1, owners);
     }
     DOUBLES_EQUAL(0.3, owned[7919] / 2000.0, 0.05);
-    DOUBLES_EQUAL(0.1, owned[3 * 7919] / 2000.0, 0.04);
+    DOUBLES_EQUAL(0.1, owned[std::uint64_t { 3 } * 7919] / 2000.0, 0.04);
 }
 
 TEST(Placement, urgentRequestsCountMore)
