--- /dev/null
+++ b/test/PlacementTest.cpp
@@ -0,0 +1,236 @@
+#include "core/Placement.h"
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Placement)
+{
+    SteadyTime now { std::chrono::hours(1) };
+    std::vector<TargetState> targets;
+    PlacementCase wanted { .ownFailureDomain = FailureDomainId("here"), .work = 20 };
+
+    void add(const char* id, const char* domain, double slowness)
+    {
+        targets.push_back({ .entry = { .id = TargetId(id), .failureDomain = FailureDomainId(domain), .slots = 6 }, .slowness = slowness });
+    }
+
+    std::string place()
+    {
+        std::optional<std::size_t> found = choosePlace(targets, wanted, now);
+        return found ? targets[*found].entry.id.value() : "";
+    }
+};
+
+TEST(Placement, theOwnFailureDomainGoesFirstAmongLikes)
+{
+    add("far", "there", 10);
+    add("near", "here", 10);
+    STRCMP_EQUAL("near", place().c_str());
+}
+
+// Load: a third of the targets work three to four times as slowly as the others.
+TEST(Placement, slowTargetsGetWhatTheFastOnesHaveNoRoomFor)
+{
+    add("slow", "here", 44);
+    add("fast", "there", 10);
+    for (int i = 0; i < 6; ++i) {
+        STRCMP_EQUAL("fast", place().c_str());
+        ++targets[1].ownInProgress;
+    }
+    STRCMP_EQUAL("slow", place().c_str());
+}
+
+TEST(Placement, noTargetGetsMoreThanItsSlotsWithPeersCounted)
+{
+    add("a", "here", 10);
+    targets[0].ownInProgress = 2;
+    targets[0].peersInProgress = 4;
+    STRCMP_EQUAL("", place().c_str());
+}
+
+TEST(Placement, drainingTargetsGetNothing)
+{
+    add("a", "here", 10);
+    targets[0].entry.isDraining = true;
+    STRCMP_EQUAL("", place().c_str());
+    CHECK_FALSE(hasUsableTarget(targets));
+}
+
+TEST(Placement, aTargetThatBreaksConnectionsIsClosedAndTriedAgain)
+{
+    add("bad", "here", 10);
+    add("good", "there", 10);
+    noteBrokenConnection(targets[0], now);
+    noteBrokenConnection(targets[0], now);
+    STRCMP_EQUAL("good", place().c_str());
+    targets[1].ownInProgress = 6;
+    STRCMP_EQUAL("", place().c_str());
+    now += 600ms;
+    STRCMP_EQUAL("bad", place().c_str());
+    targets[0].trialInProgress = true;
+    STRCMP_EQUAL("", place().c_str());
+    targets[0].trialInProgress = false;
+    noteAnswer(targets[0], 10.0, now);
+    STRCMP_EQUAL("bad", place().c_str());
+}
+
+// Load: one target answers with errors to half of its requests while its health checks are good.
+TEST(Placement, aTargetThatFailsHalfOfItsRequestsGetsFewer)
+{
+    add("grey", "here", 10);
+    add("good", "there", 10);
+    for (int i = 0; i < 10; ++i) {
+        noteFailedAnswer(targets[0], now);
+        noteAnswer(targets[0], 10.0, now);
+    }
+    STRCMP_EQUAL("good", place().c_str());
+    now += 30s;
+    STRCMP_EQUAL("grey", place().c_str());
+}
+
+TEST(Placement, aTargetThatWasTriedIsAvoided)
+{
+    add("a", "here", 10);
+    add("b", "there", 10);
+    std::vector<TargetId> tried { TargetId("a") };
+    wanted.avoid = &tried;
+    STRCMP_EQUAL("b", place().c_str());
+}
+
+TEST(Placement, longPromptsAheadCountAsTime)
+{
+    add("a", "here", 10);
+    add("b", "here", 10);
+    targets[0].ownPromptTokens = 40000;
+    STRCMP_EQUAL("b", place().c_str());
+}
+
+// Load: 26 instances learn in the same moment that a target came back empty.
+TEST(Placement, aFreePlaceIsTakenByOneOfTheInstancesThatWait)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 26; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId(i % 3 ? "here" : "there") });
+    for (std::uint64_t target = 1; target <= 50; ++target) {
+        int nearest = 0;
+        for (const PlacingInstance& instance : instances)
+            nearest += distanceOf(FailureDomainId("here"), target, instance, instances) == 0;
+        LONGS_EQUAL(1, nearest);
+    }
+}
+
+TEST(Placement, targetsAreSharedEvenlyAmongInstances)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 5; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId("here") });
+    int nearest = 0;
+    for (std::uint64_t target = 1; target <= 500; ++target)
+        nearest += distanceOf(FailureDomainId("here"), target * 104729, instances[2], instances) == 0;
+    CHECK(nearest > 60);
+    CHECK(nearest < 140);
+}
+
+TEST(Placement, aTargetWithoutInstancesInItsDomainBelongsToOneOfAll)
+{
+    std::vector<PlacingInstance> instances { { .hash = 1, .failureDomain = FailureDomainId("a") }, { .hash = 2, .failureDomain = FailureDomainId("b") } };
+    double first = distanceOf(FailureDomainId("c"), 5, instances[0], instances);
+    double second = distanceOf(FailureDomainId("c"), 5, instances[1], instances);
+    DOUBLES_EQUAL(1, first + second, 0);
+    DOUBLES_EQUAL(1, distanceOf(FailureDomainId("a"), 5, instances[1], instances), 0);
+}
+
+TEST(Placement, aPlaceLeftToANearerInstanceIsNotTaken)
+{
+    add("a", "here", 10);
+    targets[0].isLeftToOthers = true;
+    STRCMP_EQUAL("", place().c_str());
+}
+
+// Load: a pool of two targets is asked for more than it carries by instances that can't see each other's calls in time.
+TEST(Placement, aTargetWithoutRoomGetsFewerAtOnceAndThenMoreAgain)
+{
+    add("a", "here", 10);
+    targets[0].ownInProgress = 5;
+    noteNoRoom(targets[0]);
+    targets[0].ownInProgress = 3;
+    STRCMP_EQUAL("", place().c_str());
+    for (int i = 0; i < 100; ++i)
+        noteAnswer(targets[0], 10.0, now);
+    STRCMP_EQUAL("a", place().c_str());
+}
+
+TEST(Placement, whatWouldNotEndInTimeWaitsForAFasterTarget)
+{
+    add("slow", "here", 100);
+    add("fast", "here", 10);
+    wanted.timeLeft = 2s;
+    targets[1].ownInProgress = 6;
+    STRCMP_EQUAL("", place().c_str());
+    wanted.timeLeft = 10s;
+    STRCMP_EQUAL("slow", place().c_str());
+}
+
+TEST(Placement, wherePlacesAreKnownTooLateMoreIsSentAndOldDifferencesAreNotBelieved)
+{
+    DOUBLES_EQUAL(1, roomForEachSlot(Duration::zero(), 100ms), 0);
+    DOUBLES_EQUAL(2, roomForEachSlot(100ms, 100ms), 0.01);
+    DOUBLES_EQUAL(2.5, roomForEachSlot(10ms, 100ms), 0.01);
+    DOUBLES_EQUAL(1, trustInNews(600ms, 100ms), 0);
+    CHECK(trustInNews(30ms, 100ms) < 0.2);
+    add("seems-full", "here", 10);
+    add("seems-empty", "here", 10);
+    targets[0].peersInProgress = 6;
+    wanted.trustInNews = 0;
+    STRCMP_EQUAL("seems-full", place().c_str());
+}
+
+TEST(Placement, whatPeersCannotReachGoesLast)
+{
+    add("lost", "here", 10);
+    add("good", "there", 10);
+    targets[0].closedByPeers = 1;
+    STRCMP_EQUAL("good", place().c_str());
+}
+
+// Load: instances whose callers are unevenly spread all have requests waiting.
+TEST(Placement, freePlacesGoToWaitingInstancesInProportionToTheirDemand)
+{
+    std::vector<PlacingInstance> instances;
+    for (std::uint64_t i = 1; i <= 8; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId("here"), .demand = i == 1 ? 30.0 : 10.0 });
+    std::map<std::uint64_t, int> owned;
+    for (std::uint64_t target = 1; target <= 2000; ++target) {
+        int owners = 0;
+        for (const PlacingInstance& instance : instances) {
+            std::vector<PlacingInstance> others = instances;
+            std::erase_if(others, [&](const PlacingInstance& other) { return other.hash == instance.hash; });
+            if (isLeftToOthers(FailureDomainId("here"), target, instance, others))
+                continue;
+            ++owners;
+            ++owned[instance.hash];
+        }
+        LONGS_EQUAL(1, owners);
+    }
+    DOUBLES_EQUAL(0.3, owned[7919] / 2000.0, 0.05);
+    DOUBLES_EQUAL(0.1, owned[std::uint64_t { 3 } * 7919] / 2000.0, 0.04);
+}
+
+TEST(Placement, urgentRequestsCountMore)
+{
+    CHECK(demandOf(0) > 2 * demandOf(1));
+    CHECK(demandOf(1) > demandOf(2));
+    CHECK(demandOf(9) >= 1);
+}
+
+// Load: 26 instances in front of two plain targets, all with requests waiting.
+TEST(Placement, aFewTargetsAreNotSharedOutAmongManyInstances)
+{
+    CHECK(canShareOut(140, 26, 1));
+    CHECK(canShareOut(9, 4, 1));
+    CHECK_FALSE(canShareOut(2, 26, 1));
+    CHECK_FALSE(canShareOut(140, 26, 0.1));
+}
