--- a/src/core/RouteIndex.cpp
+++ b/src/core/RouteIndex.cpp
@@ -10,7 +10,7 @@
     for (std::size_t i = 0; i < kept.routes.size(); ++i)
         indexed->routesByHost[kept.routes[i].host][kept.routes[i].prefix] = i;
     for (std::size_t i = 0; i < kept.accounts.size(); ++i) {
-        for (const std::string& key : kept.accounts[i].apiKeys)
+        for (const std::string& key : kept.accounts[i].keys)
             indexed->accountsByKey[key] = i;
     }
     for (std::size_t i = 0; i < kept.pools.size(); ++i)
--- a/src/core/ServingSettings.h
+++ b/src/core/ServingSettings.h
@@ -65,7 +65,7 @@
 /// One client account, its API keys and its quota.
 struct AccountSettings {
     ClientAccountId id;
-    std::vector<std::string> apiKeys;
+    std::vector<std::string> keys; ///< API keys of its callers.
     std::optional<int> rank; ///< Goes before the route's rank.
     bool countsTokens { false }; ///< The quota is counted in tokens instead of requests.
     double defaultTokens { 0 }; ///< Counted for a request that states no token count.
--- a/test/RouteIndexTest.cpp
+++ b/test/RouteIndexTest.cpp
@@ -13,7 +13,7 @@
             { .name = "deep", .host = "a.example", .prefix = "/x/y/", .pools = { { .pool = PoolId("one"), .weight = 90 }, { .pool = PoolId("two"), .weight = 10 } } },
             { .name = "shallow", .host = "a.example", .prefix = "/x/", .pools = { { .pool = PoolId("two") } } },
         },
-        .accounts = { { .id = ClientAccountId("herd"), .apiKeys = { "k1", "k2" } } },
+        .accounts = { { .id = ClientAccountId("herd"), .keys = { "k1", "k2" } } },
     };
     std::shared_ptr<const SettingsInForce> index { indexSettings(settings) };
 
