Close a target at the first connection that breaks at once

Change: a connection that breaks within 25 ms closes its target for this instance for 0.5 s; what peers have closed is tried by the nearest instance and by those that had an answer there within a second.

--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -13,6 +13,7 @@
     constexpr double failureHalfLifeSeconds = 3; ///< A target that gets no requests is trusted again by and by.
     constexpr int failuresUntilClosed = 2;
     constexpr Duration firstClosing = std::chrono::milliseconds(500);
+    constexpr Duration recentAnswer = std::chrono::seconds(1);
     constexpr double closedByPeersCost = 6; ///< Expected times added where peers can't reach the target.
     constexpr double limitCutShare = 0.6; ///< What is left of the own limit after a target had no room.
     constexpr double limitGrowth = 0.3; ///< Added to the own limit by as many answers as it counts.
@@ -73,9 +74,15 @@
         return known ? sum / known : unknownSlowness;
     }
 
+    /// Where peers can't reach a target, only the instance nearest to it and those that it answers go on trying.
+    bool isLeftToTrials(const TargetState& target, SteadyTime now)
+    {
+        return target.closedByPeers > 0 && target.distance > 0 && now - target.lastAnswerAt > recentAnswer;
+    }
+
     bool isOpen(const TargetState& target, SteadyTime now)
     {
-        if (target.entry.isDraining || isClosed(target, now))
+        if (target.entry.isDraining || isClosed(target, now) || isLeftToTrials(target, now))
             return false;
         return target.failuresInRow < failuresUntilClosed || !target.trialInProgress;
     }
@@ -146,6 +153,7 @@
 {
     target.failuresInRow = 0;
     target.closedUntil = {};
+    target.lastAnswerAt = now;
     learnFailure(target, 0, now);
     if (target.ownLimit > 0)
         target.ownLimit += limitGrowth / target.ownLimit;
@@ -162,13 +170,13 @@
     learnFailure(target, 1, now);
 }
 
-void noteBrokenConnection(TargetState& target, SteadyTime now)
+void noteBrokenConnection(TargetState& target, BreakKind kind, SteadyTime now)
 {
     learnFailure(target, 1, now);
     ++target.failuresInRow;
-    if (target.failuresInRow < failuresUntilClosed)
+    if (kind == BreakKind::Later && target.failuresInRow < failuresUntilClosed)
         return;
-    int doublings = std::min(target.failuresInRow - failuresUntilClosed, longestClosingDoublings);
+    int doublings = std::clamp(target.failuresInRow - failuresUntilClosed, 0, longestClosingDoublings);
     target.closedUntil = std::max(target.closedUntil, now + firstClosing * (1 << doublings));
 }
 
--- a/src/core/Placement.h
+++ b/src/core/Placement.h
@@ -30,6 +30,7 @@
     int failuresInRow { 0 }; ///< Connections refused, cut or silent, with no answer between.
     SteadyTime closedUntil; ///< No request is sent before, but one trial after.
     bool trialInProgress { false };
+    SteadyTime lastAnswerAt; ///< Of the last whole answer to this instance.
     double distance { 0 }; ///< 0 at the instance that the target is nearest to, up to 1 at the last one.
     bool isLeftToOthers { false }; ///< Its free places are another instance's to fill, which has requests waiting.
     int closedByPeers { 0 }; ///< Peers that send nothing there after broken connections.
@@ -74,8 +75,16 @@
 /// Notes a request that the target failed, but answered.
 void noteFailedAnswer(TargetState&, SteadyTime now);
 
+/// How a connection broke.
+enum class BreakKind {
+    AtOnce, ///< Before any work can have been done: the target would draw in request after request.
+    Later,
+};
+
 /// Notes a connection that was refused, cut or silent.
-void noteBrokenConnection(TargetState&, SteadyTime now);
+///
+///     noteBrokenConnection(target, BreakKind::AtOnce, now);
+void noteBrokenConnection(TargetState&, BreakKind, SteadyTime now);
 
 /// Notes that the target had no room for a request: this instance sends it fewer at once for a while.
 ///
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -10,6 +10,7 @@
     constexpr Duration leastTimeToSendAgain = std::chrono::milliseconds(100);
     constexpr int goalsUntilStalled = 2; ///< Without a first event or an answer.
     constexpr double pausesUntilStalled = 2.5; ///< Between two events.
+    constexpr Duration noWorkDone = std::chrono::milliseconds(25); ///< A connection that breaks within it did no work.
     constexpr double serviceTimeWeight = 0.05; ///< Of the newest request in the learned time at targets.
     constexpr int leastEventsMeasured = 4; ///< Of a stream whose speed is learned.
     constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
@@ -76,7 +77,7 @@
         case AttemptEnd::NotConnected:
         case AttemptEnd::Broken:
         case AttemptEnd::Stalled:
-            noteBrokenConnection(target, now);
+            noteBrokenConnection(target, now - attempt.sentAt < noWorkDone ? BreakKind::AtOnce : BreakKind::Later, now);
             return;
         case AttemptEnd::NotRun:
             noteNoRoom(target);
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -63,8 +63,8 @@
 {
     add("bad", "here", 10);
     add("good", "there", 10);
-    noteBrokenConnection(targets[0], now);
-    noteBrokenConnection(targets[0], now);
+    noteBrokenConnection(targets[0], BreakKind::Later, now);
+    noteBrokenConnection(targets[0], BreakKind::Later, now);
     STRCMP_EQUAL("good", place().c_str());
     targets[1].ownInProgress = 6;
     STRCMP_EQUAL("", place().c_str());
@@ -234,3 +234,30 @@
     CHECK_FALSE(canShareOut(2, 26, 1));
     CHECK_FALSE(canShareOut(140, 26, 0.1));
 }
+
+// Load: a target resets four in ten requests at once while all others are full, so that its places are always free.
+TEST(Placement, aTargetThatBreaksAtOnceDrawsInNoFurtherRequests)
+{
+    add("resets", "here", 10);
+    noteAnswer(targets[0], 10.0, now);
+    noteBrokenConnection(targets[0], BreakKind::AtOnce, now);
+    STRCMP_EQUAL("", place().c_str());
+    now += 600ms;
+    STRCMP_EQUAL("resets", place().c_str());
+    noteAnswer(targets[0], 10.0, now);
+    noteBrokenConnection(targets[0], BreakKind::Later, now);
+    STRCMP_EQUAL("resets", place().c_str());
+}
+
+TEST(Placement, whatPeersCannotReachIsTriedByTheNearestAndByThoseThatItAnswers)
+{
+    add("lost", "here", 10);
+    targets[0].closedByPeers = 2;
+    targets[0].distance = 0.5;
+    STRCMP_EQUAL("", place().c_str());
+    targets[0].distance = 0;
+    STRCMP_EQUAL("lost", place().c_str());
+    targets[0].distance = 0.5;
+    targets[0].lastAnswerAt = now - 300ms;
+    STRCMP_EQUAL("lost", place().c_str());
+}
