Hear an instance that restarts after its clock was set back

Cause, found in a reading of the change: peers ignored news of an incarnation lower than the last, and incarnations are named by the time of day, which may jump back by seconds before a restart. Such an instance would have stayed silent to all others: its part of quotas unseen after 6 s, its places taken twice. Change: another incarnation than the last two is new. Ruled out: naming incarnations by the steady clock, which starts anew with the machine.

--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+bool isNewer(const HeardNews& heard, const InstanceNews& news)
+{
+    if (news.incarnation == heard.incarnation)
+        return news.sequence > heard.sequence;
+    return news.incarnation != heard.earlierIncarnation;
+}
+
 PeerNews::PeerNews(asio::io_context& context, const Clock& clock, PeerNewsOptions options)
     : m_clock(clock)
     , m_options(std::move(options))
@@ -147,11 +154,11 @@
         return;
     SteadyTime now = m_clock.steadyNow();
     m_peers.try_emplace(from.address(), Peer { .addedAt = now }).first->second.heardAt = now;
-    Heard& heard = m_heard[news->instance];
-    bool isOld = news->incarnation < heard.incarnation || (news->incarnation == heard.incarnation && news->sequence <= heard.sequence);
-    if (isOld)
+    HeardNews& heard = m_heard[news->instance];
+    if (!isNewer(heard, *news))
         return;
-    heard = { .incarnation = news->incarnation, .sequence = news->sequence, .at = now, .isLive = true };
+    std::uint64_t earlier = news->incarnation == heard.incarnation ? heard.earlierIncarnation : heard.incarnation;
+    heard = { .incarnation = news->incarnation, .earlierIncarnation = earlier, .sequence = news->sequence, .at = now, .isLive = true };
     m_options.onNews(std::move(*news));
 }
 
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -51,6 +51,21 @@
 std::string encodeNews(const InstanceNews&);
 std::optional<InstanceNews> decodeNews(std::string_view bytes);
 
+/// What was taken in of one instance.
+struct HeardNews {
+    std::uint64_t incarnation { 0 }; ///< 0 before any.
+    std::uint64_t earlierIncarnation { 0 }; ///< The one before; its datagrams may still be on their way.
+    std::uint64_t sequence { 0 };
+    SteadyTime at;
+    bool isLive { false };
+};
+
+/// True where the news are newer than what was taken in. Incarnations are compared for being the same only: the
+/// clock that names them may have been set back before a restart.
+///
+///     if (isNewer(heard, news)) takeIn(news);
+bool isNewer(const HeardNews&, const InstanceNews&);
+
 struct PeerNewsOptions {
     InstanceId self;
     std::string ip;
@@ -89,12 +104,6 @@
         SteadyTime addedAt;
         std::optional<SteadyTime> heardAt;
     };
-    struct Heard {
-        std::uint64_t incarnation { 0 };
-        std::uint64_t sequence { 0 };
-        SteadyTime at;
-        bool isLive { false };
-    };
 
     const Clock& m_clock;
     PeerNewsOptions m_options;
@@ -102,7 +111,7 @@
     boost::asio::ip::udp::endpoint m_from;
     std::array<char, 16384> m_buffer {};
     std::map<boost::asio::ip::address, Peer> m_peers;
-    std::map<InstanceId, Heard> m_heard;
+    std::map<InstanceId, HeardNews> m_heard;
 };
 
 } // namespace limpetpond
--- a/test/PeerNewsTest.cpp
+++ b/test/PeerNewsTest.cpp
@@ -42,3 +42,18 @@
         news.targets.push_back({ .target = i * 123456789U, .inProgress = 6 });
     CHECK(encodeNews(news).size() < 200);
 }
+
+TEST(PeerNews, aLaterMessageOfOneIncarnationIsNewer)
+{
+    HeardNews heard { .incarnation = 1000, .sequence = 5 };
+    CHECK_FALSE(isNewer(heard, { .incarnation = 1000, .sequence = 5 }));
+    CHECK(isNewer(heard, { .incarnation = 1000, .sequence = 6 }));
+}
+
+TEST(PeerNews, aRestartAfterTheClockWasSetBackIsHeard)
+{
+    HeardNews heard { .incarnation = 1000, .sequence = 5 };
+    CHECK(isNewer(heard, { .incarnation = 900, .sequence = 1 }));
+    heard = { .incarnation = 900, .earlierIncarnation = 1000, .sequence = 1 };
+    CHECK_FALSE(isNewer(heard, { .incarnation = 1000, .sequence = 9 }));
+}
