--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -1,11 +1,10 @@
 #include "bench/DecisionBench.h"
 
 #include "bench/AllocationCounter.h"
+#include "bench/Timing.h"
 #include "core/Scheduler.h"
-#include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <ctime>
 #include <pcg_random.hpp>
 #include <vector>
 
@@ -89,20 +88,6 @@
         }
     }
 
-    // Leaves out the time in which other programs had the processor.
-    double processorMicroseconds()
-    {
-        timespec time {};
-        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-        return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
-    }
-
-    double quantileOf(std::vector<double>& values, double share)
-    {
-        std::sort(values.begin(), values.end());
-        return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
-    }
-
 } // namespace
 
 int runDecisionBench()
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -1,6 +1,7 @@
-/// The benchmarks of the decision core: `limpetpond-bench policies|decision|slopes`.
+/// The benchmarks of the decision core: `limpetpond-bench policies|decision|placement|path|slopes`.
 
 #include "bench/DecisionBench.h"
+#include "bench/PathBench.h"
 #include "bench/SlopesBench.h"
 #include "bench/policies/PolicyBench.h"
 #include <absl/flags/flag.h>
@@ -53,15 +54,19 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("limpetpond-bench policies|decision|slopes [flags]");
+    absl::SetProgramUsageMessage("limpetpond-bench policies|decision|placement|path|slopes [flags]");
     std::vector<char*> words = absl::ParseCommandLine(argc, argv);
     std::string command = words.size() == 2 ? words[1] : "";
     if (command == "policies")
         return runPolicies();
     if (command == "decision")
         return limpetpond::bench::runDecisionBench();
+    if (command == "placement")
+        return limpetpond::bench::runPlacementBench();
+    if (command == "path")
+        return limpetpond::bench::runPathBench();
     if (command == "slopes")
         return limpetpond::bench::runSlopesBench();
-    std::fprintf(stderr, "expected one command: policies, decision or slopes\n");
+    std::fprintf(stderr, "expected one command: policies, decision, placement, path or slopes\n");
     return usageError;
 }
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -19,6 +19,12 @@
     constexpr Duration missingGrace = std::chrono::milliseconds(1600);
     /// The balancer asks once a second and needs two misses: until then new connections still come.
     constexpr Duration takingWhileStopping = std::chrono::milliseconds(2800);
+    /// The request targets at which this instance passes its rows on, at the peers' port over TCP.
+    constexpr std::string_view settingsPath = "/rows/settings";
+    constexpr std::string_view targetsPath = "/rows/targets";
+    /// An instance that reads the store is behind its peers for less: a pause after changes and a few round trips.
+    constexpr Duration settingsTolerance = std::chrono::milliseconds(500);
+    constexpr Duration targetsTolerance = std::chrono::milliseconds(700);
     constexpr Duration keptOfGrace = std::chrono::milliseconds(400); ///< To end in order before the kill.
 
     tcp::endpoint storeEndpoint(const platform::BootSettings& boot)
@@ -26,21 +32,6 @@
         return parseEndpoint(boot.storeAddress).value_or(tcp::endpoint());
     }
 
-    PeerNewsOptions peerOptions(const platform::BootSettings& boot, Gateway& gateway, EventLog& log)
-    {
-        return {
-            .self = boot.instance,
-            .ip = boot.ip,
-            .port = boot.peerPort,
-            .onNews = [&gateway](InstanceNews&& news) { gateway.takePeerNews(news); },
-            .onSilent =
-                [&gateway, &log](const InstanceId& peer) {
-                    log.line("warning", "peer_silent", { { "peer", peer.value() } });
-                    gateway.peerSilent(peer);
-                },
-        };
-    }
-
 } // namespace
 
 Node::Node(asio::io_context& context, const Clock& clock, const platform::BootSettings& boot, NodeOptions options)
@@ -49,37 +40,49 @@
     , m_boot(boot)
     , m_log(clock, { .instance = boot.instance.value(), .descriptor = options.logDescriptor })
     , m_gateway(context, clock, boot, m_log)
-    , m_peers(context, clock, peerOptions(boot, m_gateway, m_log))
+    , m_peers(context, clock,
+          { .self = boot.instance,
+              .ip = boot.ip,
+              .port = boot.peerPort,
+              .onNews = [this](InstanceNews&& news, const std::string& ip) { takePeerNews(news, ip); },
+              .onSilent =
+                  [this](const InstanceId& peer) {
+                      m_log.line("warning", "peer_silent", { { "peer", peer.value() } });
+                      m_gateway.peerSilent(peer);
+                  } })
     , m_callers(context)
     , m_readiness(context, clock, [this](const HttpRequest& request) { return answerReadiness(request); })
     , m_metricsServer(context, clock, [this](const HttpRequest& request) { return answerMetrics(request); })
-    , m_stateServer(context, clock, [this](const HttpRequest& request) { return answerState(request); })
-    , m_settingsReader(makeReader(platform::operatorTable, true, [this](const TableNews& news) { takeSettingsRows(news); }))
-    , m_targetReader(makeReader(platform::targetTable, true, [this](const TableNews& news) { takeTargetRows(news); }))
-    , m_instanceReader(makeReader(platform::instanceTable, false, [this](const TableNews& news) { takeInstanceRows(news); }))
+    , m_rowsServer(context, clock, [this](const HttpRequest& request) { return answerRows(request); })
+    , m_settingsReader(makeReader({ .table = std::string(platform::operatorTable), .onNews = [this](const TableNews& news) { takeSettingsRows(news); } }))
+    , m_targetReader(makeReader({ .table = std::string(platform::targetTable), .rowHeartbeat = boot.targetHeartbeat, .onNews = [this](const TableNews& news) { takeTargetRows(news); } }))
+    , m_instanceReader(makeReader({ .table = std::string(platform::instanceTable), .followsChanges = false, .onNews = [this](const TableNews& news) { takeInstanceRows(news); } }))
     , m_writer(context, clock,
           { .store = storeEndpoint(boot), .table = std::string(platform::instanceTable), .key = boot.instance.value(), .value = boot.ip, .onWritten = [this] { m_instanceReader.start(); } })
-    , m_stateFetcher(context, clock,
-          { .peerPort = boot.peerPort,
-              .addresses = [this] { return m_peers.addresses(); },
-              .onState = [this](const StateCopy& state) { takePeerState(state); } })
+    , m_settingsFetcher(context, clock,
+          { .path = std::string(settingsPath), .peerPort = boot.peerPort, .tolerance = settingsTolerance, .onTable = [this](const TableCopy& table) { takePeerSettings(table); } })
+    , m_targetFetcher(context, clock,
+          { .path = std::string(targetsPath), .peerPort = boot.peerPort, .tolerance = targetsTolerance, .onTable = [this](const TableCopy& table) { takePeerTargets(table); } })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_newsSentAt(clock.steadyNow())
 {
 }
 
-StoreReader Node::makeReader(std::string_view table, bool followsChanges, std::function<void(const TableNews&)> onNews)
+StoreReader Node::makeReader(StoreReaderOptions options)
+{
+    options.store = storeEndpoint(m_boot);
+    options.onReachable = [this, table = options.table](bool reachable, std::string_view reason) { noteReachable(table, reachable, reason); };
+    return { m_context, m_clock, std::move(options) };
+}
+
+void Node::noteReachable(const std::string& table, bool reachable, std::string_view reason)
 {
-    return StoreReader(m_context, m_clock,
-        { .store = storeEndpoint(m_boot),
-            .table = std::string(table),
-            .followsChanges = followsChanges,
-            .onNews = std::move(onNews),
-            .onReachable =
-                [this, name = std::string(table)](bool reachable, std::string_view reason) {
-                    m_log.line(reachable ? "info" : "warning", reachable ? "store_regained" : "store_lost", { { "table", name }, { "reason", reason } });
-                } });
+    m_log.line(reachable ? "info" : "warning", reachable ? "store_regained" : "store_lost", { { "table", table }, { "reason", reason } });
+    // Only the targets' entries change all the time. A poll for the settings may have been lost while the store was
+    // silent, and nothing else would show it.
+    if (reachable && table == platform::targetTable)
+        m_settingsReader.callAgain();
 }
 
 std::optional<std::string> Node::start()
@@ -91,7 +94,7 @@
         return error;
     if (std::optional<std::string> error = m_metricsServer.start(m_boot.ip + ":" + std::to_string(m_boot.metricsPort)))
         return error;
-    if (std::optional<std::string> error = m_stateServer.start(m_boot.ip + ":" + std::to_string(m_boot.peerPort)))
+    if (std::optional<std::string> error = m_rowsServer.start(m_boot.ip + ":" + std::to_string(m_boot.peerPort)))
         return error;
     if (std::optional<std::string> error = m_peers.start())
         return error;
@@ -121,7 +124,6 @@
 
 void Node::takeSettingsRows(const TableNews& news)
 {
-    noteRows(m_state.settings, news);
     for (const platform::Row& row : news.rows) {
         if (row.key != platform::settingsKey || row.isDeleted)
             continue;
@@ -133,6 +135,8 @@
         }
         auto version = static_cast<std::int64_t>(settings->version.value());
         bool isInForce = m_gateway.applySettings(std::move(*settings));
+        if (isInForce)
+            m_settingsRows = { .version = m_gateway.settings()->settings.version.value(), .rows = { { row.key, row.value } } };
         m_log.line("info", isInForce ? "settings_in_force" : "settings_ignored", { { "version", version } });
     }
     m_gateway.targetsChanged();
@@ -140,7 +144,7 @@
 
 void Node::takeTargetRows(const TableNews& news)
 {
-    noteRows(m_state.targets, news);
+    noteRows(m_targetRows, news);
     std::set<TargetId> present;
     for (const platform::Row& row : news.rows) {
         TargetId id { row.key };
@@ -194,19 +198,33 @@
     }
 }
 
-void Node::takePeerState(const StateCopy& state)
+void Node::takePeerNews(const InstanceNews& news, const std::string& ip)
 {
-    // The store's own answer, where it came first, is newer.
-    if (hasState())
+    SteadyTime now = m_clock.steadyNow();
+    m_settingsFetcher.notePeer(news.settingsVersion.value(), ip, now);
+    m_targetFetcher.notePeer(news.targetsVersion, ip, now);
+    m_gateway.takePeerNews(news);
+}
+
+void Node::takePeerSettings(const TableCopy& table)
+{
+    if (table.version <= m_settingsRows.version)
         return;
-    m_log.line("info", "state_from_peer", { { "settings", static_cast<std::int64_t>(state.settings.size()) }, { "targets", static_cast<std::int64_t>(state.targets.size()) } });
-    takeSettingsRows(newsOf(state.settings));
-    if (m_targetReader.hasRead())
+    m_log.line("info", "settings_from_peer", { { "version", static_cast<std::int64_t>(table.version) } });
+    takeSettingsRows(newsOf(table));
+}
+
+void Node::takePeerTargets(const TableCopy& table)
+{
+    // The store's own answer may have come meanwhile.
+    if (table.version <= targetsVersion())
         return;
-    takeTargetRows(newsOf(state.targets));
-    m_hasPeerState = true;
+    m_log.line("info", "targets_from_peer", { { "version", static_cast<std::int64_t>(table.version) }, { "rows", static_cast<std::int64_t>(table.rows.size()) } });
+    takeTargetRows(newsOf(table));
 }
 
+std::uint64_t Node::targetsVersion() const { return std::max(m_targetRows.version, m_targetReader.version()); }
+
 void Node::waitForSignal()
 {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
@@ -268,7 +286,8 @@
     m_targetReader.tick(now);
     m_instanceReader.tick(now);
     m_writer.tick(now);
-    m_stateFetcher.tick(now, !hasState());
+    m_settingsFetcher.tick(m_settingsRows.version, now);
+    m_targetFetcher.tick(targetsVersion(), now);
     sendNews(now);
     m_log.flush();
     checkShutdown(now);
@@ -281,12 +300,11 @@
     m_newsSentAt = now;
     InstanceNews news = m_gateway.news();
     news.sequence = ++m_newsSequence;
+    news.targetsVersion = targetsVersion();
     m_peers.send(news);
 }
 
-bool Node::hasState() const { return m_gateway.settings() && (m_targetReader.hasRead() || m_hasPeerState); }
-
-bool Node::isReady() const { return !m_shutdownBegan && hasState(); }
+bool Node::isReady() const { return !m_shutdownBegan && m_gateway.settings() && targetsVersion() > 0; }
 
 SmallAnswer Node::answerReadiness(const HttpRequest& request) const
 {
@@ -295,13 +313,15 @@
     return { .status = isReady() ? 200 : 503 };
 }
 
-SmallAnswer Node::answerState(const HttpRequest& request) const
+SmallAnswer Node::answerRows(const HttpRequest& request) const
 {
-    if (request.path != statePath)
+    const TableCopy* table = request.path == settingsPath ? &m_settingsRows : request.path == targetsPath ? &m_targetRows
+                                                                                                          : nullptr;
+    if (!table)
         return { .status = 404 };
-    if (!hasState())
+    if (!table->version)
         return { .status = 503 };
-    return { .contentType = "application/x-thrift", .body = encodeState(m_state) };
+    return { .contentType = "application/x-thrift", .body = encodeTable(*table) };
 }
 
 SmallAnswer Node::answerMetrics(const HttpRequest&) const { return { .body = m_gateway.metricsText() }; }
--- a/src/gateway/Node.h
+++ b/src/gateway/Node.h
@@ -6,10 +6,10 @@
 #include "gateway/Gateway.h"
 #include "gateway/PeerNews.h"
 #include "gateway/SmallServer.h"
-#include "gateway/StateCopy.h"
-#include "gateway/StateFetcher.h"
 #include "gateway/StoreReader.h"
 #include "gateway/StoreWriter.h"
+#include "gateway/TableCopy.h"
+#include "gateway/TableFetcher.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,18 +35,21 @@
     void takeSettingsRows(const TableNews&);
     void takeTargetRows(const TableNews&);
     void takeInstanceRows(const TableNews&);
-    void takePeerState(const StateCopy&);
-    SmallAnswer answerState(const HttpRequest&) const;
+    void takePeerNews(const InstanceNews&, const std::string& ip);
+    void takePeerSettings(const TableCopy&);
+    void takePeerTargets(const TableCopy&);
+    SmallAnswer answerRows(const HttpRequest&) const;
+    std::uint64_t targetsVersion() const;
     bool putTargetRow(const platform::Row&);
     void dropTarget(const TargetId&, bool afterOutage);
-    StoreReader makeReader(std::string_view table, bool followsChanges, std::function<void(const TableNews&)> onNews);
+    StoreReader makeReader(StoreReaderOptions);
+    void noteReachable(const std::string& table, bool reachable, std::string_view reason);
     void waitForSignal();
     void beginShutdown();
     void checkShutdown(SteadyTime now);
     void scheduleTick();
     void tick();
     void sendNews(SteadyTime now);
-    bool hasState() const;
     bool isReady() const;
     SmallAnswer answerReadiness(const HttpRequest&) const;
     SmallAnswer answerMetrics(const HttpRequest&) const;
@@ -60,14 +63,15 @@
     boost::asio::ip::tcp::acceptor m_callers;
     SmallServer m_readiness;
     SmallServer m_metricsServer;
-    SmallServer m_stateServer;
-    StateCopy m_state;
-    bool m_hasPeerState { false }; ///< What is served was passed on by a peer.
+    SmallServer m_rowsServer;
+    TableCopy m_settingsRows; ///< Of the settings in force; its version is theirs.
+    TableCopy m_targetRows;
     StoreReader m_settingsReader;
     StoreReader m_targetReader;
     StoreReader m_instanceReader;
     StoreWriter m_writer;
-    StateFetcher m_stateFetcher;
+    TableFetcher m_settingsFetcher;
+    TableFetcher m_targetFetcher;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_newsSequence { 0 };
--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -24,6 +24,7 @@
         wire.incarnation = static_cast<std::int64_t>(news.incarnation);
         wire.sequence = static_cast<std::int64_t>(news.sequence);
         wire.settingsVersion = static_cast<std::int64_t>(news.settingsVersion.value());
+        wire.targetsVersion = static_cast<std::int64_t>(news.targetsVersion);
         wire.leaving = news.isLeaving;
         wire.failureDomain = news.failureDomain.value();
         for (const InstanceNews::TargetWork& work : news.targets) {
@@ -50,6 +51,7 @@
             .incarnation = static_cast<std::uint64_t>(wire.incarnation),
             .sequence = static_cast<std::uint64_t>(wire.sequence),
             .settingsVersion = SettingsVersion(static_cast<std::uint64_t>(wire.settingsVersion)),
+            .targetsVersion = static_cast<std::uint64_t>(wire.targetsVersion),
             .isLeaving = wire.leaving,
         };
         for (std::size_t i = 0; i < std::min(wire.targets.size(), wire.inProgress.size()); ++i)
@@ -157,7 +159,7 @@
         return;
     std::uint64_t earlier = news->incarnation == heard.incarnation ? heard.earlierIncarnation : heard.incarnation;
     heard = { .incarnation = news->incarnation, .earlierIncarnation = earlier, .sequence = news->sequence, .at = now, .isLive = true };
-    m_options.onNews(std::move(*news));
+    m_options.onNews(std::move(*news), from.address().to_string());
 }
 
 void PeerNews::tick(SteadyTime now)
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -25,6 +25,7 @@
     std::uint64_t incarnation { 0 };
     std::uint64_t sequence { 0 };
     SettingsVersion settingsVersion;
+    std::uint64_t targetsVersion { 0 }; ///< The store's version up to which the sender knows the targets; 0 for none.
     bool isLeaving { false };
     struct TargetWork {
         std::uint32_t target { 0 }; ///< `shortHash` of the id.
@@ -70,7 +71,7 @@
     InstanceId self;
     std::string ip;
     int port { 0 }; ///< The same on every instance.
-    std::function<void(InstanceNews&&)> onNews; ///< Newer than what came from that peer before.
+    std::function<void(InstanceNews&&, const std::string& ip)> onNews; ///< Newer than what came from that peer before.
     std::function<void(const InstanceId&)> onSilent; ///< The peer sends nothing any more.
 };
 
--- a/src/gateway/SmallCall.cpp
+++ b/src/gateway/SmallCall.cpp
@@ -42,6 +42,7 @@
     if (m_channel)
         m_channel->abandon();
     m_channel.reset();
+    m_isInProgress = false;
 }
 
 void SmallCall::tick(SteadyTime now)
--- a/src/gateway/SmallCall.h
+++ b/src/gateway/SmallCall.h
@@ -36,7 +36,7 @@
     /// To be called several times a second: ends a call that takes too long.
     void tick(SteadyTime now);
 
-    /// Closes the connection that is kept.
+    /// Closes the connection; a call in progress ends without a word.
     void closeConnection();
 
     bool isInProgress() const { return m_isInProgress; }
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -8,6 +8,7 @@
     constexpr Duration pollTime = std::chrono::milliseconds(pollMilliseconds + 3000);
     /// Between an answer with changes and the next call, so that a series of changes takes few calls.
     constexpr Duration pauseAfterChanges = std::chrono::milliseconds(300);
+    constexpr double heartbeatsUntilSilent = 2.5;
     constexpr Duration readTime = std::chrono::milliseconds(1500);
     constexpr Duration firstBackoff = std::chrono::milliseconds(100);
     constexpr Duration longestBackoff = std::chrono::milliseconds(800);
@@ -31,7 +32,22 @@
 {
     std::string path = m_isListing ? platform::rowsPath(m_options.table, m_nextPage)
                                    : platform::feedPath(m_options.table, m_version, pollMilliseconds);
-    m_call.start(m_options.store, getText(path, "store"), m_isListing ? readTime : pollTime);
+    m_call.start(m_options.store, getText(path, "store"), m_isListing ? readTime : pollTimeLimit());
+}
+
+Duration StoreReader::pollTimeLimit() const
+{
+    if (!m_hasRows || m_options.rowHeartbeat <= Duration::zero())
+        return pollTime;
+    return std::chrono::duration_cast<Duration>(heartbeatsUntilSilent * m_options.rowHeartbeat);
+}
+
+void StoreReader::callAgain()
+{
+    m_timer.cancel();
+    m_call.closeConnection();
+    m_nextPage.clear();
+    call();
 }
 
 void StoreReader::onCallEnd(SmallCallEnd&& end)
@@ -68,7 +84,8 @@
         call();
         return;
     }
-    m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .rows = std::move(answer->rows) });
+    m_hasRows = true;
+    m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .version = m_version, .rows = std::move(answer->rows) });
     callAfter(pauseAfterChanges);
 }
 
@@ -94,7 +111,8 @@
     bool afterOutage = m_wasUnreachable;
     m_wasUnreachable = false;
     m_hasRead = true;
-    m_options.onNews({ .isWholeTable = true, .afterOutage = afterOutage, .rows = std::move(m_pages) });
+    m_hasRows = !m_pages.empty();
+    m_options.onNews({ .isWholeTable = true, .afterOutage = afterOutage, .version = m_version, .rows = std::move(m_pages) });
     m_pages.clear();
     if (m_options.followsChanges)
         call();
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -16,6 +16,7 @@
 struct TableNews {
     bool isWholeTable { false }; ///< `rows` is all that the table holds; what isn't there is gone.
     bool afterOutage { false }; ///< The store could not be read just before.
+    std::uint64_t version { 0 }; ///< The store's version up to which the rows are known.
     std::vector<platform::Row> rows;
 };
 
@@ -23,6 +24,8 @@
     boost::asio::ip::tcp::endpoint store;
     std::string table;
     bool followsChanges { true }; ///< Otherwise the table is read once.
+    /// How often the table's rows are written again, so that a poll without an answer shows a silent store; 0 where they aren't.
+    Duration rowHeartbeat { 0 };
     std::function<void(const TableNews&)> onNews;
     std::function<void(bool reachable, std::string_view reason)> onReachable; ///< At each change.
 };
@@ -33,11 +36,17 @@
 
     void start();
 
+    /// Makes the call in progress, or the one that is due later, again at once: the store may have lost it.
+    void callAgain();
+
     /// To be called several times a second: ends calls that take too long.
     void tick(SteadyTime now) { m_call.tick(now); }
 
     bool hasRead() const { return m_hasRead; }
 
+    /// The store's version up to which the table is known; 0 before the first whole read.
+    std::uint64_t version() const { return m_hasRead ? m_version : 0; }
+
 private:
     void call();
     void onCallEnd(SmallCallEnd&&);
@@ -47,6 +56,7 @@
     void retryLater();
     void callAfter(Duration pause);
     void noteReached();
+    Duration pollTimeLimit() const;
 
     const Clock& m_clock;
     StoreReaderOptions m_options;
@@ -54,6 +64,7 @@
     SmallCall m_call;
     bool m_hasRead { false };
     bool m_isListing { true };
+    bool m_hasRows { false }; ///< Rows that are written again and again were seen.
     bool m_isReachable { true };
     bool m_wasUnreachable { false }; ///< Since the last news.
     SteadyTime m_reachableAgainAt;
--- /dev/null
+++ b/src/gateway/TableFetcher.cpp
@@ -0,0 +1,39 @@
+#include "gateway/TableFetcher.h"
+
+namespace limpetpond {
+
+namespace {
+
+    constexpr Duration betweenAsks = std::chrono::milliseconds(200);
+    constexpr Duration askTime = std::chrono::milliseconds(800);
+
+} // namespace
+
+TableFetcher::TableFetcher(boost::asio::io_context& context, const Clock& clock, TableFetcherOptions options)
+    : m_options(std::move(options))
+    , m_call(context, clock, [this](const SmallCallEnd& end) { onCallEnd(end); })
+    , m_nextAskAt(clock.steadyNow())
+{
+}
+
+void TableFetcher::tick(std::uint64_t ownVersion, SteadyTime now)
+{
+    m_call.tick(now);
+    noteOwnVersion(m_lead, ownVersion);
+    if (m_call.isInProgress() || now < m_nextAskAt || !isBehind(m_lead, now, m_options.tolerance))
+        return;
+    m_nextAskAt = now + betweenAsks;
+    std::optional<boost::asio::ip::tcp::endpoint> endpoint = parseEndpoint(m_lead.leader + ":" + std::to_string(m_options.peerPort));
+    if (endpoint)
+        m_call.start(*endpoint, getText(m_options.path, m_lead.leader), askTime);
+}
+
+void TableFetcher::onCallEnd(const SmallCallEnd& end)
+{
+    if (!end.isOk())
+        return; // Whoever is ahead by then is asked soon.
+    if (std::optional<TableCopy> copy = decodeTable(end.body))
+        m_options.onTable(*copy);
+}
+
+} // namespace limpetpond
--- /dev/null
+++ b/src/gateway/TableFetcher.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// Asks peers for the rows of a table that they have read and this instance has not.
+
+#include "core/PeerLead.h"
+#include "gateway/SmallCall.h"
+#include "gateway/TableCopy.h"
+#include <functional>
+#include <string>
+
+namespace limpetpond {
+
+struct TableFetcherOptions {
+    std::string path; ///< The request target at which peers pass the table on.
+    int peerPort { 0 }; ///< The same on every instance.
+    Duration tolerance { 0 }; ///< How long a peer may be ahead before it is asked.
+    std::function<void(const TableCopy&)> onTable;
+};
+
+class TableFetcher {
+public:
+    TableFetcher(boost::asio::io_context&, const Clock&, TableFetcherOptions);
+
+    /// A peer's version of the table, as its news say.
+    void notePeer(std::uint64_t version, const std::string& ip, SteadyTime now) { notePeerVersion(m_lead, version, ip, now); }
+
+    /// To be called several times a second, with the version that this instance has.
+    void tick(std::uint64_t ownVersion, SteadyTime now);
+
+private:
+    void onCallEnd(const SmallCallEnd&);
+
+    TableFetcherOptions m_options;
+    SmallCall m_call;
+    PeerLead m_lead;
+    SteadyTime m_nextAskAt;
+};
+
+} // namespace limpetpond
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -69,6 +69,10 @@
 void InstanceNews::__set_demands(const std::vector<int32_t> & val) {
   this->demands = val;
 }
+
+void InstanceNews::__set_targetsVersion(const int64_t val) {
+  this->targetsVersion = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -285,6 +289,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsVersion);
+          this->__isset.targetsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -410,6 +422,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetsVersion", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->targetsVersion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -430,6 +446,7 @@
   swap(a.closedTargets, b.closedTargets);
   swap(a.waitingPools, b.waitingPools);
   swap(a.demands, b.demands);
+  swap(a.targetsVersion, b.targetsVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -447,6 +464,7 @@
   closedTargets = other42.closedTargets;
   waitingPools = other42.waitingPools;
   demands = other42.demands;
+  targetsVersion = other42.targetsVersion;
   __isset = other42.__isset;
 }
 InstanceNews& InstanceNews::operator=(const InstanceNews& other43) {
@@ -463,6 +481,7 @@
   closedTargets = other43.closedTargets;
   waitingPools = other43.waitingPools;
   demands = other43.demands;
+  targetsVersion = other43.targetsVersion;
   __isset = other43.__isset;
   return *this;
 }
@@ -482,6 +501,7 @@
   out << ", " << "closedTargets=" << to_string(closedTargets);
   out << ", " << "waitingPools=" << to_string(waitingPools);
   out << ", " << "demands=" << to_string(demands);
+  out << ", " << "targetsVersion=" << to_string(targetsVersion);
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -24,7 +24,7 @@
 class InstanceNews;
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -38,6 +38,7 @@
   bool closedTargets :1;
   bool waitingPools :1;
   bool demands :1;
+  bool targetsVersion :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -51,7 +52,8 @@
                  sequence(0),
                  settingsVersion(0),
                  leaving(0),
-                 failureDomain() {
+                 failureDomain(),
+                 targetsVersion(0) {
   }
 
   virtual ~InstanceNews() noexcept;
@@ -68,6 +70,7 @@
   std::vector<int32_t>  closedTargets;
   std::vector<int32_t>  waitingPools;
   std::vector<int32_t>  demands;
+  int64_t targetsVersion;
 
   _InstanceNews__isset __isset;
 
@@ -97,6 +100,8 @@
 
   void __set_demands(const std::vector<int32_t> & val);
 
+  void __set_targetsVersion(const int64_t val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -125,6 +130,8 @@
       return false;
     if (!(demands == rhs.demands))
       return false;
+    if (!(targetsVersion == rhs.targetsVersion))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/src/gen/instance_state_types.cpp
+++ b/src/gen/instance_state_types.cpp
@@ -126,25 +126,25 @@
 }
 
 
-InstanceState::~InstanceState() noexcept {
+TableState::~TableState() noexcept {
 }
 
 
-void InstanceState::__set_settings(const std::vector<StateRow> & val) {
-  this->settings = val;
+void TableState::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void InstanceState::__set_targets(const std::vector<StateRow> & val) {
-  this->targets = val;
+void TableState::__set_rows(const std::vector<StateRow> & val) {
+  this->rows = val;
 }
-std::ostream& operator<<(std::ostream& out, const InstanceState& obj)
+std::ostream& operator<<(std::ostream& out, const TableState& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t InstanceState::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TableState::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -166,21 +166,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->settings.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->settings.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
-            {
-              xfer += this->settings[_i6].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.settings = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -188,19 +176,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->targets.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->targets.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            this->rows.clear();
+            uint32_t _size2;
+            ::apache::thrift::protocol::TType _etype5;
+            xfer += iprot->readListBegin(_etype5, _size2);
+            this->rows.resize(_size2);
+            uint32_t _i6;
+            for (_i6 = 0; _i6 < _size2; ++_i6)
             {
-              xfer += this->targets[_i11].read(iprot);
+              xfer += this->rows[_i6].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.targets = true;
+          this->__isset.rows = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -217,30 +205,22 @@
   return xfer;
 }
 
-uint32_t InstanceState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TableState::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("InstanceState");
+  xfer += oprot->writeStructBegin("TableState");
 
-  xfer += oprot->writeFieldBegin("settings", ::apache::thrift::protocol::T_LIST, 1);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->settings.size()));
-    std::vector<StateRow> ::const_iterator _iter12;
-    for (_iter12 = this->settings.begin(); _iter12 != this->settings.end(); ++_iter12)
-    {
-      xfer += (*_iter12).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<StateRow> ::const_iterator _iter13;
-    for (_iter13 = this->targets.begin(); _iter13 != this->targets.end(); ++_iter13)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<StateRow> ::const_iterator _iter7;
+    for (_iter7 = this->rows.begin(); _iter7 != this->rows.end(); ++_iter7)
     {
-      xfer += (*_iter13).write(oprot);
+      xfer += (*_iter7).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -251,29 +231,29 @@
   return xfer;
 }
 
-void swap(InstanceState &a, InstanceState &b) {
+void swap(TableState &a, TableState &b) {
   using ::std::swap;
-  swap(a.settings, b.settings);
-  swap(a.targets, b.targets);
+  swap(a.version, b.version);
+  swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
 }
 
-InstanceState::InstanceState(const InstanceState& other14) {
-  settings = other14.settings;
-  targets = other14.targets;
-  __isset = other14.__isset;
+TableState::TableState(const TableState& other8) {
+  version = other8.version;
+  rows = other8.rows;
+  __isset = other8.__isset;
 }
-InstanceState& InstanceState::operator=(const InstanceState& other15) {
-  settings = other15.settings;
-  targets = other15.targets;
-  __isset = other15.__isset;
+TableState& TableState::operator=(const TableState& other9) {
+  version = other9.version;
+  rows = other9.rows;
+  __isset = other9.__isset;
   return *this;
 }
-void InstanceState::printTo(std::ostream& out) const {
+void TableState::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "InstanceState(";
-  out << "settings=" << to_string(settings);
-  out << ", " << "targets=" << to_string(targets);
+  out << "TableState(";
+  out << "version=" << to_string(version);
+  out << ", " << "rows=" << to_string(rows);
   out << ")";
 }
 
--- a/src/gen/instance_state_types.h
+++ b/src/gen/instance_state_types.h
@@ -23,7 +23,7 @@
 
 class StateRow;
 
-class InstanceState;
+class TableState;
 
 typedef struct _StateRow__isset {
   _StateRow__isset() : key(false), value(false) {}
@@ -75,43 +75,44 @@
 
 std::ostream& operator<<(std::ostream& out, const StateRow& obj);
 
-typedef struct _InstanceState__isset {
-  _InstanceState__isset() : settings(false), targets(false) {}
-  bool settings :1;
-  bool targets :1;
-} _InstanceState__isset;
+typedef struct _TableState__isset {
+  _TableState__isset() : version(false), rows(false) {}
+  bool version :1;
+  bool rows :1;
+} _TableState__isset;
 
-class InstanceState : public virtual ::apache::thrift::TBase {
+class TableState : public virtual ::apache::thrift::TBase {
  public:
 
-  InstanceState(const InstanceState&);
-  InstanceState& operator=(const InstanceState&);
-  InstanceState() noexcept {
+  TableState(const TableState&);
+  TableState& operator=(const TableState&);
+  TableState() noexcept
+             : version(0) {
   }
 
-  virtual ~InstanceState() noexcept;
-  std::vector<StateRow>  settings;
-  std::vector<StateRow>  targets;
+  virtual ~TableState() noexcept;
+  int64_t version;
+  std::vector<StateRow>  rows;
 
-  _InstanceState__isset __isset;
+  _TableState__isset __isset;
 
-  void __set_settings(const std::vector<StateRow> & val);
+  void __set_version(const int64_t val);
 
-  void __set_targets(const std::vector<StateRow> & val);
+  void __set_rows(const std::vector<StateRow> & val);
 
-  bool operator == (const InstanceState & rhs) const
+  bool operator == (const TableState & rhs) const
   {
-    if (!(settings == rhs.settings))
+    if (!(version == rhs.version))
       return false;
-    if (!(targets == rhs.targets))
+    if (!(rows == rhs.rows))
       return false;
     return true;
   }
-  bool operator != (const InstanceState &rhs) const {
+  bool operator != (const TableState &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const InstanceState & ) const;
+  bool operator < (const TableState & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -119,9 +120,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(InstanceState &a, InstanceState &b);
+void swap(TableState &a, TableState &b);
 
-std::ostream& operator<<(std::ostream& out, const InstanceState& obj);
+std::ostream& operator<<(std::ostream& out, const TableState& obj);
 
 }} // namespace
 
--- a/src/traffic/CallerConnection.cpp
+++ b/src/traffic/CallerConnection.cpp
@@ -85,7 +85,7 @@
             return;
         }
         boost::system::error_code error;
-        std::size_t used = m_parser->put(asio::buffer(m_input), error);
+        std::size_t used = putBytes(*m_parser, m_input, error);
         m_input.erase(0, used);
         if (error && error != boost::beast::http::error::need_more) {
             refuse(error);
--- a/src/traffic/HttpChannel.cpp
+++ b/src/traffic/HttpChannel.cpp
@@ -162,7 +162,7 @@
                 m_parser->skip(true);
         }
         boost::system::error_code error;
-        std::size_t used = m_parser->put(asio::buffer(m_input), error);
+        std::size_t used = putBytes(*m_parser, m_input, error);
         if (m_isBroken || !m_handler)
             return;
         m_input.erase(0, used);
--- a/src/traffic/HttpParser.h
+++ b/src/traffic/HttpParser.h
@@ -8,7 +8,9 @@
 
 #include "limpetpond/Units.h"
 #include "platform/WireFields.h"
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/system/error_code.hpp>
 #include <string>
 #include <string_view>
@@ -105,6 +107,22 @@
     HttpAnswerHead m_head;
 };
 
+/// Hands bytes to a parser; returns how many it took. The rest is to be handed over again with what follows it.
+///
+///     input.erase(0, putBytes(parser, input, error));
+template <bool isRequest>
+std::size_t putBytes(boost::beast::http::basic_parser<isRequest>& parser, std::string_view bytes, boost::system::error_code& error)
+{
+    // The library's parser, called again in the last chunk, takes for granted that five bytes are there.
+    constexpr std::string_view lastChunkLine = "0\r\n";
+    constexpr std::size_t shortestEnd = 5;
+    if (parser.is_header_done() && parser.chunked() && bytes.size() < shortestEnd && bytes.substr(0, lastChunkLine.size()) == lastChunkLine) {
+        error = boost::beast::http::error::need_more;
+        return 0;
+    }
+    return parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+}
+
 /// True where the header block holds a line that continues the one before it.
 bool hasFoldedField(std::string_view header);
 
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -37,6 +37,7 @@
     std::string ip { "127.0.0.1" };
     int peerPort { closedPort() };
     std::vector<std::string> seedIps;
+    std::chrono::milliseconds targetHeartbeat { 1200 };
 };
 
 /// One instance in a thread of this process.
@@ -49,6 +50,7 @@
         m_boot.failureDomain = FailureDomainId("a");
         m_boot.ip = place.ip;
         m_boot.seedIps = place.seedIps;
+        m_boot.targetHeartbeat = place.targetHeartbeat;
         m_boot.callerAddress = address();
         m_boot.readinessAddress = address();
         m_boot.peerPort = place.peerPort;
@@ -455,6 +457,54 @@
     STRCMP_EQUAL("200", statusOf(connection.readAnswer()).c_str());
 }
 
+TEST(Gateway, anInstanceThatTheStoreRefusesLearnsFromAPeerThatReadsIt)
+{
+    auto serve = [](TargetCall& request) { request.answer(200, "done"); };
+    addTarget(serve);
+    addTarget(serve);
+    fakes::StoreFake refusing;
+    refusing.put("op", "config", documentOfVersion(1));
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        refusing.put("servers", "t" + std::to_string(i + 1), entryOf(i, "ready", 1));
+    start();
+    RunningNode refused(refusing.port(), { .instance = "front-a-2", .ip = "127.0.0.2", .peerPort = node->peerPort(), .seedIps = { "127.0.0.1" } });
+    CHECK(eventually([&] { return refused.readiness() == 200; }));
+    refusing.setFailStatus(503);
+    store->drop("servers", "t1");
+    auto callRefused = [&](const std::string& path) {
+        RawConnection connection(refused.callerPort(), refused.ip());
+        connection.send(requestText(path));
+        return statusOf(connection.readAnswer());
+    };
+    std::this_thread::sleep_for(1500ms);
+    int before = targets[0]->calls();
+    for (int i = 0; i < 5; ++i)
+        STRCMP_EQUAL("200", callRefused("/pay/x").c_str());
+    LONGS_EQUAL(before, targets[0]->calls());
+    store->put("op", "config", R"({"version":9,"routes":[],"services":[]})");
+    CHECK(eventually([&] { return callRefused("/pay/x") == "404"; }));
+}
+
+TEST(Gateway, settingsArriveSoonAfterTheStoreWasSilentForAWhile)
+{
+    addTarget([](TargetCall& request) { request.answer(200, "done"); });
+    store->put("op", "config", documentOfVersion(1));
+    node = std::make_unique<RunningNode>(store->port(), NodePlace { .targetHeartbeat = 200ms });
+    CHECK(eventually([&] { return node->readiness() == 200; }));
+    int sequence = 1;
+    auto writeEntriesFor = [&](std::chrono::milliseconds time) {
+        for (auto end = std::chrono::steady_clock::now() + time; std::chrono::steady_clock::now() < end; std::this_thread::sleep_for(50ms))
+            store->put("servers", "t1", entryOf(0, "ready", ++sequence));
+    };
+    writeEntriesFor(500ms);
+    store->setSilent(true);
+    writeEntriesFor(500ms);
+    store->setSilent(false);
+    store->put("op", "config", R"({"version":9,"routes":[],"services":[]})");
+    writeEntriesFor(1500ms);
+    STRCMP_EQUAL("404", statusOf(call(requestText("/pay/x"))).c_str());
+}
+
 TEST(Gateway, aCallerThatStallsInTheMiddleOfABodyIsDisconnected)
 {
     start();
--- /dev/null
+++ b/test/HttpParserTest.cpp
@@ -0,0 +1,48 @@
+#include "traffic/HttpParser.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+
+namespace {
+
+/// Hands the text over byte by byte, keeping what the parser leaves, as connections do.
+bool isWholeBytewise(RequestParser& parser, const std::string& text)
+{
+    std::string input;
+    for (char byte : text) {
+        input += byte;
+        boost::system::error_code error;
+        input.erase(0, putBytes(parser, input, error));
+        if (error && error != boost::beast::http::error::need_more)
+            return false;
+    }
+    return parser.is_done();
+}
+
+} // namespace
+
+TEST_GROUP(HttpParser)
+{
+    RequestParser parser { ByteCount(4096), ByteCount(4096) };
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+};
+
+TEST(HttpParser, anEmptyChunkedBodyMayArriveByteByByte)
+{
+    CHECK_TRUE(isWholeBytewise(parser, head + "0\r\n\r\n"));
+    STRCMP_EQUAL("", parser.takeRequest().body.c_str());
+}
+
+TEST(HttpParser, chunksMayArriveByteByByte)
+{
+    CHECK_TRUE(isWholeBytewise(parser, head + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"));
+    STRCMP_EQUAL("abcde", parser.takeRequest().body.c_str());
+}
+
+TEST(HttpParser, bytesBehindTheLastChunkThatAreNoFieldsAreRefused)
+{
+    CHECK_FALSE(isWholeBytewise(parser, head + "0\r\nabc\r0\n\r\n\r\n"));
+}
--- a/test/fakes/edge/StoreFake.h
+++ b/test/fakes/edge/StoreFake.h
@@ -70,6 +70,14 @@
         m_changed.notify_all();
     }
 
+    /// While silent, calls are taken in and never answered, not even later.
+    void setSilent(bool isSilent)
+    {
+        std::lock_guard lock(m_mutex);
+        m_isSilent = isSilent;
+        m_changed.notify_all();
+    }
+
     int calls()
     {
         std::lock_guard lock(m_mutex);
@@ -112,9 +120,20 @@
         answerJson(response, json::object { { "rows", std::move(rows) }, { "hasMore", false }, { "objVer", m_version }, { "serverTimeMs", 1 } });
     }
 
+    /// Holds a call that came while the store was silent until the end; tells whether it did.
+    bool swallowed(std::unique_lock<std::mutex>& lock)
+    {
+        if (!m_isSilent)
+            return false;
+        m_changed.wait(lock, [this] { return m_isStopping; });
+        return true;
+    }
+
     void list(const httplib::Request& request, httplib::Response& response)
     {
-        std::lock_guard lock(m_mutex);
+        std::unique_lock lock(m_mutex);
+        if (swallowed(lock))
+            return;
         if (!failed(response))
             answerRows(response, request.get_param_value("table"), 0, false);
     }
@@ -134,8 +153,8 @@
         std::string table = request.get_param_value("table");
         std::uint64_t after = std::stoull(request.get_param_value("after"));
         auto wait = std::chrono::milliseconds(std::stoi(request.get_param_value("waitMs")));
-        m_changed.wait_for(lock, wait, [&] { return m_isStopping || m_failStatus || after < m_oldestKnown || hasNews(table, after); });
-        if (failed(response))
+        m_changed.wait_for(lock, wait, [&] { return m_isStopping || m_isSilent || m_failStatus || after < m_oldestKnown || hasNews(table, after); });
+        if (swallowed(lock) || failed(response))
             return;
         if (after < m_oldestKnown)
             response.status = 410;
@@ -166,6 +185,7 @@
     std::uint64_t m_version { 1 };
     std::uint64_t m_oldestKnown { 0 };
     int m_failStatus { 0 };
+    bool m_isSilent { false };
     int m_calls { 0 };
     bool m_isStopping { false };
     int m_port { 0 };
--- /dev/null
+++ b/test/fuzz/edge/main.cpp
@@ -0,0 +1,132 @@
+/// Fuzzes what the gateway parses from the wire: requests of callers, answers and events of targets, news of
+/// peers. What is read must not depend on where the pieces are cut, and what is written again must be read the same.
+
+#include "core/EventScanner.h"
+#include "gateway/AnswerText.h"
+#include "gateway/PeerNews.h"
+#include "gateway/TableCopy.h"
+#include "traffic/HttpParser.h"
+#include <algorithm>
+#include <boost/beast/http/error.hpp>
+#include <cstdint>
+#include <cstdlib>
+#include <optional>
+#include <string>
+#include <string_view>
+
+using namespace limpetpond;
+
+namespace {
+
+constexpr ByteCount headerLimit { 16384 };
+constexpr ByteCount bodyLimit { 65536 };
+
+void check(bool holds)
+{
+    if (!holds)
+        std::abort();
+}
+
+/// Feeds the text in pieces; tells whether it holds a whole message.
+template <typename Parser>
+bool feed(Parser& parser, std::string_view text, std::size_t pieceSize)
+{
+    std::string input;
+    for (std::size_t at = 0; at < text.size() && !parser.is_done(); at += pieceSize) {
+        input.append(text.substr(at, pieceSize));
+        bool needsMore = false;
+        while (!needsMore && !input.empty() && !parser.is_done()) {
+            boost::system::error_code error;
+            std::size_t used = putBytes(parser, input, error);
+            input.erase(0, used);
+            if (error && error != boost::beast::http::error::need_more)
+                return false;
+            needsMore = error || !used;
+        }
+    }
+    return parser.is_done();
+}
+
+std::optional<HttpRequest> parseRequest(std::string_view text, std::size_t pieceSize)
+{
+    RequestParser parser(headerLimit, bodyLimit);
+    if (!feed(parser, text, pieceSize))
+        return std::nullopt;
+    return parser.takeRequest();
+}
+
+void fuzzRequest(std::string_view text)
+{
+    std::optional<HttpRequest> whole = parseRequest(text, text.size());
+    std::optional<HttpRequest> bytewise = parseRequest(text, 1);
+    check(whole.has_value() == bytewise.has_value());
+    if (!whole)
+        return;
+    check(whole->body == bytewise->body && whole->path == bytewise->path);
+    // What goes to a target must be read there as the one request that was meant.
+    std::string sent = targetRequestText(*whole, { .target = "t", .account = "a", .millisecondsLeft = 1 });
+    std::optional<HttpRequest> received = parseRequest(sent, sent.size());
+    check(received && received->method == whole->method && received->path == whole->path && received->body == whole->body);
+}
+
+struct ParsedAnswer {
+    int status { 0 };
+    std::string body;
+    bool operator==(const ParsedAnswer&) const = default;
+};
+
+class Collector final : public AnswerSink {
+public:
+    void onAnswerHead(HttpAnswerHead&& head) override { m_answer.status = head.status; }
+    void onAnswerBody(std::string_view bytes) override { m_answer.body.append(bytes); }
+    const ParsedAnswer& answer() const { return m_answer; }
+
+private:
+    ParsedAnswer m_answer;
+};
+
+std::optional<ParsedAnswer> parseAnswer(std::string_view text, std::size_t pieceSize)
+{
+    Collector collector;
+    AnswerParser parser(collector);
+    if (!feed(parser, text, pieceSize))
+        return std::nullopt;
+    return collector.answer();
+}
+
+std::string scanInPieces(std::string_view text, std::size_t pieceSize, EventScanner& scanner)
+{
+    std::string whole;
+    for (std::size_t at = 0; at < text.size(); at += pieceSize)
+        whole += scanEvents(scanner, text.substr(at, pieceSize)).whole;
+    return whole;
+}
+
+void fuzzEvents(std::string_view text)
+{
+    EventScanner atOnce;
+    EventScanner bytewise;
+    std::string whole = scanInPieces(text, text.size(), atOnce);
+    check(whole == scanInPieces(text, 1, bytewise));
+    check(atOnce.lastId == bytewise.lastId);
+    check(whole + atOnce.held == text);
+}
+
+} // namespace
+
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    if (!size)
+        return 0;
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    fuzzRequest(text);
+    check(parseAnswer(text, text.size()) == parseAnswer(text, 1));
+    fuzzEvents(text);
+    if (std::optional<InstanceNews> news = decodeNews(text))
+        check(decodeNews(encodeNews(*news)).has_value());
+    if (std::optional<TableCopy> table = decodeTable(text))
+        check(decodeTable(encodeTable(*table)).has_value());
+    return 0;
+}
--- /dev/null
+++ b/test/fuzz/rows/main.cpp
@@ -0,0 +1,73 @@
+/// Fuzzes what the platform's adapter decodes: the boot file, rows of the store, the operator's document and
+/// targets' entries. Whatever is accepted must be fit to serve by.
+
+#include "core/RouteIndex.h"
+#include "platform/BootSettings.h"
+#include "platform/OperatorDocument.h"
+#include "platform/StoreCalls.h"
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+using namespace limpetpond;
+
+namespace {
+
+void check(bool holds)
+{
+    if (!holds)
+        std::abort();
+}
+
+void fuzzSettings(std::string_view text)
+{
+    std::string whyNot;
+    std::optional<ServingSettings> settings = platform::decodeServingSettings(text, whyNot);
+    check(settings.has_value() || !whyNot.empty());
+    if (!settings)
+        return;
+    for (const RouteSettings& route : settings->routes)
+        check(!route.pools.empty() && route.maxTargets >= 1 && route.timeout.count() >= 0);
+    auto index = indexSettings(std::move(*settings));
+    for (const RouteSettings& route : index->settings.routes) {
+        const RouteSettings* found = findRoute(*index, route.host, route.prefix);
+        check(found && found->host == route.host);
+        choosePool(*found, text.size());
+    }
+}
+
+void fuzzTarget(std::string_view text)
+{
+    std::string whyNot;
+    std::optional<TargetEntry> entry = platform::decodeTargetEntry(TargetId("t"), text, whyNot);
+    check(entry.has_value() || !whyNot.empty());
+    if (entry)
+        check(!entry->pool.isEmpty() && !entry->address.empty());
+}
+
+void fuzzBootFile(const std::string& text)
+{
+    try {
+        check(!platform::parseBootSettings(text).instance.isEmpty());
+    } catch (const platform::BootSettingsError& error) {
+        check(*error.what() != 0);
+    }
+}
+
+} // namespace
+
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char*>(data), size);
+    fuzzSettings(text);
+    fuzzTarget(text);
+    fuzzBootFile(std::string(text));
+    if (std::optional<platform::RowsAnswer> answer = platform::decodeRows(text)) {
+        for (const platform::Row& row : answer->rows)
+            check(platform::keyAfter(row.key) > row.key);
+    }
+    return 0;
+}
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -17,4 +17,5 @@
   11: list<i32> closedTargets  // hashes of the ids of targets that the sender can't reach
   12: list<i32> waitingPools   // hashes of the ids of pools in which requests wait at the sender
   13: list<i32> demands        // of each of them: waiting requests, the urgent ones counted several times
+  14: i64 targetsVersion       // the store's version up to which the sender knows the targets; 0 for none
 }
--- a/thrift/instance_state.thrift
+++ b/thrift/instance_state.thrift
@@ -1,4 +1,4 @@
-// What an instance passes on to one that starts while the store is away: the rows that it last read.
+// What an instance passes on to one that has fallen behind: the rows of one table that it last read.
 // Fields are only ever added, with new numbers.
 
 namespace cpp limpetpond.rpc
@@ -8,7 +8,7 @@
   2: binary value
 }
 
-struct InstanceState {
-  1: list<StateRow> settings   // of the operator's table
-  2: list<StateRow> targets    // of the targets' table
+struct TableState {
+  1: i64 version               // the store's version up to which the rows are known
+  2: list<StateRow> rows
 }
