Few instances follow the targets' table in large fleets; places are indexed

Now up to 32 instances all follow the table; above that six do, and whoever hears fewer than two of them. Only changes that matter raise a row's version in what is passed on; the others ask a reader for what changed. News of peers are applied by index instead of by a pass over all targets; distances are computed again twice a second at most.

Ruled out: a subset of targets for each instance, since a request may need any engine while all places are busy; that stays open.

--- /dev/null
+++ b/src/core/StoreReaders.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Which instances follow the targets' table in the store themselves.
+///
+/// Load pattern: hundreds of instances before thousands of targets that write their entries once a second. Few
+/// instances read them then, and pass on what changed; the others read only while they hear too few of these.
+
+#include "limpetpond/Clock.h"
+#include <cstdint>
+#include <vector>
+
+namespace limpetpond {
+
+/// What a peer last said.
+struct ReadingPeer {
+    std::uint64_t hash { 0 }; ///< Of its id.
+    SteadyTime heardAt;
+    bool isReading { false }; ///< It follows the table and the store answers it.
+    bool isLeaving { false };
+};
+
+/// True where this instance should follow the table: in a small fleet always, otherwise where its hash is among the
+/// lowest, or where too few readers were heard within the last news intervals.
+///
+///     reader.setFollowing(shouldRead(ownHash, peers, now, 100ms));
+bool shouldRead(std::uint64_t ownHash, const std::vector<ReadingPeer>&, SteadyTime now, Duration newsInterval);
+
+} // namespace limpetpond
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -102,7 +102,7 @@
 
 void Gateway::targetsChanged()
 {
-    m_metrics.targets.set(static_cast<std::int64_t>(m_pools.targetIds().size()));
+    m_metrics.targets.set(static_cast<std::int64_t>(m_pools.targets()));
     for (auto& [id, pool] : m_pools.all())
         pump(pool);
 }
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -184,6 +184,7 @@
 
 void Gateway::checkWaiting(SteadyTime now)
 {
+    m_pools.refreshDistances(now);
     std::int64_t waiting = 0;
     for (auto& [id, pool] : m_pools.all()) {
         for (WaitTicket ticket : pastUse(pool.line, now))
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/OperatorDocument.h"
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <set>
 
@@ -48,6 +49,7 @@
               .onSilent =
                   [this](const InstanceId& peer) {
                       m_log.line("warning", "peer_silent", { { "peer", peer.value() } });
+                      m_readingPeers.erase(peer);
                       m_gateway.peerSilent(peer);
                   } })
     , m_callers(context)
@@ -60,9 +62,9 @@
     , m_writer(context, clock,
           { .store = storeEndpoint(boot), .table = std::string(platform::instanceTable), .key = boot.instance.value(), .value = boot.ip, .onWritten = [this] { m_instanceReader.start(); } })
     , m_settingsFetcher(context, clock,
-          { .path = std::string(settingsPath), .peerPort = boot.peerPort, .tolerance = settingsTolerance, .onTable = [this](const TableCopy& table) { takePeerSettings(table); } })
+          { .path = std::string(settingsPath), .peerPort = boot.peerPort, .onPart = [this](const TablePart& part) { takePeerSettings(part); } })
     , m_targetFetcher(context, clock,
-          { .path = std::string(targetsPath), .peerPort = boot.peerPort, .tolerance = targetsTolerance, .onTable = [this](const TableCopy& table) { takePeerTargets(table); } })
+          { .path = std::string(targetsPath), .peerPort = boot.peerPort, .onPart = [this](const TablePart& part) { takePeerTargets(part); } })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_newsSentAt(clock.steadyNow())
@@ -136,7 +138,7 @@
         auto version = static_cast<std::int64_t>(settings->version.value());
         bool isInForce = m_gateway.applySettings(std::move(*settings));
         if (isInForce)
-            m_settingsRows = { .version = m_gateway.settings()->settings.version.value(), .rows = { { row.key, row.value } } };
+            noteRow(m_settingsRows, row.key, { .value = row.value, .version = m_gateway.settings()->settings.version.value() });
         m_log.line("info", isInForce ? "settings_in_force" : "settings_ignored", { { "version", version } });
     }
     m_gateway.targetsChanged();
@@ -144,46 +146,49 @@
 
 void Node::takeTargetRows(const TableNews& news)
 {
-    noteRows(m_targetRows, news);
     std::set<TargetId> present;
     for (const platform::Row& row : news.rows) {
         TargetId id { row.key };
         if (row.isDeleted) {
-            dropTarget(id, news.afterOutage);
+            dropTarget(id, row.version, news.afterOutage);
             continue;
         }
-        if (putTargetRow(row))
+        RowEffect effect = putTargetRow(row);
+        if (effect != RowEffect::Unchanged)
+            noteRow(m_targetRows, row.key, { .value = row.value, .version = row.version });
+        if (effect != RowEffect::Unreadable)
             present.insert(id);
     }
     if (news.isWholeTable) {
         for (const TargetId& known : m_gateway.pools().targetIds()) {
             if (!present.contains(known))
-                dropTarget(known, news.afterOutage);
+                dropTarget(known, news.version, news.afterOutage);
         }
     }
     m_gateway.targetsChanged();
 }
 
-bool Node::putTargetRow(const platform::Row& row)
+Node::RowEffect Node::putTargetRow(const platform::Row& row)
 {
     std::string whyNot;
     std::optional<TargetEntry> entry = platform::decodeTargetEntry(TargetId(row.key), row.value, whyNot);
     if (!entry) {
         m_log.line("warning", "target_entry_unreadable", { { "target", row.key }, { "reason", whyNot } });
         m_gateway.pools().removeTarget(TargetId(row.key));
-        return false;
+        return RowEffect::Unreadable;
     }
-    if (m_gateway.pools().putTarget(*entry)) {
-        m_log.line("info", "target_changed",
-            { { "target", row.key }, { "pool", entry->pool.value() }, { "address", entry->address }, { "draining", entry->isDraining },
-                { "sequence", static_cast<std::int64_t>(entry->sequence) } });
-    }
-    return true;
+    if (!m_gateway.pools().putTarget(*entry))
+        return RowEffect::Unchanged;
+    m_log.line("info", "target_changed",
+        { { "target", row.key }, { "pool", entry->pool.value() }, { "address", entry->address }, { "draining", entry->isDraining },
+            { "sequence", static_cast<std::int64_t>(entry->sequence) } });
+    return RowEffect::Changed;
 }
 
-void Node::dropTarget(const TargetId& target, bool afterOutage)
+void Node::dropTarget(const TargetId& target, std::uint64_t version, bool afterOutage)
 {
     m_log.line("info", "target_dropped", { { "target", target.value() }, { "after_outage", afterOutage } });
+    noteRow(m_targetRows, target.value(), { .version = version, .isDeleted = true, .afterOutage = afterOutage });
     if (afterOutage)
         m_gateway.pools().markMissing(target, m_clock.steadyNow());
     else
@@ -201,28 +206,56 @@
 void Node::takePeerNews(const InstanceNews& news, const std::string& ip)
 {
     SteadyTime now = m_clock.steadyNow();
+    m_readingPeers[news.instance] = { .hash = shortHash(news.instance.value()), .heardAt = now, .isReading = news.readsTargets, .isLeaving = news.isLeaving };
     m_settingsFetcher.notePeer(news.settingsVersion.value(), ip, now);
     m_targetFetcher.notePeer(news.targetsVersion, ip, now);
     m_gateway.takePeerNews(news);
 }
 
-void Node::takePeerSettings(const TableCopy& table)
+void Node::takePeerSettings(const TablePart& part)
 {
-    if (table.version <= m_settingsRows.version)
+    if (part.version <= m_settingsRows.version)
         return;
-    m_log.line("info", "settings_from_peer", { { "version", static_cast<std::int64_t>(table.version) } });
-    takeSettingsRows(newsOf(table));
+    m_log.line("info", "settings_from_peer", { { "version", static_cast<std::int64_t>(part.version) } });
+    TableNews news;
+    for (const auto& [key, row] : part.rows)
+        news.rows.push_back({ .key = key, .value = row.value, .version = row.version });
+    takeSettingsRows(news);
 }
 
-void Node::takePeerTargets(const TableCopy& table)
+void Node::takePeerTargets(const TablePart& part)
 {
     // The store's own answer may have come meanwhile.
-    if (table.version <= targetsVersion())
+    if (part.version <= targetsVersion())
+        return;
+    m_log.line("info", "targets_from_peer",
+        { { "version", static_cast<std::int64_t>(part.version) }, { "rows", static_cast<std::int64_t>(part.rows.size()) }, { "whole", part.isWhole } });
+    // What a peer no longer has may be gone for long, or not be back yet after an outage.
+    TableNews news { .isWholeTable = part.isWhole, .afterOutage = true, .version = part.version };
+    for (const auto& [key, row] : part.rows) {
+        if (row.isDeleted)
+            dropTarget(TargetId(key), row.version, row.afterOutage);
+        else
+            news.rows.push_back({ .key = key, .value = row.value, .version = row.version });
+    }
+    takeTargetRows(news);
+    m_targetRows.version = std::max(m_targetRows.version, part.version);
+}
+
+void Node::chooseReaders(SteadyTime now)
+{
+    std::vector<ReadingPeer> peers;
+    peers.reserve(m_readingPeers.size());
+    for (const auto& [id, peer] : m_readingPeers)
+        peers.push_back(peer);
+    bool reads = shouldRead(shortHash(m_boot.instance.value()), peers, now, m_peers.interval());
+    if (reads == m_targetReader.isFollowing())
         return;
-    m_log.line("info", "targets_from_peer", { { "version", static_cast<std::int64_t>(table.version) }, { "rows", static_cast<std::int64_t>(table.rows.size()) } });
-    takeTargetRows(newsOf(table));
+    m_log.line("info", "reads_targets", { { "itself", reads }, { "peers", static_cast<std::int64_t>(peers.size()) } });
+    m_targetReader.setFollowing(reads);
 }
 
+/// A reader knows of every change up to its version, also where none mattered.
 std::uint64_t Node::targetsVersion() const { return std::max(m_targetRows.version, m_targetReader.version()); }
 
 void Node::waitForSignal()
@@ -286,8 +319,9 @@
     m_targetReader.tick(now);
     m_instanceReader.tick(now);
     m_writer.tick(now);
-    m_settingsFetcher.tick(m_settingsRows.version, now);
-    m_targetFetcher.tick(targetsVersion(), now);
+    chooseReaders(now);
+    m_settingsFetcher.tick(m_settingsRows.version, settingsTolerance, now);
+    m_targetFetcher.tick(targetsVersion(), m_targetReader.isReading() ? targetsTolerance : Duration::zero(), now);
     sendNews(now);
     m_log.flush();
     checkShutdown(now);
@@ -300,7 +334,8 @@
     m_newsSentAt = now;
     InstanceNews news = m_gateway.news();
     news.sequence = ++m_newsSequence;
-    news.targetsVersion = targetsVersion();
+    news.targetsVersion = m_targetRows.version;
+    news.readsTargets = m_targetReader.isReading();
     m_peers.send(news);
 }
 
@@ -313,15 +348,20 @@
     return { .status = isReady() ? 200 : 503 };
 }
 
+/// Answers `/rows/TABLE/VERSION` with what changed of the table after the version.
 SmallAnswer Node::answerRows(const HttpRequest& request) const
 {
-    const TableCopy* table = request.path == settingsPath ? &m_settingsRows : request.path == targetsPath ? &m_targetRows
-                                                                                                          : nullptr;
-    if (!table)
+    std::string_view path = request.path;
+    std::size_t slash = path.rfind('/');
+    std::string_view table = path.substr(0, slash);
+    const TableCopy* copy = table == settingsPath ? &m_settingsRows : table == targetsPath ? &m_targetRows
+                                                                                           : nullptr;
+    std::uint64_t version = 0;
+    if (!copy || std::from_chars(path.data() + slash + 1, path.data() + path.size(), version).ec != std::errc())
         return { .status = 404 };
-    if (!table->version)
+    if (!copy->version)
         return { .status = 503 };
-    return { .contentType = "application/x-thrift", .body = encodeTable(*table) };
+    return { .contentType = "application/x-thrift", .body = encodePart(changesAfter(*copy, version)) };
 }
 
 SmallAnswer Node::answerMetrics(const HttpRequest&) const { return { .body = m_gateway.metricsText() }; }
--- a/src/gateway/Node.h
+++ b/src/gateway/Node.h
@@ -3,6 +3,7 @@
 /// One instance of the gateway as a process: listeners, store readers, peers, signals and timers
 /// around `Gateway`.
 
+#include "core/StoreReaders.h"
 #include "gateway/Gateway.h"
 #include "gateway/PeerNews.h"
 #include "gateway/SmallServer.h"
@@ -13,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,12 +38,18 @@
     void takeTargetRows(const TableNews&);
     void takeInstanceRows(const TableNews&);
     void takePeerNews(const InstanceNews&, const std::string& ip);
-    void takePeerSettings(const TableCopy&);
-    void takePeerTargets(const TableCopy&);
+    void takePeerSettings(const TablePart&);
+    void takePeerTargets(const TablePart&);
+    void chooseReaders(SteadyTime now);
     SmallAnswer answerRows(const HttpRequest&) const;
     std::uint64_t targetsVersion() const;
-    bool putTargetRow(const platform::Row&);
-    void dropTarget(const TargetId&, bool afterOutage);
+    enum class RowEffect {
+        Unchanged,
+        Changed,
+        Unreadable,
+    };
+    RowEffect putTargetRow(const platform::Row&);
+    void dropTarget(const TargetId&, std::uint64_t version, bool afterOutage);
     StoreReader makeReader(StoreReaderOptions);
     void noteReachable(const std::string& table, bool reachable, std::string_view reason);
     void waitForSignal();
@@ -66,6 +74,7 @@
     SmallServer m_rowsServer;
     TableCopy m_settingsRows; ///< Of the settings in force; its version is theirs.
     TableCopy m_targetRows;
+    std::map<InstanceId, ReadingPeer> m_readingPeers;
     StoreReader m_settingsReader;
     StoreReader m_targetReader;
     StoreReader m_instanceReader;
--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -25,6 +25,7 @@
         wire.sequence = static_cast<std::int64_t>(news.sequence);
         wire.settingsVersion = static_cast<std::int64_t>(news.settingsVersion.value());
         wire.targetsVersion = static_cast<std::int64_t>(news.targetsVersion);
+        wire.readsTargets = news.readsTargets;
         wire.leaving = news.isLeaving;
         wire.failureDomain = news.failureDomain.value();
         for (const InstanceNews::TargetWork& work : news.targets) {
@@ -52,6 +53,7 @@
             .sequence = static_cast<std::uint64_t>(wire.sequence),
             .settingsVersion = SettingsVersion(static_cast<std::uint64_t>(wire.settingsVersion)),
             .targetsVersion = static_cast<std::uint64_t>(wire.targetsVersion),
+            .readsTargets = wire.readsTargets,
             .isLeaving = wire.leaving,
         };
         for (std::size_t i = 0; i < std::min(wire.targets.size(), wire.inProgress.size()); ++i)
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -25,7 +25,8 @@
     std::uint64_t incarnation { 0 };
     std::uint64_t sequence { 0 };
     SettingsVersion settingsVersion;
-    std::uint64_t targetsVersion { 0 }; ///< The store's version up to which the sender knows the targets; 0 for none.
+    std::uint64_t targetsVersion { 0 }; ///< The store's version of the last change of a target known to the sender; 0 for none.
+    bool readsTargets { false }; ///< The sender follows the targets' table, and the store answers it.
     bool isLeaving { false };
     struct TargetWork {
         std::uint32_t target { 0 }; ///< `shortHash` of the id.
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -9,6 +9,8 @@
 
     constexpr std::size_t mostIdleChannels = 8; ///< For each target; a target runs about this many requests at once.
 
+    constexpr Duration distanceInterval = std::chrono::milliseconds(500); ///< All targets are placed among all instances anew.
+
     bool isSameEntry(const TargetEntry& a, const TargetEntry& b)
     {
         return a.pool == b.pool && a.address == b.address && a.isDraining == b.isDraining && a.slots == b.slots
@@ -62,23 +64,10 @@
         this->pool(pool.id).maxConnections = pool.maxConnections;
 }
 
-std::optional<Pools::Place> Pools::placeOf(const TargetId& target) const
-{
-    auto known = m_poolOfTarget.find(target);
-    if (known == m_poolOfTarget.end())
-        return std::nullopt;
-    const PoolState& pool = m_pools.at(known->second);
-    for (std::size_t i = 0; i < pool.targets.size(); ++i) {
-        if (pool.targets[i].entry.id == target)
-            return Place { known->second, i };
-    }
-    return std::nullopt;
-}
-
 TargetState* Pools::findTarget(const TargetId& target)
 {
-    std::optional<Place> place = placeOf(target);
-    return place ? &m_pools.at(place->pool).targets[place->index] : nullptr;
+    auto found = m_places.find(target);
+    return found == m_places.end() ? nullptr : &found->second.pool->targets[found->second.index];
 }
 
 bool Pools::putTarget(const TargetEntry& entry)
@@ -105,21 +94,34 @@
     state.hasStaleShares = true;
     state.targets.push_back(std::move(target));
     state.links.push_back(std::move(link));
-    m_poolOfTarget[entry.id] = entry.pool;
+    notePlace(state, state.targets.size() - 1);
     return true;
 }
 
+void Pools::notePlace(PoolState& pool, std::size_t index)
+{
+    Place place { .pool = &pool, .index = index };
+    m_places[pool.targets[index].entry.id] = place;
+    m_placesByHash[pool.links[index].hash] = place;
+}
+
 void Pools::removeTarget(const TargetId& target)
 {
-    std::optional<Place> place = placeOf(target);
-    m_poolOfTarget.erase(target);
-    if (!place)
+    auto found = m_places.find(target);
+    if (found == m_places.end())
         return;
-    PoolState& pool = m_pools.at(place->pool);
-    for (const std::shared_ptr<HttpChannel>& channel : pool.links[place->index].idle)
+    auto [pool, index] = found->second;
+    for (const std::shared_ptr<HttpChannel>& channel : pool->links[index].idle)
         channel->abandon();
-    pool.targets.erase(pool.targets.begin() + static_cast<std::ptrdiff_t>(place->index));
-    pool.links.erase(pool.links.begin() + static_cast<std::ptrdiff_t>(place->index));
+    m_placesByHash.erase(pool->links[index].hash);
+    m_places.erase(found);
+    if (index + 1 < pool->targets.size()) {
+        pool->targets[index] = std::move(pool->targets.back());
+        pool->links[index] = std::move(pool->links.back());
+        notePlace(*pool, index);
+    }
+    pool->targets.pop_back();
+    pool->links.pop_back();
 }
 
 void Pools::markMissing(const TargetId& target, SteadyTime now)
@@ -146,7 +148,7 @@
 std::vector<TargetId> Pools::targetIds() const
 {
     std::vector<TargetId> ids;
-    for (const auto& [target, pool] : m_poolOfTarget)
+    for (const auto& [target, place] : m_places)
         ids.push_back(target);
     return ids;
 }
@@ -166,15 +168,15 @@
 
 void Pools::keepChannel(const TargetId& target, const std::shared_ptr<HttpChannel>& channel, SteadyTime now)
 {
-    std::optional<Place> place = placeOf(target);
-    if (!place || !channel->isReusable(now)) {
+    auto found = m_places.find(target);
+    if (found == m_places.end() || !channel->isReusable(now)) {
         channel->abandon();
         return;
     }
-    PoolState& pool = m_pools.at(place->pool);
+    auto [pool, index] = found->second;
     std::size_t allowed = idleConnectionsAllowed(
-        { .maxConnections = pool.maxConnections, .instances = peers() + 1, .inProgress = pool.targets[place->index].ownInProgress });
-    std::vector<std::shared_ptr<HttpChannel>>& idle = pool.links[place->index].idle;
+        { .maxConnections = pool->maxConnections, .instances = peers() + 1, .inProgress = pool->targets[index].ownInProgress });
+    std::vector<std::shared_ptr<HttpChannel>>& idle = pool->links[index].idle;
     idle.push_back(channel);
     while (idle.size() > allowed) {
         idle.front()->abandon();
@@ -191,8 +193,8 @@
     addPeer(known, -1);
     addPeer(view, 1);
     known = std::move(view);
-    if (isNew)
-        peersChanged();
+    known.hash = shortHash(peer.value());
+    m_hasStaleDistances = m_hasStaleDistances || isNew;
 }
 
 void Pools::removePeer(const InstanceId& peer)
@@ -202,21 +204,18 @@
         return;
     addPeer(found->second, -1);
     m_peers.erase(found);
-    peersChanged();
+    m_hasStaleDistances = true;
 }
 
 void Pools::addPeer(const PeerView& peer, int sign)
 {
-    if (peer.work.empty() && peer.closedTargets.empty())
-        return;
-    for (auto& [id, pool] : m_pools) {
-        for (std::size_t i = 0; i < pool.targets.size(); ++i) {
-            std::uint32_t hash = pool.links[i].hash;
-            if (auto found = peer.work.find(hash); found != peer.work.end())
-                pool.targets[i].peersInProgress += sign * found->second;
-            if (contains(peer.closedTargets, hash))
-                pool.targets[i].closedByPeers += sign;
-        }
+    for (const auto& [hash, count] : peer.work) {
+        if (auto found = m_placesByHash.find(hash); found != m_placesByHash.end())
+            found->second.pool->targets[found->second.index].peersInProgress += sign * count;
+    }
+    for (std::uint32_t hash : peer.closedTargets) {
+        if (auto found = m_placesByHash.find(hash); found != m_placesByHash.end())
+            found->second.pool->targets[found->second.index].closedByPeers += sign;
     }
 }
 
@@ -228,26 +227,31 @@
         if (contains(view.closedTargets, hash))
             ++target.closedByPeers;
     }
-    placeAmongAll(target, hash);
+    target.distance = distanceOf(target.entry.failureDomain, hash, m_here, allInstances());
+}
+
+std::vector<PlacingInstance> Pools::allInstances() const
+{
+    std::vector<PlacingInstance> all { m_here };
+    for (const auto& [peer, view] : m_peers)
+        all.push_back({ .hash = view.hash, .failureDomain = view.failureDomain });
+    return all;
 }
 
-void Pools::peersChanged()
+void Pools::refreshDistances(SteadyTime now)
 {
+    if (!m_hasStaleDistances || now - m_distancesAt < distanceInterval)
+        return;
+    m_hasStaleDistances = false;
+    m_distancesAt = now;
+    std::vector<PlacingInstance> all = allInstances();
     for (auto& [id, pool] : m_pools) {
         pool.hasStaleShares = true;
         for (std::size_t i = 0; i < pool.targets.size(); ++i)
-            placeAmongAll(pool.targets[i], pool.links[i].hash);
+            pool.targets[i].distance = distanceOf(pool.targets[i].entry.failureDomain, pool.links[i].hash, m_here, all);
     }
 }
 
-void Pools::placeAmongAll(TargetState& target, std::uint32_t hash) const
-{
-    std::vector<PlacingInstance> all { m_here };
-    for (const auto& [peer, view] : m_peers)
-        all.push_back({ .hash = shortHash(peer.value()), .failureDomain = view.failureDomain });
-    target.distance = distanceOf(target.entry.failureDomain, hash, m_here, all);
-}
-
 void Pools::sharePlaces(PoolState& pool, Duration newsInterval)
 {
     double demand = waitingDemand(pool);
@@ -260,7 +264,7 @@
     std::vector<PlacingInstance> waiting;
     for (const auto& [peer, view] : m_peers) {
         if (auto found = view.demands.find(pool.hash); found != view.demands.end())
-            waiting.push_back({ .hash = shortHash(peer.value()), .failureDomain = view.failureDomain, .demand = found->second });
+            waiting.push_back({ .hash = view.hash, .failureDomain = view.failureDomain, .demand = found->second });
     }
     auto serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(pool.serviceMilliseconds));
     bool isSharedOut = canShareOut(pool.targets.size(), waiting.size() + 1, trustInNews(serviceTime, newsInterval));
--- a/src/gateway/Pools.h
+++ b/src/gateway/Pools.h
@@ -28,6 +28,7 @@
 
 /// What a peer last said.
 struct PeerView {
+    std::uint32_t hash { 0 }; ///< `shortHash` of its id.
     FailureDomainId failureDomain;
     std::unordered_map<std::uint32_t, int> work; ///< Requests in progress by the hash of the target's id.
     std::vector<std::uint32_t> closedTargets; ///< Hashes, in rising order.
@@ -93,6 +94,7 @@
 
     TargetState* findTarget(const TargetId&);
     std::vector<TargetId> targetIds() const;
+    std::size_t targets() const { return m_places.size(); }
 
     /// A connection to the pool's target at `place`: an idle one, or a new one.
     std::shared_ptr<HttpChannel> takeChannel(PoolState&, std::size_t place, SteadyTime now);
@@ -107,6 +109,10 @@
     /// To be called some times a second.
     void sharePlaces(PoolState&, Duration newsInterval);
 
+    /// Places the targets among the instances again, as far as instances came or went.
+    /// To be called some times a second.
+    void refreshDistances(SteadyTime now);
+
     /// Forgets a peer that is silent.
     void removePeer(const InstanceId&);
 
@@ -115,22 +121,24 @@
 
 private:
     struct Place {
-        PoolId pool;
+        PoolState* pool { nullptr }; ///< Pools are never removed.
         std::size_t index { 0 };
     };
-    std::optional<Place> placeOf(const TargetId&) const;
+    void notePlace(PoolState&, std::size_t index);
     void addPeer(const PeerView&, int sign);
     void applyPeers(TargetState&, std::uint32_t hash) const;
-    void peersChanged();
-    void placeAmongAll(TargetState&, std::uint32_t hash) const;
+    std::vector<PlacingInstance> allInstances() const;
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
     ResendBudgetOptions m_resendOptions;
     std::map<PoolId, PoolState> m_pools;
-    std::unordered_map<TargetId, PoolId> m_poolOfTarget;
+    std::unordered_map<TargetId, Place> m_places;
+    std::unordered_map<std::uint32_t, Place> m_placesByHash;
     PlacingInstance m_here;
     std::map<InstanceId, PeerView> m_peers;
+    bool m_hasStaleDistances { false };
+    SteadyTime m_distancesAt;
 };
 
 } // namespace limpetpond
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -42,6 +42,20 @@
     return std::chrono::duration_cast<Duration>(heartbeatsUntilSilent * m_options.rowHeartbeat);
 }
 
+void StoreReader::setFollowing(bool follows)
+{
+    if (follows == m_isFollowing)
+        return;
+    m_isFollowing = follows;
+    m_isListing = true;
+    if (follows) {
+        callAgain();
+        return;
+    }
+    m_timer.cancel();
+    m_call.closeConnection();
+}
+
 void StoreReader::callAgain()
 {
     m_timer.cancel();
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -42,6 +42,14 @@
     /// To be called several times a second: ends calls that take too long.
     void tick(SteadyTime now) { m_call.tick(now); }
 
+    /// Begins or ceases to follow the table; who begins again reads the whole table first.
+    void setFollowing(bool);
+
+    bool isFollowing() const { return m_isFollowing; }
+
+    /// True while it follows the table and the store answers.
+    bool isReading() const { return m_isFollowing && m_isReachable && m_hasRead; }
+
     bool hasRead() const { return m_hasRead; }
 
     /// The store's version up to which the table is known; 0 before the first whole read.
@@ -63,6 +71,7 @@
     boost::asio::steady_timer m_timer;
     SmallCall m_call;
     bool m_hasRead { false };
+    bool m_isFollowing { true };
     bool m_isListing { true };
     bool m_hasRows { false }; ///< Rows that are written again and again were seen.
     bool m_isReachable { true };
--- a/src/gateway/TableCopy.h
+++ b/src/gateway/TableCopy.h
@@ -1,6 +1,8 @@
 #pragma once
 
 /// The rows of one table as last read, kept to be passed on to instances that have fallen behind.
+///
+/// Only changes that matter raise a row's version: targets write their entries again all the time.
 
 #include "gateway/StoreReader.h"
 #include <cstdint>
@@ -11,25 +13,42 @@
 
 namespace limpetpond {
 
+/// One row, or the trace of one that is gone.
+struct CopiedRow {
+    std::string value;
+    std::uint64_t version { 0 }; ///< The store's version of the last change that mattered.
+    bool isDeleted { false };
+    bool afterOutage { false }; ///< Found gone right after the store was away.
+    bool operator==(const CopiedRow&) const = default;
+};
+
 struct TableCopy {
-    std::uint64_t version { 0 }; ///< The store's version up to which the rows are known; 0 for nothing read.
-    std::map<std::string, std::string> rows; ///< Values by key.
+    std::uint64_t version { 0 }; ///< The highest of a row; 0 for nothing known.
+    std::uint64_t completeAfter { 0 }; ///< Of changes after this version, also the traces of rows that are gone are kept.
+    std::map<std::string, CopiedRow> rows;
 };
 
-/// Takes in what a reader hands on.
+/// Notes a row that changed or is gone.
 ///
-///     noteRows(copy, news);
-void noteRows(TableCopy&, const TableNews&);
+///     noteRow(copy, "i-1", { .value = bytes, .version = 7 });
+void noteRow(TableCopy&, const std::string& key, CopiedRow);
+
+/// What is passed on of a table.
+struct TablePart {
+    std::uint64_t version { 0 };
+    bool isWhole { true }; ///< All rows; otherwise those that changed after the version asked for.
+    std::map<std::string, CopiedRow> rows;
+};
 
-/// The bytes that are passed on, and back; nothing where they can't be read.
+/// The rows that changed after the version; the whole table where traces are missing.
 ///
-///     std::optional<TableCopy> copy = decodeTable(encodeTable(own));
-std::string encodeTable(const TableCopy&);
-std::optional<TableCopy> decodeTable(std::string_view bytes);
+///     TablePart part = changesAfter(copy, 17);
+TablePart changesAfter(const TableCopy&, std::uint64_t version);
 
-/// The whole copy as news.
+/// The bytes that are passed on, and back; nothing where they can't be read.
 ///
-///     takeTargetRows(newsOf(copy));
-TableNews newsOf(const TableCopy&);
+///     std::optional<TablePart> part = decodePart(encodePart(changesAfter(copy, 17)));
+std::string encodePart(const TablePart&);
+std::optional<TablePart> decodePart(std::string_view bytes);
 
 } // namespace limpetpond
--- a/src/gateway/TableFetcher.h
+++ b/src/gateway/TableFetcher.h
@@ -11,10 +11,9 @@
 namespace limpetpond {
 
 struct TableFetcherOptions {
-    std::string path; ///< The request target at which peers pass the table on.
+    std::string path; ///< Where peers pass the table on.
     int peerPort { 0 }; ///< The same on every instance.
-    Duration tolerance { 0 }; ///< How long a peer may be ahead before it is asked.
-    std::function<void(const TableCopy&)> onTable;
+    std::function<void(const TablePart&)> onPart;
 };
 
 class TableFetcher {
@@ -24,8 +23,9 @@
     /// A peer's version of the table, as its news say.
     void notePeer(std::uint64_t version, const std::string& ip, SteadyTime now) { notePeerVersion(m_lead, version, ip, now); }
 
-    /// To be called several times a second, with the version that this instance has.
-    void tick(std::uint64_t ownVersion, SteadyTime now);
+    /// To be called several times a second, with the version that this instance has, and for how long
+    /// a peer may be ahead before it is asked.
+    void tick(std::uint64_t ownVersion, Duration tolerance, SteadyTime now);
 
 private:
     void onCallEnd(const SmallCallEnd&);
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -73,6 +73,10 @@
 void InstanceNews::__set_targetsVersion(const int64_t val) {
   this->targetsVersion = val;
 }
+
+void InstanceNews::__set_readsTargets(const bool val) {
+  this->readsTargets = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -297,6 +301,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->readsTargets);
+          this->__isset.readsTargets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -426,6 +438,10 @@
   xfer += oprot->writeI64(this->targetsVersion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("readsTargets", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->readsTargets);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -447,6 +463,7 @@
   swap(a.waitingPools, b.waitingPools);
   swap(a.demands, b.demands);
   swap(a.targetsVersion, b.targetsVersion);
+  swap(a.readsTargets, b.readsTargets);
   swap(a.__isset, b.__isset);
 }
 
@@ -465,6 +482,7 @@
   waitingPools = other42.waitingPools;
   demands = other42.demands;
   targetsVersion = other42.targetsVersion;
+  readsTargets = other42.readsTargets;
   __isset = other42.__isset;
 }
 InstanceNews& InstanceNews::operator=(const InstanceNews& other43) {
@@ -482,6 +500,7 @@
   waitingPools = other43.waitingPools;
   demands = other43.demands;
   targetsVersion = other43.targetsVersion;
+  readsTargets = other43.readsTargets;
   __isset = other43.__isset;
   return *this;
 }
@@ -502,6 +521,7 @@
   out << ", " << "waitingPools=" << to_string(waitingPools);
   out << ", " << "demands=" << to_string(demands);
   out << ", " << "targetsVersion=" << to_string(targetsVersion);
+  out << ", " << "readsTargets=" << to_string(readsTargets);
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -24,7 +24,7 @@
 class InstanceNews;
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -39,6 +39,7 @@
   bool waitingPools :1;
   bool demands :1;
   bool targetsVersion :1;
+  bool readsTargets :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -53,7 +54,8 @@
                  settingsVersion(0),
                  leaving(0),
                  failureDomain(),
-                 targetsVersion(0) {
+                 targetsVersion(0),
+                 readsTargets(0) {
   }
 
   virtual ~InstanceNews() noexcept;
@@ -71,6 +73,7 @@
   std::vector<int32_t>  waitingPools;
   std::vector<int32_t>  demands;
   int64_t targetsVersion;
+  bool readsTargets;
 
   _InstanceNews__isset __isset;
 
@@ -102,6 +105,8 @@
 
   void __set_targetsVersion(const int64_t val);
 
+  void __set_readsTargets(const bool val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -132,6 +137,8 @@
       return false;
     if (!(targetsVersion == rhs.targetsVersion))
       return false;
+    if (!(readsTargets == rhs.readsTargets))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/src/gen/instance_state_types.cpp
+++ b/src/gen/instance_state_types.cpp
@@ -25,6 +25,18 @@
 void StateRow::__set_value(const std::string& val) {
   this->value = val;
 }
+
+void StateRow::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void StateRow::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void StateRow::__set_afterOutage(const bool val) {
+  this->afterOutage = val;
+}
 std::ostream& operator<<(std::ostream& out, const StateRow& obj)
 {
   obj.printTo(out);
@@ -69,6 +81,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->afterOutage);
+          this->__isset.afterOutage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -94,6 +130,18 @@
   xfer += oprot->writeBinary(this->value);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("afterOutage", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->afterOutage);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -103,17 +151,26 @@
   using ::std::swap;
   swap(a.key, b.key);
   swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.deleted, b.deleted);
+  swap(a.afterOutage, b.afterOutage);
   swap(a.__isset, b.__isset);
 }
 
 StateRow::StateRow(const StateRow& other0) {
   key = other0.key;
   value = other0.value;
+  version = other0.version;
+  deleted = other0.deleted;
+  afterOutage = other0.afterOutage;
   __isset = other0.__isset;
 }
 StateRow& StateRow::operator=(const StateRow& other1) {
   key = other1.key;
   value = other1.value;
+  version = other1.version;
+  deleted = other1.deleted;
+  afterOutage = other1.afterOutage;
   __isset = other1.__isset;
   return *this;
 }
@@ -122,6 +179,9 @@
   out << "StateRow(";
   out << "key=" << to_string(key);
   out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "afterOutage=" << to_string(afterOutage);
   out << ")";
 }
 
@@ -137,6 +197,10 @@
 void TableState::__set_rows(const std::vector<StateRow> & val) {
   this->rows = val;
 }
+
+void TableState::__set_isWhole(const bool val) {
+  this->isWhole = val;
+}
 std::ostream& operator<<(std::ostream& out, const TableState& obj)
 {
   obj.printTo(out);
@@ -193,6 +257,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isWhole);
+          this->__isset.isWhole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -226,6 +298,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isWhole", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isWhole);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -235,17 +311,20 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.rows, b.rows);
+  swap(a.isWhole, b.isWhole);
   swap(a.__isset, b.__isset);
 }
 
 TableState::TableState(const TableState& other8) {
   version = other8.version;
   rows = other8.rows;
+  isWhole = other8.isWhole;
   __isset = other8.__isset;
 }
 TableState& TableState::operator=(const TableState& other9) {
   version = other9.version;
   rows = other9.rows;
+  isWhole = other9.isWhole;
   __isset = other9.__isset;
   return *this;
 }
@@ -254,6 +333,7 @@
   out << "TableState(";
   out << "version=" << to_string(version);
   out << ", " << "rows=" << to_string(rows);
+  out << ", " << "isWhole=" << to_string(isWhole);
   out << ")";
 }
 
--- a/src/gen/instance_state_types.h
+++ b/src/gen/instance_state_types.h
@@ -26,9 +26,12 @@
 class TableState;
 
 typedef struct _StateRow__isset {
-  _StateRow__isset() : key(false), value(false) {}
+  _StateRow__isset() : key(false), value(false), version(false), deleted(false), afterOutage(false) {}
   bool key :1;
   bool value :1;
+  bool version :1;
+  bool deleted :1;
+  bool afterOutage :1;
 } _StateRow__isset;
 
 class StateRow : public virtual ::apache::thrift::TBase {
@@ -38,12 +41,18 @@
   StateRow& operator=(const StateRow&);
   StateRow() noexcept
            : key(),
-             value() {
+             value(),
+             version(0),
+             deleted(0),
+             afterOutage(0) {
   }
 
   virtual ~StateRow() noexcept;
   std::string key;
   std::string value;
+  int64_t version;
+  bool deleted;
+  bool afterOutage;
 
   _StateRow__isset __isset;
 
@@ -51,12 +60,24 @@
 
   void __set_value(const std::string& val);
 
+  void __set_version(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  void __set_afterOutage(const bool val);
+
   bool operator == (const StateRow & rhs) const
   {
     if (!(key == rhs.key))
       return false;
     if (!(value == rhs.value))
       return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    if (!(afterOutage == rhs.afterOutage))
+      return false;
     return true;
   }
   bool operator != (const StateRow &rhs) const {
@@ -76,9 +97,10 @@
 std::ostream& operator<<(std::ostream& out, const StateRow& obj);
 
 typedef struct _TableState__isset {
-  _TableState__isset() : version(false), rows(false) {}
+  _TableState__isset() : version(false), rows(false), isWhole(false) {}
   bool version :1;
   bool rows :1;
+  bool isWhole :1;
 } _TableState__isset;
 
 class TableState : public virtual ::apache::thrift::TBase {
@@ -87,12 +109,14 @@
   TableState(const TableState&);
   TableState& operator=(const TableState&);
   TableState() noexcept
-             : version(0) {
+             : version(0),
+               isWhole(0) {
   }
 
   virtual ~TableState() noexcept;
   int64_t version;
   std::vector<StateRow>  rows;
+  bool isWhole;
 
   _TableState__isset __isset;
 
@@ -100,12 +124,16 @@
 
   void __set_rows(const std::vector<StateRow> & val);
 
+  void __set_isWhole(const bool val);
+
   bool operator == (const TableState & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(rows == rhs.rows))
       return false;
+    if (!(isWhole == rhs.isWhole))
+      return false;
     return true;
   }
   bool operator != (const TableState &rhs) const {
--- /dev/null
+++ b/test/StoreReadersTest.cpp
@@ -0,0 +1,50 @@
+#include "core/StoreReaders.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using namespace std::chrono_literals;
+
+TEST_GROUP(StoreReaders)
+{
+    const SteadyTime now { 1h };
+
+    /// Peers with the hashes 10, 20, 30, ...; the first `reading` follow the table.
+    std::vector<ReadingPeer> peersOf(int count, int reading)
+    {
+        std::vector<ReadingPeer> peers;
+        for (int i = 0; i < count; ++i)
+            peers.push_back({ .hash = static_cast<std::uint64_t>(10 * (i + 1)), .heardAt = now - 100ms, .isReading = i < reading });
+        return peers;
+    }
+};
+
+TEST(StoreReaders, inASmallFleetAllRead)
+{
+    CHECK_TRUE(shouldRead(1000, peersOf(25, 25), now, 100ms));
+}
+
+TEST(StoreReaders, inALargeFleetAFewRead)
+{
+    std::vector<ReadingPeer> peers = peersOf(299, 6);
+    CHECK_TRUE(shouldRead(5, peers, now, 500ms));
+    CHECK_TRUE(shouldRead(55, peers, now, 500ms));
+    CHECK_FALSE(shouldRead(65, peers, now, 500ms));
+}
+
+TEST(StoreReaders, whoHearsTooFewReadersReadsItself)
+{
+    CHECK_TRUE(shouldRead(5000, peersOf(299, 1), now, 500ms));
+    std::vector<ReadingPeer> peers = peersOf(299, 6);
+    for (ReadingPeer& peer : peers)
+        peer.heardAt = now - 2s;
+    CHECK_TRUE(shouldRead(5000, peers, now, 500ms));
+    CHECK_TRUE(shouldRead(5000, peers, now, 100ms));
+}
+
+TEST(StoreReaders, aLeavingReaderIsReplaced)
+{
+    std::vector<ReadingPeer> peers = peersOf(299, 6);
+    peers[0].isLeaving = true;
+    CHECK_TRUE(shouldRead(65, peers, now, 500ms));
+}
--- a/test/TableCopyTest.cpp
+++ b/test/TableCopyTest.cpp
@@ -4,40 +4,59 @@
 
 using namespace limpetpond;
 
-TEST_GROUP(TableCopy) {};
-
-TEST(TableCopy, rowsAreKeptAsLastRead)
+TEST_GROUP(TableCopy)
 {
     TableCopy copy;
-    noteRows(copy, { .isWholeTable = true, .version = 4, .rows = { { .key = "a", .value = "1" }, { .key = "b", .value = "2" } } });
-    noteRows(copy, { .version = 6, .rows = { { .key = "a", .isDeleted = true }, { .key = "b", .value = "3" } } });
-    LONGS_EQUAL(1, copy.rows.size());
-    LONGS_EQUAL(6, copy.version);
-    STRCMP_EQUAL("3", copy.rows["b"].c_str());
-    noteRows(copy, { .isWholeTable = true, .version = 5, .rows = { { .key = "c", .value = "4" } } });
-    LONGS_EQUAL(1, copy.rows.size());
-    LONGS_EQUAL(6, copy.version);
-    STRCMP_EQUAL("4", copy.rows["c"].c_str());
+
+    void setup() override
+    {
+        noteRow(copy, "a", { .value = "1", .version = 4 });
+        noteRow(copy, "b", { .value = "2", .version = 5 });
+        noteRow(copy, "a", { .version = 6, .isDeleted = true, .afterOutage = true });
+        noteRow(copy, "c", { .value = "3", .version = 7 });
+    }
+};
+
+TEST(TableCopy, whoKnowsNothingGetsAllRowsThatExist)
+{
+    TablePart part = changesAfter(copy, 0);
+    CHECK_TRUE(part.isWhole);
+    LONGS_EQUAL(7, part.version);
+    LONGS_EQUAL(2, part.rows.size());
+    CHECK_FALSE(part.rows.contains("a"));
+}
+
+TEST(TableCopy, whoIsBehindGetsWhatChanged)
+{
+    TablePart part = changesAfter(copy, 5);
+    CHECK_FALSE(part.isWhole);
+    LONGS_EQUAL(2, part.rows.size());
+    CHECK_TRUE(part.rows.at("a").isDeleted && part.rows.at("a").afterOutage);
+    STRCMP_EQUAL("3", part.rows.at("c").value.c_str());
+}
+
+TEST(TableCopy, afterManyDeletionsThoseFarBehindGetTheWholeTable)
+{
+    for (std::uint64_t i = 0; i < 3000; ++i)
+        noteRow(copy, "gone-" + std::to_string(i), { .version = 100 + i, .isDeleted = true });
+    CHECK_TRUE(copy.rows.size() < 1200);
+    CHECK_TRUE(changesAfter(copy, 8).isWhole);
+    CHECK_FALSE(changesAfter(copy, 3090).isWhole);
+    LONGS_EQUAL(9, changesAfter(copy, 3090).rows.size());
 }
 
 TEST(TableCopy, whatIsPassedOnComesBackTheSame)
 {
-    TableCopy copy { .version = 9, .rows = { { "t1", std::string("x\0y", 3) }, { "t2", "" } } };
-    std::optional<TableCopy> back = decodeTable(encodeTable(copy));
+    noteRow(copy, "d", { .value = std::string("x\0y", 3), .version = 9 });
+    TablePart part = changesAfter(copy, 5);
+    std::optional<TablePart> back = decodePart(encodePart(part));
     CHECK(back.has_value());
-    CHECK(back->rows == copy.rows);
+    CHECK(back->rows == part.rows);
     LONGS_EQUAL(9, back->version);
+    CHECK_FALSE(back->isWhole);
 }
 
 TEST(TableCopy, bytesThatAreNoTableAreRefused)
 {
-    CHECK_FALSE(decodeTable("\x19\xff\xff\xff\xff\x0f").has_value());
-}
-
-TEST(TableCopy, aCopyIsTheWholeTable)
-{
-    TableNews news = newsOf({ .version = 3, .rows = { { "t1", "x" } } });
-    CHECK_TRUE(news.isWholeTable);
-    CHECK_FALSE(news.afterOutage);
-    LONGS_EQUAL(1, news.rows.size());
+    CHECK_FALSE(decodePart("\x19\xff\xff\xff\xff\x0f").has_value());
 }
--- a/test/fuzz/edge/main.cpp
+++ b/test/fuzz/edge/main.cpp
@@ -126,7 +126,7 @@
     fuzzEvents(text);
     if (std::optional<InstanceNews> news = decodeNews(text))
         check(decodeNews(encodeNews(*news)).has_value());
-    if (std::optional<TableCopy> table = decodeTable(text))
-        check(decodeTable(encodeTable(*table)).has_value());
+    if (std::optional<TablePart> part = decodePart(text))
+        check(decodePart(encodePart(*part)).has_value());
     return 0;
 }
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -17,5 +17,6 @@
   11: list<i32> closedTargets  // hashes of the ids of targets that the sender can't reach
   12: list<i32> waitingPools   // hashes of the ids of pools in which requests wait at the sender
   13: list<i32> demands        // of each of them: waiting requests, the urgent ones counted several times
-  14: i64 targetsVersion       // the store's version up to which the sender knows the targets; 0 for none
+  14: i64 targetsVersion       // the store's version of the last change of a target known to the sender; 0 for none
+  15: bool readsTargets        // the sender follows the targets' table, and the store answers it
 }
