--- a/src/core/Guard.h
+++ b/src/core/Guard.h
@@ -4,6 +4,7 @@
 /// an invariant trips without it. Release builds contain none of them.
 
 #include <atomic>
+#include <cstdlib>
 
 namespace limpetpond {
 
@@ -41,6 +42,14 @@
     HolderStopsEarly, ///< The holder stops by its own clock before its lease ends.
     LongestOrderWaitedOut, ///< A new holder waits out the orders of the one before it.
     FencingNumberRaised, ///< Each new holder gets a higher fencing number.
+    // Gateway
+    WorkRunsOnce, ///< Work that may have run and must not run twice is not sent again.
+    RefusalIsTrue, ///< "Not run" is said only of work that no target may have run.
+    AnswerOfOtherRequestDropped, ///< An answer that names another request reaches no caller.
+    BrokenAnswerHeldBack, ///< An answer that ended early is not passed on as whole.
+    ResumeFollowsLastEvent, ///< A stream goes on only with the event that follows the last one.
+    CallerGoneEndsWork, ///< Work of a caller that is gone is ended at the target.
+    StopWaitsForWork, ///< What is in progress at SIGTERM ends before the process does.
 };
 
 #ifdef LIMPETPOND_TEST_HOOKS
@@ -65,6 +74,13 @@
 /// Switches off one guard on all threads; `GuardId::None` switches it on again.
 inline void disableGuardEverywhere(GuardId id) { detail::disabledGuardEverywhere = id; }
 
+/// Switches off the guard whose number is in POND_TEST_DISABLED_GUARD, to see a test of a whole process fail.
+inline void disableGuardOfEnvironment()
+{
+    if (const char* number = std::getenv("POND_TEST_DISABLED_GUARD"))
+        disableGuardEverywhere(static_cast<GuardId>(std::atoi(number)));
+}
+
 #else
 
 constexpr bool isGuardDisabled(GuardId)
@@ -72,6 +88,8 @@
     return false;
 }
 
+inline void disableGuardOfEnvironment() { }
+
 #endif
 
 } // namespace limpetpond
--- a/src/core/Placement.cpp
+++ b/src/core/Placement.cpp
@@ -1,5 +1,6 @@
 #include "core/Placement.h"
 
+#include "core/Guard.h"
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -81,7 +82,7 @@
 
     bool isOpen(const TargetState& target, SteadyTime now)
     {
-        if (target.entry.isDraining || isClosed(target, now) || isLeftToTrials(target, now))
+        if ((target.entry.isDraining && !isGuardDisabled(GuardId::LeavingMarkRespected)) || isClosed(target, now) || isLeftToTrials(target, now))
             return false;
         return target.failuresInRow < failuresUntilClosed || !target.trialInProgress;
     }
--- a/src/core/SendProgress.h
+++ b/src/core/SendProgress.h
@@ -5,7 +5,7 @@
 /// Load pattern: targets that crash, refuse or lose answers while requests that must not run twice
 /// are on their way to them.
 
-#include <string_view>
+#include "core/Guard.h"
 
 namespace limpetpond {
 
@@ -27,13 +27,13 @@
 /// True where the request may be sent to a further target, the retry budget apart.
 ///
 ///     maySendAgain({ .progress = SendProgress::Written, .mayRunAgain = false }) == false;
-constexpr bool maySendAgain(const ResendCase& resend)
+inline bool maySendAgain(const ResendCase& resend)
 {
     if (resend.progress == SendProgress::NothingWritten)
         return resend.targetsSent < resend.maxTargets;
     if (resend.targetsSent >= resend.maxTargets)
         return false;
-    return resend.mayRunAgain || resend.progress == SendProgress::AnsweredNotRun;
+    return resend.mayRunAgain || resend.progress == SendProgress::AnsweredNotRun || isGuardDisabled(GuardId::WorkRunsOnce);
 }
 
 /// What a caller is told in the end where no target's answer can be passed on.
@@ -52,9 +52,9 @@
 /// What its caller is truthfully told.
 ///
 ///     failureAnswer({ .mayHaveRun = false, .timedOut = true }) == FailureAnswer::NotRun;
-constexpr FailureAnswer failureAnswer(const FailureCase& failure)
+inline FailureAnswer failureAnswer(const FailureCase& failure)
 {
-    if (!failure.mayHaveRun)
+    if (!failure.mayHaveRun || isGuardDisabled(GuardId::RefusalIsTrue))
         return FailureAnswer::NotRun;
     return failure.timedOut ? FailureAnswer::TimedOut : FailureAnswer::MayHaveRun;
 }
--- a/src/daemon/program/Main.cpp
+++ b/src/daemon/program/Main.cpp
@@ -48,15 +48,6 @@
     sigwait(&signals, &signal);
 }
 
-/// Switches off the guard that POND_TEST_DISABLED_GUARD names by its number, to see a process test fail.
-void applyTestHooks()
-{
-#ifdef LIMPETPOND_TEST_HOOKS
-    if (const char* number = std::getenv("POND_TEST_DISABLED_GUARD"))
-        disableGuardEverywhere(static_cast<GuardId>(std::atoi(number)));
-#endif
-}
-
 Result<int> run(int argc, char** argv)
 {
     BOOST_LEAF_AUTO(line, parseCommandLine(argc, argv));
@@ -73,7 +64,7 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    applyTestHooks();
+    disableGuardOfEnvironment();
     raiseDescriptorLimit();
     sigset_t signals = blockShutdownSignals();
     startLog({ .level = logLevelFromText(settings.logLevel), .instance = settings.instanceId });
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Exchange.h"
 
+#include "core/Guard.h"
 #include "gateway/AnswerText.h"
 
 namespace limpetpond {
@@ -113,7 +114,7 @@
 /// The first event of a further run has to follow the last one that was passed on.
 bool Exchange::continuesStream(const ScannedEvents& scanned)
 {
-    return !m_resumedAfter || (scanned.firstId && *scanned.firstId == *m_resumedAfter + 1);
+    return isGuardDisabled(GuardId::ResumeFollowsLastEvent) || !m_resumedAfter || (scanned.firstId && *scanned.firstId == *m_resumedAfter + 1);
 }
 
 void Exchange::onPiecesRead()
@@ -217,6 +218,10 @@
         endAttempt(AttemptEnd::NotConnected);
         return;
     }
+    if (m_hasHead && m_mode == Mode::Held && isGuardDisabled(GuardId::BrokenAnswerHeldBack)) {
+        onWhole();
+        return;
+    }
     m_mayHaveRun = true;
     writeEvents();
     endAttempt(failure == ChannelFailure::Malformed ? AttemptEnd::BadAnswer : AttemptEnd::Broken);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.h"
 
+#include "core/Guard.h"
 #include "gateway/AnswerText.h"
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -86,7 +87,7 @@
 
 bool Gateway::applySettings(ServingSettings settings)
 {
-    if (m_settings && settings.version <= m_settings->settings.version)
+    if (m_settings && settings.version <= m_settings->settings.version && !isGuardDisabled(GuardId::LowerVersionRefused))
         return false;
     m_settings = indexSettings(std::move(settings));
     m_metrics.settingsVersion.set(static_cast<std::int64_t>(m_settings->settings.version.value()));
@@ -400,6 +401,8 @@
     PoolState& pool = m_pools.pool(exchange->facts().pool);
     removeWaiting(pool.line, exchange->ticket());
     if (exchange->attempt()) {
+        if (isGuardDisabled(GuardId::CallerGoneEndsWork))
+            return;
         exchange->abandonAttempt();
         releaseAttempt(*exchange, std::nullopt);
     }
--- a/src/gateway/program/Main.cpp
+++ b/src/gateway/program/Main.cpp
@@ -1,25 +1,39 @@
 /// `limpetpond-gateway`: reads its boot file, serves until SIGTERM, ends what is in progress and stops.
+///
+/// `limpetpond-gateway --check` only reads the boot file and tells what it says.
 
 #include "base/BootTimeClock.h"
+#include "core/Guard.h"
 #include "gateway/Node.h"
 #include "platform/BootSettings.h"
 #include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <string_view>
 
 namespace {
 
 constexpr int exitFailure = 1;
 constexpr int exitInvalidSetting = 2;
 
-int run()
+int check(const limpetpond::platform::BootSettings& boot)
+{
+    std::cout << "boot settings are valid: instance " << boot.instance.value() << " in " << boot.failureDomain.value() << ", callers at "
+              << boot.callerAddress << ", store at " << boot.storeAddress << '\n';
+    return 0;
+}
+
+int run(bool isCheck)
 {
     using namespace limpetpond;
     const char* path = std::getenv(platform::bootFileVariable);
     if (!path)
         throw platform::BootSettingsError(std::string("boot settings: the environment variable ") + platform::bootFileVariable + " is not set; allowed: the path of a YAML file");
     platform::BootSettings boot = platform::readBootFile(path);
+    if (isCheck)
+        return check(boot);
+    disableGuardOfEnvironment();
     std::signal(SIGPIPE, SIG_IGN);
     BootTimeClock clock;
     boost::asio::io_context context(1);
@@ -34,10 +48,15 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
+    bool isCheck = argc == 2 && std::string_view(argv[1]) == "--check";
+    if (argc > 1 && !isCheck) {
+        std::cerr << "limpetpond-gateway: unknown argument \"" << argv[1] << "\"; allowed: --check, or none\n";
+        return exitInvalidSetting;
+    }
     try {
-        return run();
+        return run(isCheck);
     } catch (const limpetpond::platform::BootSettingsError& error) {
         std::cerr << error.what() << '\n';
         return exitInvalidSetting;
--- a/src/traffic/HttpChannel.cpp
+++ b/src/traffic/HttpChannel.cpp
@@ -1,5 +1,6 @@
 #include "traffic/HttpChannel.h"
 
+#include "core/Guard.h"
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -221,7 +222,7 @@
     if (m_isInformational || !m_handler)
         return;
     std::string_view answered = fieldValue(head.fields, Field::RequestId);
-    m_isSkipping = !m_requestId.empty() && !answered.empty() && answered != m_requestId;
+    m_isSkipping = !m_requestId.empty() && !answered.empty() && answered != m_requestId && !isGuardDisabled(GuardId::AnswerOfOtherRequestDropped);
     if (!head.keepAlive || head.endsWithConnection)
         m_mayReuse = false;
     learnIdleTime(head);
--- a/test/BootSettingsTest.cpp
+++ b/test/BootSettingsTest.cpp
@@ -8,7 +8,7 @@
 
 /// The YAML library makes its patterns at the first use and keeps them: done before a test counts its memory.
 const bool patternsAreMade = [] {
-    for (const char* text : { "a: [", "a: \"b\"\nc:\n  - 1\n", "just text" }) {
+    for (const char* text : { "a: [", "a: \"b\"\nc:\n  - 1\n", "just text", "a: [1, b]\nc: { d: 1 }\n" }) {
         try {
             platform::parseBootSettings(text);
         } catch (const platform::BootSettingsError&) {
@@ -94,3 +94,51 @@
         STRCMP_CONTAINS("/nonexistent/boot.yaml", error.what());
     }
 }
+
+TEST(BootSettings, badValuesAreRefusedWithTheirField)
+{
+    struct BadValue {
+        const char* line;
+        const char* other;
+        const char* field;
+    };
+    const BadValue badValues[] = {
+        { "node: \"front-a-1\"", "node: \"\"", "node" },
+        { "node: \"front-a-1\"", "node: [a]", "node" },
+        { "node: \"front-a-1\"", "node: { a: 1 }", "node" },
+        { "zone: \"a\"", "zone: \"\"", "zone" },
+        { "zone: \"a\"", "zone: []", "zone" },
+        { "ip: \"10.1.0.25\"\n", "ip: \"\"\n", "ip" },
+        { "ip: \"10.1.0.25\"\n", "ip: \"10.1.0.256\"\n", "ip" },
+        { "ip: \"10.1.0.25\"\n", "ip: \"front\"\n", "ip" },
+        { "ip: \"10.1.0.25\"\n", "ip: [1]\n", "ip" },
+        { "front: \"10.1.0.25:8221\"", "front: \"10.1.0.25\"", "listen.front" },
+        { "front: \"10.1.0.25:8221\"", "front: \"10.1.0.25:0\"", "listen.front" },
+        { "front: \"10.1.0.25:8221\"", "front: \"10.1.0.25:65536\"", "listen.front" },
+        { "front: \"10.1.0.25:8221\"", "front: \"host:8221\"", "listen.front" },
+        { "front: \"10.1.0.25:8221\"", "front: \":8221\"", "listen.front" },
+        { "ready: \"10.1.0.25:8224\"", "ready: \"10.1.0.25:8224x\"", "listen.ready" },
+        { "ready: \"10.1.0.25:8224\"", "ready: [ ]", "listen.ready" },
+        { "  - 7600\n  - 7615\n", "  - 7615\n  - 7600\n", "portRange" },
+        { "  - 7600\n  - 7615\n", "  - 7600\n", "portRange" },
+        { "  - 7600\n  - 7615\n", "  - 0\n  - 7615\n", "portRange" },
+        { "  - 7600\n  - 7615\n", "  - 7600\n  - 70000\n", "portRange" },
+        { "  - 7600\n  - 7615\n", "  - a\n  - b\n", "portRange" },
+        { "addr: \"10.200.1.7:8225\"", "addr: \"store\"", "platform.addr" },
+        { "addr: \"10.200.1.7:8225\"", "addr: \"10.200.1:8225\"", "platform.addr" },
+        { "graceS: 9", "graceS: -1", "bounds.graceS" },
+        { "graceS: 9", "graceS: soon", "bounds.graceS" },
+        { "budgetRatio: 0.3", "budgetRatio: [1]", "bounds.budgetRatio" },
+        { "budgetSlack: 56", "budgetSlack: 1e12", "bounds.budgetSlack" },
+    };
+    for (const BadValue& bad : badValues) {
+        std::string error = errorOf(with(bad.line, bad.other));
+        STRCMP_CONTAINS((std::string("field ") + bad.field).c_str(), error.c_str());
+        STRCMP_CONTAINS("allowed", error.c_str());
+    }
+}
+
+TEST(BootSettings, fractionsOfSecondsAreKept)
+{
+    CHECK(platform::parseBootSettings(with("graceS: 9", "graceS: 2.5")).shutdownGrace == std::chrono::milliseconds(2500));
+}
