Watch for a silent store by short polls of three instances

The three instances with the lowest hashes now poll the settings in turns of 2 s and notice a silent store and its return; they ask for the targets again then, and the others learn from them. After a failure the first poll asks for an answer at once.

Ruled out: short polls by all (26 instances, 13 calls a second). Test: settingsAndTargetsArriveSoonAfterTheStoreWasSilentForAWhile replaces the one that relied on entries written all the time; its bound is 4 s after the silence.

--- a/src/core/StoreReaders.cpp
+++ b/src/core/StoreReaders.cpp
@@ -8,22 +8,29 @@
 
     constexpr std::size_t allReadUpTo = 32; ///< Instances; reading costs so few less than hearing of changes by others.
     constexpr std::ptrdiff_t appointedReaders = 6; ///< So that some are left when several instances stop at once.
+    constexpr std::ptrdiff_t appointedWatchers = 3;
     constexpr std::ptrdiff_t leastReadersHeard = 2;
     constexpr Duration leastSilence = std::chrono::milliseconds(600);
     constexpr int intervalsUntilSilent = 3;
 
+    std::ptrdiff_t countLower(std::uint64_t ownHash, const std::vector<ReadingPeer>& peers)
+    {
+        return std::count_if(peers.begin(), peers.end(), [ownHash](const ReadingPeer& peer) { return !peer.isLeaving && peer.hash < ownHash; });
+    }
+
 } // namespace
 
 bool shouldRead(std::uint64_t ownHash, const std::vector<ReadingPeer>& peers, SteadyTime now, Duration newsInterval)
 {
     if (peers.size() < allReadUpTo)
         return true;
-    auto isLower = [ownHash](const ReadingPeer& peer) { return !peer.isLeaving && peer.hash < ownHash; };
-    if (std::count_if(peers.begin(), peers.end(), isLower) < appointedReaders)
+    if (countLower(ownHash, peers) < appointedReaders)
         return true;
     Duration silence = std::max(leastSilence, intervalsUntilSilent * newsInterval);
     auto isHeard = [now, silence](const ReadingPeer& peer) { return peer.isReading && now - peer.heardAt < silence; };
     return std::count_if(peers.begin(), peers.end(), isHeard) < leastReadersHeard;
 }
 
+bool shouldWatch(std::uint64_t ownHash, const std::vector<ReadingPeer>& peers) { return countLower(ownHash, peers) < appointedWatchers; }
+
 } // namespace limpetpond
--- a/src/core/StoreReaders.h
+++ b/src/core/StoreReaders.h
@@ -1,9 +1,10 @@
 #pragma once
 
-/// Which instances follow the targets' table in the store themselves.
+/// Which instances follow the targets' table in the store themselves, and which watch for a store that falls silent.
 ///
-/// Load pattern: hundreds of instances before thousands of targets that write their entries once a second. Few
-/// instances read them then, and pass on what changed; the others read only while they hear too few of these.
+/// Load pattern: hundreds of instances before thousands of targets. Few instances read the table then, and pass
+/// on what changed; the others read only while they hear too few of these. A store that falls silent loses the
+/// long polls that come meanwhile: a few instances poll shortly, notice its return, and the others learn from them.
 
 #include "limpetpond/Clock.h"
 #include <cstdint>
@@ -25,4 +26,9 @@
 ///     reader.setFollowing(shouldRead(ownHash, peers, now, 100ms));
 bool shouldRead(std::uint64_t ownHash, const std::vector<ReadingPeer>&, SteadyTime now, Duration newsInterval);
 
+/// True where this instance should poll in short turns: one of the few with the lowest hashes.
+///
+///     bool isWatchful = shouldWatch(ownHash, peers);
+bool shouldWatch(std::uint64_t ownHash, const std::vector<ReadingPeer>&);
+
 } // namespace limpetpond
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -58,7 +58,7 @@
     , m_metricsServer(context, clock, [this](const HttpRequest& request) { return answerMetrics(request); })
     , m_rowsServer(context, clock, [this](const HttpRequest& request) { return answerRows(request); })
     , m_settingsReader(makeReader({ .table = std::string(platform::operatorTable), .onNews = [this](const TableNews& news) { takeSettingsRows(news); } }))
-    , m_targetReader(makeReader({ .table = std::string(platform::targetTable), .rowHeartbeat = boot.targetHeartbeat, .onNews = [this](const TableNews& news) { takeTargetRows(news); } }))
+    , m_targetReader(makeReader({ .table = std::string(platform::targetTable), .onNews = [this](const TableNews& news) { takeTargetRows(news); } }))
     , m_instanceReader(makeReader({ .table = std::string(platform::instanceTable), .followsChanges = false, .onNews = [this](const TableNews& news) { takeInstanceRows(news); } }))
     , m_writer(context, clock,
           { .store = storeEndpoint(boot), .table = std::string(platform::instanceTable), .key = boot.instance.value(), .value = boot.ip, .onWritten = [this] { m_instanceReader.start(); } })
@@ -82,10 +82,9 @@
 void Node::noteReachable(const std::string& table, bool reachable, std::string_view reason)
 {
     m_log.line(reachable ? "info" : "warning", reachable ? "store_regained" : "store_lost", { { "table", table }, { "reason", reason } });
-    // Only the targets' entries change all the time. A poll for the settings may have been lost while the store was
-    // silent, and nothing else would show it.
-    if (reachable && table == platform::targetTable)
-        m_settingsReader.callAgain();
+    // A store that falls silent loses the polls that come meanwhile, and only short ones show it.
+    if (reachable && table == platform::operatorTable && m_targetReader.isFollowing())
+        m_targetReader.callAgain();
 }
 
 std::optional<std::string> Node::start()
@@ -104,6 +103,8 @@
     for (const std::string& ip : m_boot.seedIps)
         m_peers.addPeer(ip);
     m_settingsReader.start();
+    // The settings' reader watches for both: whichever table is asked shows a silent store.
+    m_targetReader.setPolling(StoreReader::Polling::Long);
     m_targetReader.start();
     m_writer.start();
     acceptCallers();
@@ -249,6 +250,7 @@
     peers.reserve(m_readingPeers.size());
     for (const auto& [id, peer] : m_readingPeers)
         peers.push_back(peer);
+    m_settingsReader.setPolling(shouldWatch(shortHash(m_boot.instance.value()), peers) ? StoreReader::Polling::Watchful : StoreReader::Polling::Long);
     bool reads = shouldRead(shortHash(m_boot.instance.value()), peers, now, m_peers.interval());
     if (reads == m_targetReader.isFollowing())
         return;
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-    constexpr int pollMilliseconds = 20000; ///< Long polls are cheaper than short ones; keep-alive probes notice a silent store.
-    constexpr Duration pollTime = std::chrono::milliseconds(pollMilliseconds + 3000);
+    constexpr int longPollMilliseconds = 20000;
+    constexpr int watchfulPollMilliseconds = 2000;
+    constexpr Duration answerTime = std::chrono::milliseconds(1000); ///< Past the wait that was asked for.
     /// Between an answer with changes and the next call, so that a series of changes takes few calls.
     constexpr Duration pauseAfterChanges = std::chrono::milliseconds(300);
-    constexpr double heartbeatsUntilSilent = 2.5;
     constexpr Duration readTime = std::chrono::milliseconds(1500);
     constexpr Duration firstBackoff = std::chrono::milliseconds(100);
     constexpr Duration longestBackoff = std::chrono::milliseconds(800);
@@ -30,16 +30,19 @@
 
 void StoreReader::call()
 {
-    std::string path = m_isListing ? platform::rowsPath(m_options.table, m_nextPage)
-                                   : platform::feedPath(m_options.table, m_version, pollMilliseconds);
-    m_call.start(m_options.store, getText(path, "store"), m_isListing ? readTime : pollTimeLimit());
+    if (m_isListing) {
+        m_call.start(m_options.store, getText(platform::rowsPath(m_options.table, m_nextPage), "store"), readTime);
+        return;
+    }
+    int wait = pollMilliseconds();
+    m_call.start(m_options.store, getText(platform::feedPath(m_options.table, m_version, wait), "store"), std::chrono::milliseconds(wait) + answerTime);
 }
 
-Duration StoreReader::pollTimeLimit() const
+int StoreReader::pollMilliseconds() const
 {
-    if (!m_hasRows || m_options.rowHeartbeat <= Duration::zero())
-        return pollTime;
-    return std::chrono::duration_cast<Duration>(heartbeatsUntilSilent * m_options.rowHeartbeat);
+    if (!m_isReachable)
+        return 0; // The first answer after an outage should come at once.
+    return m_polling == Polling::Watchful ? watchfulPollMilliseconds : longPollMilliseconds;
 }
 
 void StoreReader::setFollowing(bool follows)
@@ -98,7 +101,6 @@
         call();
         return;
     }
-    m_hasRows = true;
     m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .version = m_version, .rows = std::move(answer->rows) });
     callAfter(pauseAfterChanges);
 }
@@ -125,7 +127,6 @@
     bool afterOutage = m_wasUnreachable;
     m_wasUnreachable = false;
     m_hasRead = true;
-    m_hasRows = !m_pages.empty();
     m_options.onNews({ .isWholeTable = true, .afterOutage = afterOutage, .version = m_version, .rows = std::move(m_pages) });
     m_pages.clear();
     if (m_options.followsChanges)
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -24,8 +24,6 @@
     boost::asio::ip::tcp::endpoint store;
     std::string table;
     bool followsChanges { true }; ///< Otherwise the table is read once.
-    /// How often the table's rows are written again, so that a poll without an answer shows a silent store; 0 where they aren't.
-    Duration rowHeartbeat { 0 };
     std::function<void(const TableNews&)> onNews;
     std::function<void(bool reachable, std::string_view reason)> onReachable; ///< At each change.
 };
@@ -42,6 +40,13 @@
     /// To be called several times a second: ends calls that take too long.
     void tick(SteadyTime now) { m_call.tick(now); }
 
+    /// How the store is asked for changes.
+    enum class Polling {
+        Long, ///< Few calls; a store that fell silent shows only after a long time.
+        Watchful, ///< A silent store shows within seconds.
+    };
+    void setPolling(Polling polling) { m_polling = polling; }
+
     /// Begins or ceases to follow the table; who begins again reads the whole table first.
     void setFollowing(bool);
 
@@ -64,7 +69,7 @@
     void retryLater();
     void callAfter(Duration pause);
     void noteReached();
-    Duration pollTimeLimit() const;
+    int pollMilliseconds() const;
 
     const Clock& m_clock;
     StoreReaderOptions m_options;
@@ -73,7 +78,7 @@
     bool m_hasRead { false };
     bool m_isFollowing { true };
     bool m_isListing { true };
-    bool m_hasRows { false }; ///< Rows that are written again and again were seen.
+    Polling m_polling { Polling::Watchful };
     bool m_isReachable { true };
     bool m_wasUnreachable { false }; ///< Since the last news.
     SteadyTime m_reachableAgainAt;
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -37,7 +37,6 @@
     std::string ip { "127.0.0.1" };
     int peerPort { closedPort() };
     std::vector<std::string> seedIps;
-    std::chrono::milliseconds targetHeartbeat { 1200 };
 };
 
 /// One instance in a thread of this process.
@@ -50,7 +49,6 @@
         m_boot.failureDomain = FailureDomainId("a");
         m_boot.ip = place.ip;
         m_boot.seedIps = place.seedIps;
-        m_boot.targetHeartbeat = place.targetHeartbeat;
         m_boot.callerAddress = address();
         m_boot.readinessAddress = address();
         m_boot.peerPort = place.peerPort;
@@ -485,24 +483,24 @@
     CHECK(eventually([&] { return callRefused("/pay/x") == "404"; }));
 }
 
-TEST(Gateway, settingsArriveSoonAfterTheStoreWasSilentForAWhile)
+TEST(Gateway, settingsAndTargetsArriveSoonAfterTheStoreWasSilentForAWhile)
 {
-    addTarget([](TargetCall& request) { request.answer(200, "done"); });
-    store->put("op", "config", documentOfVersion(1));
-    node = std::make_unique<RunningNode>(store->port(), NodePlace { .targetHeartbeat = 200ms });
-    CHECK(eventually([&] { return node->readiness() == 200; }));
-    int sequence = 1;
-    auto writeEntriesFor = [&](std::chrono::milliseconds time) {
-        for (auto end = std::chrono::steady_clock::now() + time; std::chrono::steady_clock::now() < end; std::this_thread::sleep_for(50ms))
-            store->put("servers", "t1", entryOf(0, "ready", ++sequence));
-    };
-    writeEntriesFor(500ms);
+    auto serve = [](TargetCall& request) { request.answer(200, "done"); };
+    addTarget(serve);
+    addTarget(serve);
+    start();
     store->setSilent(true);
-    writeEntriesFor(500ms);
+    std::this_thread::sleep_for(500ms);
     store->setSilent(false);
+    store->drop("servers", "t1");
+    auto lateAt = std::chrono::steady_clock::now() + 4s;
+    std::this_thread::sleep_until(lateAt);
+    int before = targets[0]->calls();
+    for (int i = 0; i < 5; ++i)
+        STRCMP_EQUAL("200", statusOf(call(requestText("/pay/x"))).c_str());
+    LONGS_EQUAL(before, targets[0]->calls());
     store->put("op", "config", R"({"version":9,"routes":[],"services":[]})");
-    writeEntriesFor(1500ms);
-    STRCMP_EQUAL("404", statusOf(call(requestText("/pay/x"))).c_str());
+    CHECK(eventually([&] { return statusOf(call(requestText("/pay/x"))) == "404"; }));
 }
 
 TEST(Gateway, aCallerThatStallsInTheMiddleOfABodyIsDisconnected)
--- a/test/StoreReadersTest.cpp
+++ b/test/StoreReadersTest.cpp
@@ -48,3 +48,10 @@
     peers[0].isLeaving = true;
     CHECK_TRUE(shouldRead(65, peers, now, 500ms));
 }
+
+TEST(StoreReaders, aFewWatchForASilentStore)
+{
+    CHECK_TRUE(shouldWatch(5, {}));
+    CHECK_TRUE(shouldWatch(25, peersOf(25, 25)));
+    CHECK_FALSE(shouldWatch(35, peersOf(25, 25)));
+}
