--- a/src/gateway/Node.h
+++ b/src/gateway/Node.h
@@ -3,16 +3,18 @@
 /// One instance of the gateway as a process: listeners, store readers, peers, signals and timers
 /// around `Gateway`.
 
+#include "core/StoreReaders.h"
 #include "gateway/Gateway.h"
 #include "gateway/PeerNews.h"
 #include "gateway/SmallServer.h"
-#include "gateway/StateCopy.h"
-#include "gateway/StateFetcher.h"
 #include "gateway/StoreReader.h"
 #include "gateway/StoreWriter.h"
+#include "gateway/TableCopy.h"
+#include "gateway/TableFetcher.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,18 +37,27 @@
     void takeSettingsRows(const TableNews&);
     void takeTargetRows(const TableNews&);
     void takeInstanceRows(const TableNews&);
-    void takePeerState(const StateCopy&);
-    SmallAnswer answerState(const HttpRequest&) const;
-    bool putTargetRow(const platform::Row&);
-    void dropTarget(const TargetId&, bool afterOutage);
-    StoreReader makeReader(std::string_view table, bool followsChanges, std::function<void(const TableNews&)> onNews);
+    void takePeerNews(const InstanceNews&, const std::string& ip);
+    void takePeerSettings(const TablePart&);
+    void takePeerTargets(const TablePart&);
+    void chooseReaders(SteadyTime now);
+    SmallAnswer answerRows(const HttpRequest&) const;
+    std::uint64_t targetsVersion() const;
+    enum class RowEffect {
+        Unchanged,
+        Changed,
+        Unreadable,
+    };
+    RowEffect putTargetRow(const platform::Row&);
+    void dropTarget(const TargetId&, std::uint64_t version, bool afterOutage);
+    StoreReader makeReader(StoreReaderOptions);
+    void noteReachable(const std::string& table, bool reachable, std::string_view reason);
     void waitForSignal();
     void beginShutdown();
     void checkShutdown(SteadyTime now);
     void scheduleTick();
     void tick();
     void sendNews(SteadyTime now);
-    bool hasState() const;
     bool isReady() const;
     SmallAnswer answerReadiness(const HttpRequest&) const;
     SmallAnswer answerMetrics(const HttpRequest&) const;
@@ -60,14 +71,16 @@
     boost::asio::ip::tcp::acceptor m_callers;
     SmallServer m_readiness;
     SmallServer m_metricsServer;
-    SmallServer m_stateServer;
-    StateCopy m_state;
-    bool m_hasPeerState { false }; ///< What is served was passed on by a peer.
+    SmallServer m_rowsServer;
+    TableCopy m_settingsRows; ///< Of the settings in force; its version is theirs.
+    TableCopy m_targetRows;
+    std::map<InstanceId, ReadingPeer> m_readingPeers;
     StoreReader m_settingsReader;
     StoreReader m_targetReader;
     StoreReader m_instanceReader;
     StoreWriter m_writer;
-    StateFetcher m_stateFetcher;
+    TableFetcher m_settingsFetcher;
+    TableFetcher m_targetFetcher;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     std::uint64_t m_newsSequence { 0 };
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-    constexpr int pollMilliseconds = 20000; ///< Long polls are cheaper than short ones; keep-alive probes notice a silent store.
-    constexpr Duration pollTime = std::chrono::milliseconds(pollMilliseconds + 3000);
+    constexpr int longPollMilliseconds = 20000;
+    constexpr int watchfulPollMilliseconds = 2000;
+    constexpr Duration answerTime = std::chrono::milliseconds(1000); ///< Past the wait that was asked for.
     /// Between an answer with changes and the next call, so that a series of changes takes few calls.
     constexpr Duration pauseAfterChanges = std::chrono::milliseconds(300);
     constexpr Duration readTime = std::chrono::milliseconds(1500);
@@ -29,9 +30,41 @@
 
 void StoreReader::call()
 {
-    std::string path = m_isListing ? platform::rowsPath(m_options.table, m_nextPage)
-                                   : platform::feedPath(m_options.table, m_version, pollMilliseconds);
-    m_call.start(m_options.store, getText(path, "store"), m_isListing ? readTime : pollTime);
+    if (m_isListing) {
+        m_call.start(m_options.store, getText(platform::rowsPath(m_options.table, m_nextPage), "store"), readTime);
+        return;
+    }
+    int wait = pollMilliseconds();
+    m_call.start(m_options.store, getText(platform::feedPath(m_options.table, m_version, wait), "store"), std::chrono::milliseconds(wait) + answerTime);
+}
+
+int StoreReader::pollMilliseconds() const
+{
+    if (!m_isReachable)
+        return 0; // The first answer after an outage should come at once.
+    return m_polling == Polling::Watchful ? watchfulPollMilliseconds : longPollMilliseconds;
+}
+
+void StoreReader::setFollowing(bool follows)
+{
+    if (follows == m_isFollowing)
+        return;
+    m_isFollowing = follows;
+    m_isListing = true;
+    if (follows) {
+        callAgain();
+        return;
+    }
+    m_timer.cancel();
+    m_call.closeConnection();
+}
+
+void StoreReader::callAgain()
+{
+    m_timer.cancel();
+    m_call.closeConnection();
+    m_nextPage.clear();
+    call();
 }
 
 void StoreReader::onCallEnd(SmallCallEnd&& end)
@@ -68,7 +101,7 @@
         call();
         return;
     }
-    m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .rows = std::move(answer->rows) });
+    m_options.onNews({ .isWholeTable = false, .afterOutage = afterOutage, .version = m_version, .rows = std::move(answer->rows) });
     callAfter(pauseAfterChanges);
 }
 
@@ -94,7 +127,7 @@
     bool afterOutage = m_wasUnreachable;
     m_wasUnreachable = false;
     m_hasRead = true;
-    m_options.onNews({ .isWholeTable = true, .afterOutage = afterOutage, .rows = std::move(m_pages) });
+    m_options.onNews({ .isWholeTable = true, .afterOutage = afterOutage, .version = m_version, .rows = std::move(m_pages) });
     m_pages.clear();
     if (m_options.followsChanges)
         call();
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -16,6 +16,7 @@
 struct TableNews {
     bool isWholeTable { false }; ///< `rows` is all that the table holds; what isn't there is gone.
     bool afterOutage { false }; ///< The store could not be read just before.
+    std::uint64_t version { 0 }; ///< The store's version up to which the rows are known.
     std::vector<platform::Row> rows;
 };
 
@@ -33,11 +34,32 @@
 
     void start();
 
+    /// Makes the call in progress, or the one that is due later, again at once: the store may have lost it.
+    void callAgain();
+
     /// To be called several times a second: ends calls that take too long.
     void tick(SteadyTime now) { m_call.tick(now); }
 
+    /// How the store is asked for changes.
+    enum class Polling {
+        Long, ///< Few calls; a store that fell silent shows only after a long time.
+        Watchful, ///< A silent store shows within seconds.
+    };
+    void setPolling(Polling polling) { m_polling = polling; }
+
+    /// Begins or ceases to follow the table; who begins again reads the whole table first.
+    void setFollowing(bool);
+
+    bool isFollowing() const { return m_isFollowing; }
+
+    /// True while it follows the table and the store answers.
+    bool isReading() const { return m_isFollowing && m_isReachable && m_hasRead; }
+
     bool hasRead() const { return m_hasRead; }
 
+    /// The store's version up to which the table is known; 0 before the first whole read.
+    std::uint64_t version() const { return m_hasRead ? m_version : 0; }
+
 private:
     void call();
     void onCallEnd(SmallCallEnd&&);
@@ -47,13 +69,16 @@
     void retryLater();
     void callAfter(Duration pause);
     void noteReached();
+    int pollMilliseconds() const;
 
     const Clock& m_clock;
     StoreReaderOptions m_options;
     boost::asio::steady_timer m_timer;
     SmallCall m_call;
     bool m_hasRead { false };
+    bool m_isFollowing { true };
     bool m_isListing { true };
+    Polling m_polling { Polling::Watchful };
     bool m_isReachable { true };
     bool m_wasUnreachable { false }; ///< Since the last news.
     SteadyTime m_reachableAgainAt;
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -24,7 +24,7 @@
 class InstanceNews;
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -38,6 +38,8 @@
   bool closedTargets :1;
   bool waitingPools :1;
   bool demands :1;
+  bool targetsVersion :1;
+  bool readsTargets :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -51,7 +53,9 @@
                  sequence(0),
                  settingsVersion(0),
                  leaving(0),
-                 failureDomain() {
+                 failureDomain(),
+                 targetsVersion(0),
+                 readsTargets(0) {
   }
 
   virtual ~InstanceNews() noexcept;
@@ -68,6 +72,8 @@
   std::vector<int32_t>  closedTargets;
   std::vector<int32_t>  waitingPools;
   std::vector<int32_t>  demands;
+  int64_t targetsVersion;
+  bool readsTargets;
 
   _InstanceNews__isset __isset;
 
@@ -97,6 +103,10 @@
 
   void __set_demands(const std::vector<int32_t> & val);
 
+  void __set_targetsVersion(const int64_t val);
+
+  void __set_readsTargets(const bool val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -125,6 +135,10 @@
       return false;
     if (!(demands == rhs.demands))
       return false;
+    if (!(targetsVersion == rhs.targetsVersion))
+      return false;
+    if (!(readsTargets == rhs.readsTargets))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/src/gen/instance_state_types.h
+++ b/src/gen/instance_state_types.h
@@ -23,12 +23,15 @@
 
 class StateRow;
 
-class InstanceState;
+class TableState;
 
 typedef struct _StateRow__isset {
-  _StateRow__isset() : key(false), value(false) {}
+  _StateRow__isset() : key(false), value(false), version(false), deleted(false), afterOutage(false) {}
   bool key :1;
   bool value :1;
+  bool version :1;
+  bool deleted :1;
+  bool afterOutage :1;
 } _StateRow__isset;
 
 class StateRow : public virtual ::apache::thrift::TBase {
@@ -38,12 +41,18 @@
   StateRow& operator=(const StateRow&);
   StateRow() noexcept
            : key(),
-             value() {
+             value(),
+             version(0),
+             deleted(0),
+             afterOutage(0) {
   }
 
   virtual ~StateRow() noexcept;
   std::string key;
   std::string value;
+  int64_t version;
+  bool deleted;
+  bool afterOutage;
 
   _StateRow__isset __isset;
 
@@ -51,12 +60,24 @@
 
   void __set_value(const std::string& val);
 
+  void __set_version(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  void __set_afterOutage(const bool val);
+
   bool operator == (const StateRow & rhs) const
   {
     if (!(key == rhs.key))
       return false;
     if (!(value == rhs.value))
       return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    if (!(afterOutage == rhs.afterOutage))
+      return false;
     return true;
   }
   bool operator != (const StateRow &rhs) const {
@@ -75,43 +96,51 @@
 
 std::ostream& operator<<(std::ostream& out, const StateRow& obj);
 
-typedef struct _InstanceState__isset {
-  _InstanceState__isset() : settings(false), targets(false) {}
-  bool settings :1;
-  bool targets :1;
-} _InstanceState__isset;
+typedef struct _TableState__isset {
+  _TableState__isset() : version(false), rows(false), isWhole(false) {}
+  bool version :1;
+  bool rows :1;
+  bool isWhole :1;
+} _TableState__isset;
 
-class InstanceState : public virtual ::apache::thrift::TBase {
+class TableState : public virtual ::apache::thrift::TBase {
  public:
 
-  InstanceState(const InstanceState&);
-  InstanceState& operator=(const InstanceState&);
-  InstanceState() noexcept {
+  TableState(const TableState&);
+  TableState& operator=(const TableState&);
+  TableState() noexcept
+             : version(0),
+               isWhole(0) {
   }
 
-  virtual ~InstanceState() noexcept;
-  std::vector<StateRow>  settings;
-  std::vector<StateRow>  targets;
+  virtual ~TableState() noexcept;
+  int64_t version;
+  std::vector<StateRow>  rows;
+  bool isWhole;
 
-  _InstanceState__isset __isset;
+  _TableState__isset __isset;
 
-  void __set_settings(const std::vector<StateRow> & val);
+  void __set_version(const int64_t val);
 
-  void __set_targets(const std::vector<StateRow> & val);
+  void __set_rows(const std::vector<StateRow> & val);
 
-  bool operator == (const InstanceState & rhs) const
+  void __set_isWhole(const bool val);
+
+  bool operator == (const TableState & rhs) const
   {
-    if (!(settings == rhs.settings))
+    if (!(version == rhs.version))
+      return false;
+    if (!(rows == rhs.rows))
       return false;
-    if (!(targets == rhs.targets))
+    if (!(isWhole == rhs.isWhole))
       return false;
     return true;
   }
-  bool operator != (const InstanceState &rhs) const {
+  bool operator != (const TableState &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const InstanceState & ) const;
+  bool operator < (const TableState & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -119,9 +148,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(InstanceState &a, InstanceState &b);
+void swap(TableState &a, TableState &b);
 
-std::ostream& operator<<(std::ostream& out, const InstanceState& obj);
+std::ostream& operator<<(std::ostream& out, const TableState& obj);
 
 }} // namespace
 
--- a/src/traffic/HttpChannel.cpp
+++ b/src/traffic/HttpChannel.cpp
@@ -1,5 +1,6 @@
 #include "traffic/HttpChannel.h"
 
+#include "core/Guard.h"
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -162,7 +163,7 @@
                 m_parser->skip(true);
         }
         boost::system::error_code error;
-        std::size_t used = m_parser->put(asio::buffer(m_input), error);
+        std::size_t used = putBytes(*m_parser, m_input, error);
         if (m_isBroken || !m_handler)
             return;
         m_input.erase(0, used);
@@ -221,7 +222,7 @@
     if (m_isInformational || !m_handler)
         return;
     std::string_view answered = fieldValue(head.fields, Field::RequestId);
-    m_isSkipping = !m_requestId.empty() && !answered.empty() && answered != m_requestId;
+    m_isSkipping = !m_requestId.empty() && !answered.empty() && answered != m_requestId && !isGuardDisabled(GuardId::AnswerOfOtherRequestDropped);
     if (!head.keepAlive || head.endsWithConnection)
         m_mayReuse = false;
     learnIdleTime(head);
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -455,6 +455,54 @@
     STRCMP_EQUAL("200", statusOf(connection.readAnswer()).c_str());
 }
 
+TEST(Gateway, anInstanceThatTheStoreRefusesLearnsFromAPeerThatReadsIt)
+{
+    auto serve = [](TargetCall& request) { request.answer(200, "done"); };
+    addTarget(serve);
+    addTarget(serve);
+    fakes::StoreFake refusing;
+    refusing.put("op", "config", documentOfVersion(1));
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        refusing.put("servers", "t" + std::to_string(i + 1), entryOf(i, "ready", 1));
+    start();
+    RunningNode refused(refusing.port(), { .instance = "front-a-2", .ip = "127.0.0.2", .peerPort = node->peerPort(), .seedIps = { "127.0.0.1" } });
+    CHECK(eventually([&] { return refused.readiness() == 200; }));
+    refusing.setFailStatus(503);
+    store->drop("servers", "t1");
+    auto callRefused = [&](const std::string& path) {
+        RawConnection connection(refused.callerPort(), refused.ip());
+        connection.send(requestText(path));
+        return statusOf(connection.readAnswer());
+    };
+    std::this_thread::sleep_for(1500ms);
+    int before = targets[0]->calls();
+    for (int i = 0; i < 5; ++i)
+        STRCMP_EQUAL("200", callRefused("/pay/x").c_str());
+    LONGS_EQUAL(before, targets[0]->calls());
+    store->put("op", "config", R"({"version":9,"routes":[],"services":[]})");
+    CHECK(eventually([&] { return callRefused("/pay/x") == "404"; }));
+}
+
+TEST(Gateway, settingsAndTargetsArriveSoonAfterTheStoreWasSilentForAWhile)
+{
+    auto serve = [](TargetCall& request) { request.answer(200, "done"); };
+    addTarget(serve);
+    addTarget(serve);
+    start();
+    store->setSilent(true);
+    std::this_thread::sleep_for(500ms);
+    store->setSilent(false);
+    store->drop("servers", "t1");
+    auto lateAt = std::chrono::steady_clock::now() + 4s;
+    std::this_thread::sleep_until(lateAt);
+    int before = targets[0]->calls();
+    for (int i = 0; i < 5; ++i)
+        STRCMP_EQUAL("200", statusOf(call(requestText("/pay/x"))).c_str());
+    LONGS_EQUAL(before, targets[0]->calls());
+    store->put("op", "config", R"({"version":9,"routes":[],"services":[]})");
+    CHECK(eventually([&] { return statusOf(call(requestText("/pay/x"))) == "404"; }));
+}
+
 TEST(Gateway, aCallerThatStallsInTheMiddleOfABodyIsDisconnected)
 {
     start();
