--- a/test/faultsoak/Fleet.cpp
+++ b/test/faultsoak/Fleet.cpp
@@ -55,7 +55,7 @@
     std::string pattern = std::filesystem::temp_directory_path() / "limpetpond-faultsoak-XXXXXX";
     m_folder = ::mkdtemp(pattern.data()) ? pattern : ".";
     std::vector<std::string> behind;
-    behind.reserve(static_cast<std::size_t>(options.gateways + options.targets));
+    behind.reserve(static_cast<std::size_t>(options.gateways) + static_cast<std::size_t>(options.targets));
     for (int i = 0; i < options.gateways; ++i)
         behind.push_back("127.0.0.1:" + std::to_string(m_store.port()));
     for (int i = 0; i < options.targets; ++i) {
