Remove what the change left dead, and a second clock of the benchmarks

Cause, found in the last read: PeerNews::addresses lost its caller when instances began to ask the leading peer; StoreReader::hasRead and two questions of CallerConnection had none; findPool and its index, built with every version of the settings, were never asked. SlopesBench read the thread's processor clock beside bench/Timing; it calls that now. An instance hashes its own id once a turn instead of twice.

--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -1,6 +1,7 @@
 #include "bench/SlopesBench.h"
 
 #include "bench/AllocationCounter.h"
+#include "bench/Timing.h"
 #include "core/Claims.h"
 #include "core/Drain.h"
 #include "core/Membership.h"
@@ -9,7 +10,6 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <ctime>
 #include <functional>
 #include <memory>
 #include <string>
@@ -101,9 +101,8 @@
 
     double processorSeconds()
     {
-        timespec time {};
-        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+        constexpr double secondsInMicrosecond = 1e-6;
+        return processorMicroseconds() * secondsInMicrosecond;
     }
 
     // Processor time of one call, over enough calls to be read off the clock.
--- a/src/core/RouteIndex.cpp
+++ b/src/core/RouteIndex.cpp
@@ -13,8 +13,6 @@
         for (const std::string& key : kept.accounts[i].keys)
             indexed->accountsByKey[key] = i;
     }
-    for (std::size_t i = 0; i < kept.pools.size(); ++i)
-        indexed->poolsById[kept.pools[i].id.value()] = i;
     return indexed;
 }
 
@@ -38,12 +36,6 @@
     return found == settings.accountsByKey.end() ? nullptr : &settings.settings.accounts[found->second];
 }
 
-const PoolSettings* findPool(const SettingsInForce& settings, const PoolId& pool)
-{
-    auto found = settings.poolsById.find(pool.value());
-    return found == settings.poolsById.end() ? nullptr : &settings.settings.pools[found->second];
-}
-
 const PoolId& choosePool(const RouteSettings& route, std::uint64_t random)
 {
     std::uint64_t total = 0;
--- a/src/core/RouteIndex.h
+++ b/src/core/RouteIndex.h
@@ -24,7 +24,6 @@
     ServingSettings settings;
     TextMap<TextMap<std::size_t>> routesByHost; ///< Host, then prefix, to the route's position.
     TextMap<std::size_t> accountsByKey;
-    TextMap<std::size_t> poolsById;
 };
 
 /// Builds the indexes.
@@ -44,9 +43,6 @@
 ///     const AccountSettings* account = findAccount(*settings, key);
 const AccountSettings* findAccount(const SettingsInForce&, std::string_view key);
 
-/// The pool's settings; null where the settings name no such pool.
-const PoolSettings* findPool(const SettingsInForce&, const PoolId&);
-
 /// Chooses among a route's pools by weight; `random` is any well spread number.
 ///
 ///     PoolId pool = choosePool(*route, generator());
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -250,8 +250,9 @@
     peers.reserve(m_readingPeers.size());
     for (const auto& [id, peer] : m_readingPeers)
         peers.push_back(peer);
-    m_settingsReader.setPolling(shouldWatch(shortHash(m_boot.instance.value()), peers) ? StoreReader::Polling::Watchful : StoreReader::Polling::Long);
-    bool reads = shouldRead(shortHash(m_boot.instance.value()), peers, now, m_peers.interval());
+    std::uint32_t ownHash = shortHash(m_boot.instance.value());
+    m_settingsReader.setPolling(shouldWatch(ownHash, peers) ? StoreReader::Polling::Watchful : StoreReader::Polling::Long);
+    bool reads = shouldRead(ownHash, peers, now, m_peers.interval());
     if (reads == m_targetReader.isFollowing())
         return;
     m_log.line("info", "reads_targets", { { "itself", reads }, { "peers", static_cast<std::int64_t>(peers.size()) } });
--- a/src/gateway/PeerNews.cpp
+++ b/src/gateway/PeerNews.cpp
@@ -130,14 +130,6 @@
     }
 }
 
-std::vector<std::string> PeerNews::addresses() const
-{
-    std::vector<std::string> known;
-    for (const auto& [address, peer] : m_peers)
-        known.push_back(address.to_string());
-    return known;
-}
-
 void PeerNews::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_from, [this](boost::system::error_code error, std::size_t count) {
--- a/src/gateway/PeerNews.h
+++ b/src/gateway/PeerNews.h
@@ -89,9 +89,6 @@
 
     void send(const InstanceNews&);
 
-    /// The addresses that news are sent to.
-    std::vector<std::string> addresses() const;
-
     /// Finds peers that fell silent.
     void tick(SteadyTime now);
 
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -55,8 +55,6 @@
     /// True while it follows the table and the store answers.
     bool isReading() const { return m_isFollowing && m_isReachable && m_hasRead; }
 
-    bool hasRead() const { return m_hasRead; }
-
     /// The store's version up to which the table is known; 0 before the first whole read.
     std::uint64_t version() const { return m_hasRead ? m_version : 0; }
 
--- a/src/traffic/CallerConnection.h
+++ b/src/traffic/CallerConnection.h
@@ -49,8 +49,6 @@
     void closeIfUnused();
 
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size(); }
-    bool isServing() const { return m_isServing; }
-    bool isOpen() const { return !m_isClosed; }
 
 private:
     void startRead();
