Give no place to a late request while one of its rank can be in time

Cause: a late request went before everything of its rank in the last 35% of its patience. In a long burst such requests are always there, so each place they got made one late that still had time. Change: in the last sixth of its patience a late request goes before lower ranks, but after those of its rank that can be in time. Tests: aLateRequestTakesNoPlaceFromOneOfItsRankThatCanBeInTime and inALongBurstPlacesGoToThoseThatCanBeInTime (119 places given to late ones), both red before.

--- a/src/core/WaitingLine.cpp
+++ b/src/core/WaitingLine.cpp
@@ -17,8 +17,8 @@
     constexpr Duration rateInterval = std::chrono::milliseconds(250);
     constexpr double rateWeight = 0.4;
 
-    /// The last part of a late request's patience, in which it goes before everything of its rank.
-    constexpr double lastCallShare = 0.35;
+    /// The last part of a late request's patience, in which it goes before all lower ranks.
+    constexpr double lastCallShare = 1.0 / 6;
 
     double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -69,8 +69,8 @@
     const std::pair lastDue { now, std::numeric_limits<WaitTicket>::max() };
     for (auto& [level, rank] : line.ranks) {
         separateLate(line, rank, now);
-        take(rank.late.begin(), rank.late.upper_bound(lastDue));
         take(rank.inTime.begin(), rank.inTime.end());
+        take(rank.late.begin(), rank.late.upper_bound(lastDue));
     }
     for (const auto& [level, rank] : line.ranks)
         take(rank.late.upper_bound(lastDue), rank.late.end());
--- a/src/core/WaitingLine.h
+++ b/src/core/WaitingLine.h
@@ -5,7 +5,8 @@
 /// Load pattern: bursts of two to five seconds in which more is asked than the targets carry. Targets
 /// admit in the order of arrival and know no ranks, so requests wait here. Those that can still meet their
 /// latency objective go first, by rank and then by that time. Late ones follow, since their answers are worth
-/// less, until little of their patience is left: then they go before everything of their rank.
+/// less, until little of their patience is left: then they go before all lower ranks. They never take a place from
+/// a request of their own rank that can be in time; in a burst that would make it late as well.
 
 #include "limpetpond/Clock.h"
 #include <cstdint>
--- a/test/WaitingLineTest.cpp
+++ b/test/WaitingLineTest.cpp
@@ -1,4 +1,6 @@
 #include "core/WaitingLine.h"
+#include <algorithm>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -54,6 +56,43 @@
     LONGS_EQUAL(1, take());
 }
 
+TEST(WaitingLine, aLateRequestTakesNoPlaceFromOneOfItsRankThatCanBeInTime)
+{
+    add(1, 0, 100ms, 3s);
+    now += 2900ms;
+    add(2, 0, 500ms, 3s);
+    add(3, 1, 500ms, 3s);
+    LONGS_EQUAL(2, take());
+    LONGS_EQUAL(1, take());
+    LONGS_EQUAL(3, take());
+}
+
+// Load: a burst of 4 s asks for twice as many places as come free. The line is always full of late requests; they may
+// have a place only where no request of their rank could still be in time.
+TEST(WaitingLine, inALongBurstPlacesGoToThoseThatCanBeInTime)
+{
+    constexpr int steps = 400;
+    std::map<WaitTicket, SteadyTime> goals;
+    WaitTicket ticket = 0;
+    int placesOfLate = 0;
+    for (int step = 0; step < steps; ++step) {
+        now += 10ms;
+        add(++ticket, 0, 300ms, 2s);
+        goals[ticket] = now + 300ms;
+        if (step % 2)
+            continue;
+        bool isAnyInTime = std::any_of(goals.begin(), goals.end(), [&](const auto& goal) { return goal.second >= now; });
+        WaitTicket taken = take();
+        placesOfLate += isAnyInTime && goals.at(taken) < now;
+        goals.erase(taken);
+        for (WaitTicket past : pastUse(line, now)) {
+            removeWaiting(line, past);
+            goals.erase(past);
+        }
+    }
+    LONGS_EQUAL(0, placesOfLate);
+}
+
 TEST(WaitingLine, requestsPastTheirUseAreNamed)
 {
     add(1, 0, 100ms, 1s);
