Split the scheduler by job: targets, running requests, shedding, dispatch

Cause: core/Scheduler.cpp had grown to 791 lines with five jobs in one unnamed namespace, and the number of tokens was worked out by two copies of one function. Change: SchedulerTargets, SchedulerRunning, SchedulerShedding and SchedulerDispatch hold what their sections held, as internals with a header that says what each does; Scheduler.cpp keeps the functions that the control state calls (275 lines). No behaviour changes. The gateway uses none of these files.

--- a/src/core/Routing.cpp
+++ b/src/core/Routing.cpp
@@ -29,11 +29,6 @@
     constexpr Duration warmRecheck = std::chrono::milliseconds(500);
     constexpr std::size_t homeBlocks = 16; // blocks by which the baseline of prefix hashes chooses
 
-    double count(TokenCount tokens)
-    {
-        return static_cast<double>(tokens.count());
-    }
-
     // The largest request, in tokens, that the target takes from this instance now; negative for none.
     double roomAt(const PoolScheduler& pool, const TargetView& target)
     {
--- /dev/null
+++ b/src/core/SchedulerShedding.cpp
@@ -0,0 +1,194 @@
+#include "core/SchedulerShedding.h"
+
+#include <algorithm>
+
+namespace limpetpond::detail {
+
+namespace {
+
+    constexpr double pressedQueueShare = 0.75; // of the pool's bound
+    constexpr double pressedWaitShare = 0.25; // of a request's longest wait, counted from its end
+    constexpr int confirmationHeartbeats = 4; // that a floor may take to be confirmed
+    constexpr int preemptionGraceHeartbeats = 3; // that lower work may go on under a new floor
+
+    ServedTiers servedTiers(const PoolScheduler& pool)
+    {
+        ServedTiers served { .lowest = lowestServed(pool) };
+        for (const auto& [tier, state] : pool.tiers) {
+            if (state.isListed || state.queue.waiting || state.running) {
+                served.lowestKnown = tier;
+                break;
+            }
+        }
+        return served;
+    }
+
+    bool hasServingTarget(const PoolScheduler& pool)
+    {
+        return std::any_of(pool.targets.begin(), pool.targets.end(),
+            [](const TargetModel& target) { return target.isListed && target.settings.mark == TargetMark::Serving; });
+    }
+
+    Reason expiryReason(const PoolScheduler& pool, const WaitingRequest& waiting)
+    {
+        if (!hasServingTarget(pool))
+            return Reason::NoTarget;
+        bool isDeadline = waiting.queued.deadline && *waiting.queued.deadline <= waiting.giveUpAt;
+        return isDeadline ? Reason::DeadlineExceeded : Reason::Overloaded;
+    }
+
+    Duration confirmationTime(const PoolScheduler& pool)
+    {
+        return pool.heartbeatPeriod * confirmationHeartbeats;
+    }
+
+    double wasteOf(const RunningRequest& running)
+    {
+        return running.startedAt ? count(running.uncached) : 0;
+    }
+
+    bool mayCancel(const PoolScheduler& pool, const RunningRequest& running, TierLevel floor)
+    {
+        const TargetModel& target = pool.targets[running.target];
+        bool isServing = target.isListed && target.settings.mark == TargetMark::Serving;
+        return running.inUse && !running.isCancelling && running.queued.tier < floor && running.queued.cancellable && isServing;
+    }
+
+    // The lower request whose cancellation wastes least: lowest tier first, then least computed prompt.
+    RunningRequest* cheapestToCancel(PoolScheduler& pool, TierLevel floor)
+    {
+        RunningRequest* cheapest = nullptr;
+        for (RunningRequest& running : pool.running.slots) {
+            if (!mayCancel(pool, running, floor))
+                continue;
+            bool isCheaper = !cheapest || running.queued.tier < cheapest->queued.tier
+                || (running.queued.tier == cheapest->queued.tier && wasteOf(running) < wasteOf(*cheapest));
+            if (isCheaper)
+                cheapest = &running;
+        }
+        return cheapest;
+    }
+
+    void cancel(PoolScheduler& pool, RunningRequest& running, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+    {
+        running.isCancelling = true;
+        pool.counters.preempted += 1;
+        decisions.emplace_back(CancelDecision { .request = running.queued.request,
+            .target = pool.targets[running.target].settings.id,
+            .retryAfter = nextReturn(pool.returns, pool.waitingCount, now) });
+    }
+
+} // namespace
+
+void shed(PoolScheduler& pool, TierState& tier, WaitingIndex index, Reason reason, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+{
+    QueuedRequest request = take(pool.waiting, tier.queue, index);
+    pool.waitingCount -= 1;
+    pool.counters.shed += 1;
+    decisions.emplace_back(ShedDecision { .request = std::move(request.request),
+        .reason = reason,
+        .retryAfter = nextReturn(pool.returns, pool.waitingCount, now) });
+}
+
+void giveUpExpired(PoolScheduler& pool, SteadyTime now)
+{
+    for (auto& [level, tier] : pool.tiers) {
+        while (auto next = nextExpiry(pool.waiting, tier.queue)) {
+            if (next->at > now)
+                break;
+            giveUp(pool.waiting, tier.queue, next->index, expiryReason(pool, pool.waiting.slots[next->index]));
+        }
+    }
+}
+
+void giveUpBelowFloor(PoolScheduler& pool)
+{
+    for (auto& [level, tier] : pool.tiers) {
+        if (level >= pool.floors.inForce)
+            return;
+        while (!tier.queue.active.empty())
+            giveUp(pool.waiting, tier.queue, lastOfLargest(tier.queue), Reason::Overloaded);
+    }
+}
+
+void shedGivenUp(PoolScheduler& pool, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+{
+    for (auto& [level, tier] : pool.tiers) {
+        if (tier.queue.givenUp.empty())
+            continue;
+        if (!mayShed(pool.floors, servedTiers(pool), level)) {
+            notePressure(pool.floors, level, now);
+            continue;
+        }
+        while (!tier.queue.givenUp.empty()) {
+            WaitingIndex index = tier.queue.givenUp.front();
+            shed(pool, tier, index, *pool.waiting.slots[index].givenUpFor, now, decisions);
+        }
+    }
+}
+
+void shedOverflow(PoolScheduler& pool, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+{
+    for (auto& [level, tier] : pool.tiers) {
+        while (pool.waitingCount > pool.settings.maxWaiting && !tier.queue.active.empty()) {
+            if (!mayShed(pool.floors, servedTiers(pool), level)) {
+                notePressure(pool.floors, level, now);
+                return;
+            }
+            shed(pool, tier, lastOfLargest(tier.queue), Reason::Overloaded, now, decisions);
+        }
+    }
+}
+
+void shedOverAccountLimit(PoolScheduler& pool, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+{
+    for (auto& [level, tier] : pool.tiers) {
+        while (true) {
+            WaitingIndex last = lastOfLargest(tier.queue);
+            if (last == noWaitingIndex)
+                break;
+            const AccountQueue& account = tier.queue.accounts[pool.waiting.slots[last].account];
+            if (account.waiting <= account.share.maxWaiting)
+                break;
+            if (!mayShed(pool.floors, servedTiers(pool), level)) {
+                notePressure(pool.floors, level, now);
+                break;
+            }
+            shed(pool, tier, last, Reason::AccountLimit, now, decisions);
+        }
+    }
+}
+
+void notePressures(PoolScheduler& pool, SteadyTime now)
+{
+    int waitingAbove = 0;
+    for (auto entry = pool.tiers.rbegin(); entry != pool.tiers.rend(); ++entry) {
+        TierState& tier = entry->second;
+        waitingAbove += tier.queue.waiting;
+        if (!tier.queue.waiting)
+            continue;
+        bool isFull = waitingAbove > pool.settings.maxWaiting * pressedQueueShare;
+        bool isShort = false;
+        if (auto next = nextExpiry(pool.waiting, tier.queue)) {
+            const WaitingRequest& waiting = pool.waiting.slots[next->index];
+            Duration longest = waiting.giveUpAt - waiting.queued.arrivedAt;
+            auto margin = std::chrono::duration_cast<Duration>(longest * pressedWaitShare);
+            isShort = next->at - now < std::max(margin, std::min(confirmationTime(pool), longest * 3 / 4));
+        }
+        if (isFull || isShort)
+            notePressure(pool.floors, entry->first, now);
+    }
+}
+
+void preemptBelowFloor(PoolScheduler& pool, SteadyTime now, std::vector<SchedulerDecision>& decisions)
+{
+    if (!pool.floors.inForce.level || now - pool.floors.inForceSince < pool.heartbeatPeriod * preemptionGraceHeartbeats)
+        return;
+    std::optional<TierLevel> lowest = lowestServed(pool);
+    if (!lowest || *lowest >= pool.floors.inForce)
+        return;
+    while (RunningRequest* running = cheapestToCancel(pool, pool.floors.inForce))
+        cancel(pool, *running, now, decisions);
+}
+
+} // namespace limpetpond::detail
--- a/src/core/SchedulerState.h
+++ b/src/core/SchedulerState.h
@@ -35,6 +35,18 @@
 ///     policy == RoutingPolicy::RoundRobin;
 RoutingPolicy routingPolicyOf(const std::string& name);
 
+/// Tokens as a number that shares and rates are worked out with.
+inline double count(TokenCount tokens)
+{
+    return static_cast<double>(tokens.count());
+}
+
+/// True for the policies that measurements compare with: they know neither accounts nor cached prompts.
+inline bool isBaseline(RoutingPolicy policy)
+{
+    return policy != RoutingPolicy::Limpetpond && policy != RoutingPolicy::NoTiers;
+}
+
 /// A request in progress at a target.
 struct RunningRequest {
     QueuedRequest queued;
--- /dev/null
+++ b/src/core/SchedulerTargets.cpp
@@ -0,0 +1,156 @@
+#include "core/SchedulerTargets.h"
+
+#include <algorithm>
+
+namespace limpetpond::detail {
+
+namespace {
+
+    constexpr Duration refreshPeriod = std::chrono::milliseconds(50);
+    constexpr std::size_t overdueChecks = 128; // running requests at a time
+    constexpr double shareBase = 2'000; // tokens of demand that every instance is granted
+    constexpr double smallestShareOfEven = 0.25;
+    constexpr double overdueFactor = 1.5; // of the expected time to the first token
+    constexpr double mostEjectedShare = 0.5; // of a pool's serving targets
+
+    std::size_t placeOf(PoolScheduler& pool, const TargetId& id)
+    {
+        auto found = pool.targetIndex.find(id);
+        if (found != pool.targetIndex.end())
+            return found->second;
+        auto isFree = [](const TargetModel& target) { return !target.isListed && !target.requests; };
+        auto free = std::find_if(pool.targets.begin(), pool.targets.end(), isFree);
+        auto place = static_cast<std::size_t>(free - pool.targets.begin());
+        if (free == pool.targets.end())
+            pool.targets.emplace_back();
+        else
+            pool.targetIndex.erase(free->settings.id);
+        pool.targets[place] = {};
+        pool.targetIndex[id] = place;
+        resizeTargets(pool.prefixes, pool.targets.size());
+        clearTarget(pool.prefixes, place);
+        return place;
+    }
+
+    double ownDemand(const PoolScheduler& pool)
+    {
+        double demand = 0;
+        for (const auto& [tier, state] : pool.tiers)
+            demand += count(state.queue.waitingTokens);
+        for (const TargetModel& target : pool.targets)
+            demand += count(target.tokens);
+        return demand;
+    }
+
+    double demandOf(const PeerState& peer)
+    {
+        double demand = 0;
+        for (TokenCount tokens : peer.news.waitingTokensByTier)
+            demand += count(tokens);
+        for (const TargetNews& target : peer.targets)
+            demand += count(target.tokensInProgress);
+        return demand;
+    }
+
+    void updateShare(PoolScheduler& pool)
+    {
+        double own = ownDemand(pool) + shareBase;
+        double all = own;
+        for (const auto& [id, peer] : pool.floors.peers)
+            all += demandOf(peer) + shareBase;
+        double instances = static_cast<double>(pool.floors.peers.size()) + 1;
+        pool.limitShare = std::max(own / all, smallestShareOfEven / instances);
+    }
+
+    bool mayEject(const PoolScheduler& pool)
+    {
+        auto isServing = [](const TargetModel& target) { return target.isListed && target.settings.mark == TargetMark::Serving; };
+        auto serving = std::count_if(pool.targets.begin(), pool.targets.end(), isServing);
+        auto ejected = std::count_if(pool.targets.begin(), pool.targets.end(),
+            [&](const TargetModel& target) { return isServing(target) && target.isEjected; });
+        return static_cast<double>(ejected + 1) <= static_cast<double>(serving) * mostEjectedShare;
+    }
+
+    // Looks at a few running requests at a time, so that no single decision pays for all.
+    void learnFromOverdue(PoolScheduler& pool, SteadyTime now)
+    {
+        std::size_t checks = std::min(overdueChecks, pool.running.slots.size());
+        for (std::size_t i = 0; i < checks; ++i) {
+            pool.nextOverdueCheck = (pool.nextOverdueCheck + 1) % pool.running.slots.size();
+            const RunningRequest& running = pool.running.slots[pool.nextOverdueCheck];
+            if (!running.inUse || running.startedAt)
+                continue;
+            TargetModel& target = pool.targets[running.target];
+            double expected = target.firstTokenBase + running.workBefore / target.prefillRate;
+            double elapsed = std::chrono::duration<double>(now - running.dispatchedAt).count();
+            if (elapsed > overdueFactor * expected)
+                learnOverdue(target, running.workBefore, now - running.dispatchedAt, now);
+        }
+    }
+
+} // namespace
+
+void applyTargets(PoolScheduler& pool, const Settings& settings)
+{
+    for (TargetModel& target : pool.targets)
+        target.isListed = false;
+    for (const auto& [id, target] : settings.targets) {
+        if (target.pool != pool.pool)
+            continue;
+        auto known = pool.targetIndex.find(id);
+        bool isNew = known == pool.targetIndex.end();
+        // Listed before a place is searched, so that a known target's place is never given away.
+        if (!isNew)
+            pool.targets[known->second].isListed = true;
+    }
+    for (const auto& [id, target] : settings.targets) {
+        if (target.pool != pool.pool)
+            continue;
+        std::size_t place = placeOf(pool, id);
+        bool isNewCapacity = pool.targets[place].settings.cacheCapacity != target.cacheCapacity
+            || pool.targets[place].settings.id != id;
+        applyTargetSettings(pool.targets[place], target);
+        if (isNewCapacity)
+            setCapacity(pool.prefixes, place, target.cacheCapacity);
+    }
+}
+
+void sumPeers(PoolScheduler& pool)
+{
+    for (TargetModel& target : pool.targets) {
+        target.peerTokens = {};
+        target.peerRequests = 0;
+    }
+    for (const auto& [id, peer] : pool.floors.peers) {
+        for (const TargetNews& news : peer.targets) {
+            auto found = pool.targetIndex.find(news.target);
+            if (found == pool.targetIndex.end())
+                continue;
+            pool.targets[found->second].peerTokens += news.tokensInProgress;
+            pool.targets[found->second].peerRequests += news.requestsInProgress;
+        }
+    }
+}
+
+void noteTargetFailure(PoolScheduler& pool, TargetModel& target, SteadyTime now)
+{
+    if (noteFailure(target) && mayEject(pool))
+        eject(target, now);
+}
+
+void refresh(PoolScheduler& pool, SteadyTime now)
+{
+    if (now - pool.refreshedAt < refreshPeriod)
+        return;
+    Duration step = now - pool.refreshedAt;
+    pool.refreshedAt = now;
+    for (TargetModel& target : pool.targets) {
+        updateWeight(target, now);
+        forgetOldSpeed(target, step, now);
+    }
+    if (pool.settings.kind == TargetKind::ModelEngine && !isBaseline(pool.policy))
+        learnFromOverdue(pool, now);
+    updateShare(pool);
+}
+
+} // namespace limpetpond::detail
