Split the daemon's traffic by job: parsing, dispatches, conversations

Cause: daemon/Traffic.cpp had grown to 834 lines: reading and authenticating a request, the life of one request on its caller's thread, and dispatches on threads of their own. Change: CallParser, Attempt and Conversation hold them; Traffic.cpp keeps the listeners' handlers (159 lines). No behaviour changes. The gateway uses none of these files.

--- a/src/daemon/Traffic.h
+++ b/src/daemon/Traffic.h
@@ -80,7 +80,6 @@
     void serve(const httplib::Request&, httplib::Response&, CallerConnection&);
     void serveAdmin(const httplib::Request&, httplib::Response&);
     void startAttempt(const std::shared_ptr<detail::Attempt>&);
-    void runAttempt(detail::Attempt&);
     RequestId makeRequestId();
 
     TrafficOptions m_options;
