Write every answer to its end before an instance stops

What callers saw: 200 and a part of the answer, then the connection closed, while an instance stopped in order. Cause: the process ended once no request was in progress, that is once the target's last byte was read, though bytes of that answer could still wait in the caller's connection; a kept connection was closed as unused in the same state. Ruled out: the target, the time for stopping (3 of 8 s used), the order of waiting. Change: Gateway::owesAnswers counts unwritten bytes; closeIfUnused leaves such connections. It works since both places that close now ask for what is unwritten, and the end of the time for stopping still bounds the wait for callers that don't read. Test: Gateway.anInstanceThatStopsWritesEveryAnswerToItsEnd, red before.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -184,6 +184,14 @@
     return open;
 }
 
+bool Gateway::owesAnswers() const
+{
+    if (!m_exchanges.empty())
+        return true;
+    std::vector<std::shared_ptr<CallerConnection>> open = openConnections();
+    return std::any_of(open.begin(), open.end(), [](const auto& connection) { return connection->unwrittenBytes() > 0; });
+}
+
 CallerLimits Gateway::callerLimits() const { return m_settings ? m_settings->settings.limits : CallerLimits {}; }
 
 void Gateway::onRequest(const std::shared_ptr<CallerConnection>& caller, HttpRequest&& request)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -53,6 +53,8 @@
     /// From now on idle connections are closed and requests that still come are turned away.
     void stopTakingRequests();
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
+    /// True while a caller still waits for an answer or for its last bytes.
+    bool owesAnswers() const;
 
     void addConnection(const std::shared_ptr<CallerConnection>&);
 
--- a/src/gateway/Node.cpp
+++ b/src/gateway/Node.cpp
@@ -291,7 +291,7 @@
     Duration elapsed = now - *m_shutdownBegan;
     if (elapsed > takingWhileStopping)
         m_gateway.stopTakingRequests();
-    bool isEmpty = (elapsed > takingWhileStopping && !m_gateway.exchangesInProgress()) || isGuardDisabled(GuardId::StopWaitsForWork);
+    bool isEmpty = (elapsed > takingWhileStopping && !m_gateway.owesAnswers()) || isGuardDisabled(GuardId::StopWaitsForWork);
     if (!isEmpty && elapsed < m_boot.shutdownGrace - keptOfGrace)
         return;
     m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
--- a/src/traffic/CallerConnection.cpp
+++ b/src/traffic/CallerConnection.cpp
@@ -198,7 +198,8 @@
 
 void CallerConnection::closeIfUnused()
 {
-    if (!m_isServing && !m_parser && m_input.empty())
+    bool isUnused = !m_isServing && !m_parser && m_input.empty();
+    if (isUnused && !unwrittenBytes())
         close();
 }
 
--- a/src/traffic/CallerConnection.h
+++ b/src/traffic/CallerConnection.h
@@ -45,7 +45,7 @@
     /// Closes a connection that waits for a request longer than allowed.
     void closeIfIdle(SteadyTime now);
 
-    /// Closes a connection on which no byte of a further request has arrived.
+    /// Closes a connection whose answers are written and on which no byte of a further request has arrived.
     void closeIfUnused();
 
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size(); }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -3,6 +3,7 @@
 #include "test/RunningNode.h"
 #include "test/fakes/edge/StoreFake.h"
 #include "test/fakes/edge/TargetFake.h"
+#include <csignal>
 
 #include <CppUTest/TestHarness.h>
 
@@ -53,6 +54,13 @@
             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    std::string metricsText()
+    {
+        RawConnection connection(node->metricsPort());
+        connection.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        return connection.readAnswer();
+    }
+
     std::string call(const std::string& text)
     {
         RawConnection connection(node->callerPort());
@@ -428,13 +436,30 @@
     STRCMP_CONTAINS("two", connection.readAnswer().c_str());
 }
 
+// Found by a hunt (LOST): the last bytes of an answer were still to be written when the instance had nothing in progress.
+TEST(Gateway, anInstanceThatStopsWritesEveryAnswerToItsEnd)
+{
+    const std::string body(12U << 20U, 'x'); // More than the sockets of a connection hold.
+    addTarget([&](TargetCall& request) { request.answer(200, body); });
+    start();
+    RawConnection slow(node->callerPort());
+    slow.send(requestText("/read/x"));
+    CHECK(eventually([&] { return metricsText().find("limpetpond_answered_total 1\n") != std::string::npos; }));
+    std::raise(SIGTERM);
+    // The caller reads slowly until after the time at which an idle instance ends.
+    for (int i = 0; i < 400; ++i) {
+        slow.readPiece();
+        std::this_thread::sleep_for(10ms);
+    }
+    std::string answer = slow.readAnswer();
+    STRCMP_EQUAL("200", statusOf(answer).c_str());
+    CHECK(answer.size() > body.size());
+}
+
 TEST(Gateway, metricsAreServed)
 {
     addTarget([](TargetCall& request) { request.answer(200, "done"); });
     start();
     call(requestText("/pay/x"));
-    RawConnection connection(node->metricsPort());
-    connection.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
-    std::string answer = connection.readAnswer();
-    STRCMP_CONTAINS("limpetpond_answered_total 1\n", answer.c_str());
+    STRCMP_CONTAINS("limpetpond_answered_total 1\n", metricsText().c_str());
 }
--- a/test/RawConnection.h
+++ b/test/RawConnection.h
@@ -63,6 +63,9 @@
         return text;
     }
 
+    /// Reads one piece of at most 4 KiB, which the other calls return later.
+    bool readPiece() { return fill(); }
+
     /// Whether the other side closes within five seconds.
     bool isClosed()
     {
