Bound the lengths that a message between instances may claim

What callers would see: a datagram of forty bytes on the port for news makes an instance take 4 GB, over its memory limit, so that it is killed. Cause: Thrift checks a claimed length against the bytes left by length * 8 as an int, which overflows for 2,130,574,327; the list is then made that long before it is read. Change: no text or list may be longer than the bytes of its message, which Thrift checks before it makes room; the daemon's server and client take the limit of a message for it.

--- a/src/gateway/ThriftBytes.h
+++ b/src/gateway/ThriftBytes.h
@@ -32,10 +32,14 @@
 std::optional<Wire> fromCompactBytes(std::string_view bytes)
 {
     using apache::thrift::transport::TMemoryBuffer;
+    if (bytes.empty())
+        return std::nullopt;
     try {
         auto* data = const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(bytes.data()));
         auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()));
-        apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+        // No text or list is longer than the bytes that hold it; the library would make room for any length that they claim.
+        const auto longest = static_cast<std::int32_t>(bytes.size());
+        apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer, longest, longest);
         Wire wire;
         wire.read(&protocol);
         return wire;
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -136,8 +136,11 @@
             m_options.listen.host + ":" + std::to_string(m_options.listen.port), "a free port at an address of this machine" });
     }
     int port = socket->getPort();
+    // Without limits the library's check of a claimed length overflows.
+    const int longest = static_cast<int>(m_options.maxMessage.count());
     m_server = std::make_unique<server::TThreadedServer>(m_processor, socket,
-        std::make_shared<BoundedTransportFactory>(m_options.maxMessage, &m_traffic), std::make_shared<protocol::TCompactProtocolFactory>());
+        std::make_shared<BoundedTransportFactory>(m_options.maxMessage, &m_traffic),
+        std::make_shared<protocol::TCompactProtocolFactory>(longest, longest));
     m_server->setConcurrentClientLimit(m_options.maxConnections);
     m_thread = std::thread([this] { m_server->serve(); });
     return port;
--- a/src/peer/ThriftConnection.cpp
+++ b/src/peer/ThriftConnection.cpp
@@ -65,14 +65,15 @@
 
 Result<ThriftConnection> connectThrift(const Endpoint& endpoint, const std::string& service, const ThriftLimits& limits, ThriftTraffic* traffic)
 {
-    auto configuration = std::make_shared<TConfiguration>(static_cast<int>(limits.maxMessage.count()), static_cast<int>(limits.maxMessage.count()));
+    const int longest = static_cast<int>(limits.maxMessage.count());
+    auto configuration = std::make_shared<TConfiguration>(longest, longest);
     ThriftConnection connection;
     connection.socket = std::make_shared<transport::TSocket>(endpoint.host, endpoint.port, configuration);
     connection.socket->setConnTimeout(static_cast<int>(limits.connectTimeout.count()));
     connection.socket->setRecvTimeout(static_cast<int>(limits.callTimeout.count()));
     connection.socket->setSendTimeout(static_cast<int>(limits.callTimeout.count()));
     connection.transport = std::make_shared<transport::TFramedTransport>(detail::countedTransport(connection.socket, traffic), configuration);
-    auto compact = std::make_shared<protocol::TCompactProtocol>(connection.transport);
+    auto compact = std::make_shared<protocol::TCompactProtocol>(connection.transport, longest, longest);
     connection.protocol = std::make_shared<protocol::TMultiplexedProtocol>(compact, service);
     try {
         connection.transport->open();
--- a/test/PeerNewsTest.cpp
+++ b/test/PeerNewsTest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/PeerNews.h"
+#include <sys/resource.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -35,6 +36,21 @@
     CHECK_FALSE(decodeNews(std::string_view(whole).substr(0, whole.size() / 2)).has_value());
 }
 
+// Found by the fuzzer: forty bytes claimed a list of two billion numbers, and room was made for all of them.
+TEST(PeerNews, aMessageThatClaimsALongListTakesNoMemory)
+{
+    const std::string bytes = "\x69\xf7\xf7\xf7\xf7\xf7\xf7\xf7\x64\x3a\x20\x31\x0a\x64\x61\x0a\x0a\x0d\x0aid: 3\ndatata: b\r 3\ndata: c";
+    constexpr long mostGrowth = 64 * 1024; // KiB
+    auto peak = [] {
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    const long before = peak();
+    CHECK_FALSE(decodeNews(bytes).has_value());
+    CHECK(peak() - before < mostGrowth);
+}
+
 TEST(PeerNews, twentyBusyTargetsFitInASmallDatagram)
 {
     InstanceNews news { .instance = InstanceId("front-sj-norte-1") };
