Refuse settings whose routes no request can match or be sent for

Callers of such a route got 404 although the document names it: a prefix that ends without a slash, or holds a question mark, is never equal to a part of a path that findRoute looks up.

--- a/test/OperatorDocumentTest.cpp
+++ b/test/OperatorDocumentTest.cpp
@@ -45,6 +45,26 @@
     CHECK_FALSE(platform::decodeServingSettings("\x01\x02", reason).has_value());
 }
 
+TEST(OperatorDocument, prefixThatNoPathCanMatchIsRejected)
+{
+    auto decode = [this](const std::string& prefix) {
+        return platform::decodeServingSettings(R"({"version":1,"routes":[{"name":"r","host":"h","prefix":")" + prefix + R"(","kind":"idempotent","service":"s"}],"services":[]})", reason);
+    };
+    CHECK(decode("/").has_value());
+    CHECK(decode("/a/b/").has_value());
+    for (const char* prefix : { "/read+", "read/", "/a?/", "" }) {
+        reason.clear();
+        CHECK_FALSE(decode(prefix).has_value());
+        STRCMP_CONTAINS("prefix", reason.c_str());
+    }
+}
+
+TEST(OperatorDocument, routeWithoutAttemptsIsRejected)
+{
+    CHECK_FALSE(platform::decodeServingSettings(R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","kind":"idempotent","service":"s","attempts":0}],"services":[]})", reason).has_value());
+    STRCMP_CONTAINS("attempts", reason.c_str());
+}
+
 TEST(OperatorDocument, decodesTargetEntry)
 {
     std::optional<TargetEntry> found = entry(R"({"service":"s","addr":"10.1.0.9:8080","zone":"z","version":"v1","slots":6,"state":"draining","coldLeftMs":20,"seq":4,"born":1700000000000})");
