Divide slots among many instances; update peers faster under load; keep late first events off slow targets

The logs of three instances showed three causes: - With more than half as many waiting instances as targets, no division of free slots applied. 77 instances filled each target that looked free; first events took 350 to 600 ms at the target, against 60 to 100 ms unloaded, and urgent requests waited 200 to 650 ms here while less urgent ones were sent elsewhere. Now each slot is assigned on its own by weighted rendezvous hashing, in proportion to demand. - Updates of peers were 304 ms old. While requests wait anywhere they are sent every 100 ms at 76 peers; accounts are reported only when their use has changed, and all of them twice a second. - For calls that are shorter than an update's age, an instance now keeps to its share of the pool (at least one request) instead of dumping its queue: 4,328 of 16,279 arrivals were rejected there. Besides, targets that returned from a crash got requests of all instances before slots were assigned (143 rejections in 0.3 s in the logs): slots are assigned before each dispatch. A request whose first event is expected after its latency objective at a slow target leaves it to others while a faster target exists; the estimate is corrected by a measured factor.

Ruled out: that capacity alone binds (urgent requests are a third of the load), and CPU (0.04 of 0.3 core).

--- a/src/core/AccountQuota.h
+++ b/src/core/AccountQuota.h
@@ -31,6 +31,7 @@
     double left { 0 }; ///< Units in the bucket; negative after late charges.
     SteadyTime filledAt; ///< When the bucket was last refilled.
     double admittedHere { 0 }; ///< Units admitted since the start, as sent to peers.
+    double reportedHere { 0 }; ///< `admittedHere` in the last update to peers.
     std::map<InstanceId, PeerUsage> peers;
 };
 
--- a/src/core/TargetSelection.cpp
+++ b/src/core/TargetSelection.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Guard.h"
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -26,10 +27,16 @@
     constexpr double roundingSlack = 1e-6; ///< Allows for rounding errors in counts computed from means.
     constexpr double unknownMillisecondsPerUnit = 1; ///< For pools whose targets have not answered yet.
 
+    constexpr std::size_t speedClasses = 3;
+    constexpr double firstTokenMilliseconds = 60; ///< Sending, admission and one step, at a target of mean speed.
+    constexpr double firstEventFactorWeight = 0.05; ///< Weight of the latest answer in the moving average.
+    constexpr double minFirstEventFactor = 0.5;
+    constexpr double maxFirstEventFactor = 4; ///< Bounds the effect of single answers that waited behind others.
+
     constexpr double notNearestCost = 0.25; ///< Share of the expected time added when another instance is nearer.
     constexpr double farthestCost = 0.25; ///< Further share of the expected time added at the farthest instance, in proportion at nearer ones.
     constexpr std::size_t minTargetsPerInstance = 2;
-    constexpr double minWeightToPartition = 0.5;
+    constexpr double minWeightForTargets = 0.5;
     constexpr double minDemand = 1; ///< Demand of an instance whose request has just arrived.
     constexpr double ownDomainDemandFactor = 2; ///< Multiplies an instance's demand at targets of its failure domain.
     constexpr double demandOfRank0 = 144; ///< Weight of a request of the most urgent rank.
@@ -90,21 +97,32 @@
 
     double slotsOf(const TargetState& target) { return std::max(target.entry.slots, 1); }
 
+    /// The targets of one speed class: those that meet the latency objective, those that end by the deadline, and the rest.
+    /// A request waits for a busy target of the best class that has any, instead of taking a free slot of a slower one.
+    struct Candidates {
+        bool isAny { false };
+        double leastCost { std::numeric_limits<double>::infinity() }; ///< Of those with a free slot.
+        std::optional<std::size_t> index;
+    };
+
     /// Means over all targets of the pool.
     struct PoolView {
         double meanMillisecondsPerUnit { 1 };
         double peerRequestsPerSlot { 0 };
+        int ownInProgress { 0 }; ///< Sum over all targets.
     };
 
     PoolView viewOf(const std::vector<TargetState>& targets)
     {
         double peers = 0;
         double slots = 0;
+        int own = 0;
         for (const TargetState& target : targets) {
             peers += target.peersInProgress;
             slots += slotsOf(target);
+            own += target.ownInProgress;
         }
-        return { .meanMillisecondsPerUnit = meanMillisecondsPerUnit(targets), .peerRequestsPerSlot = slots > 0 ? peers / slots : 0 };
+        return { .meanMillisecondsPerUnit = meanMillisecondsPerUnit(targets), .peerRequestsPerSlot = slots > 0 ? peers / slots : 0, .ownInProgress = own };
     }
 
     /// Estimated requests in progress at the target, of all instances.
@@ -116,9 +134,11 @@
 
     bool hasFreeSlot(const TargetState& target, const TargetSelectionInput& input, const PoolView& pool)
     {
-        if (target.isAssignedToPeer || (target.ownConcurrencyLimit > 0 && target.ownInProgress + 1 > target.ownConcurrencyLimit + roundingSlack))
+        if (target.assignedSlots && target.ownInProgress >= *target.assignedSlots)
+            return false;
+        if (target.ownConcurrencyLimit > 0 && target.ownInProgress + 1 > target.ownConcurrencyLimit + roundingSlack)
             return false;
-        return inProgress(target, input, pool) + 1 <= std::floor(slotsOf(target) * input.requestsPerSlot) + roundingSlack;
+        return inProgress(target, input, pool) + 1 <= requestsAllowed(target, input.requestsPerSlot) + roundingSlack;
     }
 
     double expectedMilliseconds(const TargetState& target, const TargetSelectionInput& input, double mean)
@@ -128,6 +148,19 @@
         return input.work * millisecondsPerUnit + promptMilliseconds;
     }
 
+    double firstEventMilliseconds(const TargetState& target, double promptTokens, double mean)
+    {
+        double slowness = target.millisecondsPerUnit > 0 ? target.millisecondsPerUnit / mean : 1;
+        return slowness * (firstTokenMilliseconds + (promptTokens + target.ownPromptTokens) / typicalPromptTokensPerMillisecond);
+    }
+
+    bool meetsObjective(const TargetState& target, const TargetSelectionInput& input, double mean)
+    {
+        if (!input.timeToObjective)
+            return true;
+        return input.firstEventFactor * firstEventMilliseconds(target, input.promptTokens, mean) <= 1000 * seconds(*input.timeToObjective);
+    }
+
     double expectedCost(const TargetState& target, const TargetSelectionInput& input, const PoolView& pool, SteadyTime now)
     {
         double expected = expectedMilliseconds(target, input, pool.meanMillisecondsPerUnit);
@@ -193,29 +226,44 @@
 std::optional<std::size_t> chooseTarget(const std::vector<TargetState>& targets, const TargetSelectionInput& input, SteadyTime now)
 {
     PoolView pool = viewOf(targets);
+    if (input.ownRequestsAllowed && pool.ownInProgress >= *input.ownRequestsAllowed)
+        return std::nullopt;
     double timeLimit = usableShareOfTimeLeft * 1000 * seconds(input.timeLeft);
-    double leastCost = std::numeric_limits<double>::infinity();
-    std::optional<std::size_t> index;
-    std::optional<std::size_t> slowIndex;
-    bool isAnyFastEnough = false;
+    std::array<Candidates, speedClasses> candidates;
     for (std::size_t i = 0; i < targets.size(); ++i) {
         if (!isSelectable(targets[i], now) || isAvoided(targets[i], input))
             continue;
-        bool isFastEnough = expectedMilliseconds(targets[i], input, pool.meanMillisecondsPerUnit) <= timeLimit;
-        isAnyFastEnough = isAnyFastEnough || isFastEnough;
+        bool endsInTime = expectedMilliseconds(targets[i], input, pool.meanMillisecondsPerUnit) <= timeLimit;
+        bool isOnTime = endsInTime && meetsObjective(targets[i], input, pool.meanMillisecondsPerUnit);
+        Candidates& speedClass = candidates[isOnTime ? 0 : endsInTime ? 1
+                                                                      : 2];
+        speedClass.isAny = true;
         if (!hasFreeSlot(targets[i], input, pool))
             continue;
         double cost = expectedCost(targets[i], input, pool, now);
-        if (!isFastEnough) {
-            slowIndex = i;
-            continue;
-        }
-        if (cost < leastCost) {
-            leastCost = cost;
-            index = i;
+        if (cost < speedClass.leastCost) {
+            speedClass.leastCost = cost;
+            speedClass.index = i;
         }
     }
-    return isAnyFastEnough ? index : slowIndex;
+    for (const Candidates& speedClass : candidates) {
+        if (speedClass.isAny)
+            return speedClass.index;
+    }
+    return std::nullopt;
+}
+
+double estimatedFirstEventMilliseconds(const std::vector<TargetState>& targets, std::size_t index, double promptTokens)
+{
+    return firstEventMilliseconds(targets[index], promptTokens, meanMillisecondsPerUnit(targets));
+}
+
+void updateFirstEventFactor(double& factor, double measuredMilliseconds, double estimatedMilliseconds)
+{
+    if (estimatedMilliseconds <= 0)
+        return;
+    double measured = std::clamp(measuredMilliseconds / estimatedMilliseconds, minFirstEventFactor, maxFirstEventFactor);
+    factor += firstEventFactorWeight * (measured - factor);
 }
 
 double rendezvousDistance(const FailureDomainId& targetDomain, std::uint64_t targetHash, const DispatchingInstance& here, const std::vector<DispatchingInstance>& all)
@@ -247,9 +295,28 @@
     return std::any_of(waiting.begin(), waiting.end(), [&](const DispatchingInstance& instance) { return weightedHash(instance) < own; });
 }
 
-bool canPartitionTargets(std::size_t targets, std::size_t waitingInstances, double peerUpdateWeight)
+int countAssignedSlots(const FailureDomainId& targetDomain, std::uint64_t targetHash, int slots, const DispatchingInstance& here, const std::vector<DispatchingInstance>& waiting)
 {
-    return targets >= minTargetsPerInstance * waitingInstances && peerUpdateWeight >= minWeightToPartition;
+    int assigned = 0;
+    for (int slot = 0; slot < slots; ++slot)
+        assigned += !isAssignedToPeer(targetDomain, mixHash(targetHash, static_cast<std::uint64_t>(slot)), here, waiting);
+    return assigned;
+}
+
+int countAllowedRequests(int requestsAllowedInPool, const DispatchingInstance& here, const std::vector<DispatchingInstance>& waiting)
+{
+    double own = std::max(here.demand, minDemand);
+    double all = own;
+    for (const DispatchingInstance& instance : waiting)
+        all += instance.demand;
+    return std::max(static_cast<int>(std::lround(requestsAllowedInPool * own / all)), 1);
+}
+
+SlotDivision slotDivision(std::size_t targets, std::size_t waitingInstances, double peerUpdateWeight)
+{
+    if (peerUpdateWeight < minWeightForTargets)
+        return SlotDivision::ShareOfPool;
+    return targets >= minTargetsPerInstance * waitingInstances ? SlotDivision::WholeTargets : SlotDivision::SingleSlots;
 }
 
 double demandOf(int rank) { return std::max(demandOfRank0 / std::pow(demandRatioOfRanks, std::max(rank, 0)), 1.0); }
@@ -261,6 +328,8 @@
     return std::min(1 + seconds(updateInterval) / seconds(serviceTime), maxRequestsPerSlot);
 }
 
+int requestsAllowed(const TargetState& target, double requestsPerSlot) { return static_cast<int>(std::floor(slotsOf(target) * requestsPerSlot)); }
+
 double peerUpdateWeight(Duration serviceTime, Duration updateInterval)
 {
     if (serviceTime <= Duration::zero())
--- a/src/core/TargetSelection.h
+++ b/src/core/TargetSelection.h
@@ -36,7 +36,7 @@
     bool probeInProgress { false };
     SteadyTime lastAnswerAt; ///< When the target last sent this instance a whole answer.
     double distance { 0 }; ///< Rendezvous distance from this instance: 0 at the nearest instance, 1 at the farthest.
-    bool isAssignedToPeer { false }; ///< Its free slots are assigned to another instance that has waiting requests.
+    std::optional<int> assignedSlots; ///< Slots assigned to this instance while requests wait at several instances; none for no assignment.
     int ejectedByPeers { 0 }; ///< Number of peers that have ejected the target.
     double ownConcurrencyLimit { 0 }; ///< Requests that this instance may have in progress at the target, adapted to its rejections; 0 for no limit.
 };
@@ -58,14 +58,32 @@
 /// Whether the target's free slots are assigned to another instance. Weighted rendezvous hashing assigns each target to
 /// one of the instances with waiting requests, in proportion to their demand.
 ///
-///     target.isAssignedToPeer = isAssignedToPeer(target.entry.failureDomain, targetHash, here, waitingPeers);
+///     if (isAssignedToPeer(target.entry.failureDomain, targetHash, here, waitingPeers)) target.assignedSlots = 0;
 bool isAssignedToPeer(const FailureDomainId& targetDomain, std::uint64_t targetHash, const DispatchingInstance& here, const std::vector<DispatchingInstance>& waiting);
 
-/// Whether whole targets can be assigned to instances. There must be enough targets for all instances with waiting
-/// requests, and updates must arrive soon enough. Otherwise only the instances' own concurrency limits apply.
+/// How many of the target's slots are assigned to this instance, where each slot is assigned on its own. With more
+/// instances than targets, every target has slots of several instances.
 ///
-///     if (canPartitionTargets(targets.size(), waiting.size() + 1, peerUpdateWeight(serviceTime, updateInterval)))
-bool canPartitionTargets(std::size_t targets, std::size_t waitingInstances, double peerUpdateWeight);
+///     target.assignedSlots = countAssignedSlots(target.entry.failureDomain, targetHash, 6, here, waitingPeers);
+int countAssignedSlots(const FailureDomainId& targetDomain, std::uint64_t targetHash, int slots, const DispatchingInstance& here, const std::vector<DispatchingInstance>& waiting);
+
+/// How many requests this instance may have in progress in the whole pool: its share of all slots by demand, but at least
+/// one, so that no instance is left out.
+///
+///     input.ownRequestsAllowed = countAllowedRequests(75, here, waitingPeers);
+int countAllowedRequests(int requestsAllowedInPool, const DispatchingInstance& here, const std::vector<DispatchingInstance>& waiting);
+
+/// How a pool's free slots are divided among the instances at which requests wait.
+enum class SlotDivision {
+    WholeTargets, ///< Only one instance sends to a target, so that it knows the target's free slots.
+    SingleSlots, ///< For fewer targets than the instances need: each slot is assigned on its own.
+    ShareOfPool, ///< For calls that end before peers receive an update: each instance uses any target, within its share.
+};
+
+/// Selects the division by the number of targets and of instances with waiting requests, and by the weight of peers' updates.
+///
+///     SlotDivision division = slotDivision(targets.size(), waiting.size() + 1, peerUpdateWeight(serviceTime, updateInterval));
+SlotDivision slotDivision(std::size_t targets, std::size_t waitingInstances, double peerUpdateWeight);
 
 /// The weight of a waiting request of the rank in the demand of its instance.
 ///
@@ -106,7 +124,10 @@
     double promptTokens { 0 };
     double work { 1 }; ///< Expected units of work, such as events of a stream.
     Duration timeLeft { std::chrono::hours(1) }; ///< Until the request's deadline.
+    std::optional<Duration> timeToObjective; ///< Time in which the first event still meets the latency objective; none for no such limit.
+    double firstEventFactor { 1 }; ///< Measured time to the first event over the estimated time; see `updateFirstEventFactor()`.
     double requestsPerSlot { 1 }; ///< Requests allowed for each slot; see `requestsPerSlot()`.
+    std::optional<int> ownRequestsAllowed; ///< Requests of this instance that may be in progress in the pool; none for no limit.
     double peerUpdateWeight { 1 }; ///< Weight of peers' counts for single targets against the pool's mean, 0 to 1.
     const std::vector<TargetId>* avoid { nullptr }; ///< Targets that were tried already; null for none.
 };
@@ -117,6 +138,16 @@
 ///     std::optional<std::size_t> index = chooseTarget(targets, { .ownFailureDomain = here }, now);
 std::optional<std::size_t> chooseTarget(const std::vector<TargetState>&, const TargetSelectionInput&, SteadyTime now);
 
+/// The estimated time from sending to the first event, without queueing at the target.
+///
+///     double estimate = estimatedFirstEventMilliseconds(targets, index, promptTokens);
+double estimatedFirstEventMilliseconds(const std::vector<TargetState>&, std::size_t index, double promptTokens);
+
+/// Updates a pool's moving average of measured over estimated times to the first event.
+///
+///     updateFirstEventFactor(pool.firstEventFactor, 240, attempt.estimatedFirstEventMilliseconds);
+void updateFirstEventFactor(double& factor, double measuredMilliseconds, double estimatedMilliseconds);
+
 /// Whether the pool has at least one target that isn't draining.
 bool hasUsableTarget(const std::vector<TargetState>&);
 
@@ -126,6 +157,11 @@
 ///     input.requestsPerSlot = requestsPerSlot(50ms, 100ms);
 double requestsPerSlot(Duration serviceTime, Duration updateInterval);
 
+/// The requests that may be in progress at the target, of all instances.
+///
+///     requestsAllowed(target, 1.5) == 9; // 6 slots
+int requestsAllowed(const TargetState&, double requestsPerSlot);
+
 /// The weight of the differences between targets in peers' updates, 0 to 1. It is low for short calls: their updates are
 /// outdated on arrival, and instances that relied on them would all send to the same target.
 ///
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -137,7 +137,7 @@
     m_metrics.peers.set(m_pools.peers());
 }
 
-InstanceUpdate Gateway::ownUpdate() const
+InstanceUpdate Gateway::ownUpdate(ReportedAccounts reported)
 {
     SteadyTime now = m_clock.steadyNow();
     InstanceUpdate update {
@@ -157,7 +157,10 @@
                 update.closedTargets.push_back(pool.connections[i].hash);
         }
     }
-    for (const auto& [account, quota] : m_quotas) {
+    for (auto& [account, quota] : m_quotas) {
+        if (reported == ReportedAccounts::Changed && quota.admittedHere == quota.reportedHere)
+            continue;
+        quota.reportedHere = quota.admittedHere;
         if (quota.admittedHere > 0)
             update.accounts.push_back({ .account = shortHash(account.value()), .admitted = quota.admittedHere });
     }
@@ -330,12 +333,18 @@
 TargetSelectionInput Gateway::targetSelectionInput(const PoolState& pool, const Exchange& exchange, bool avoidsTried, SteadyTime now) const
 {
     const RequestFacts& facts = exchange.facts();
+    std::optional<Duration> timeToObjective;
+    if (exchange.isStreaming() && !exchange.hasBegunAnswer() && facts.route->latencyObjective.count() > 0)
+        timeToObjective = facts.arrivedAt + facts.route->latencyObjective - now;
     return {
         .ownFailureDomain = m_boot.failureDomain,
         .promptTokens = facts.promptTokens,
         .work = exchange.isStreaming() ? std::max(facts.expectedAnswerTokens / tokensPerEvent, 1.0) : 1.0,
         .timeLeft = facts.deadline - now,
+        .timeToObjective = timeToObjective,
+        .firstEventFactor = pool.firstEventFactor,
         .requestsPerSlot = requestsPerSlot(fromMilliseconds(pool.serviceMilliseconds), m_updateInterval),
+        .ownRequestsAllowed = pool.ownRequestsAllowed,
         .peerUpdateWeight = peerUpdateWeight(fromMilliseconds(pool.serviceMilliseconds), m_updateInterval),
         .avoid = avoidsTried ? &const_cast<Exchange&>(exchange).triedTargets() : nullptr,
     };
@@ -352,6 +361,8 @@
 void Gateway::dispatchWaiting(PoolState& pool)
 {
     SteadyTime now = m_clock.steadyNow();
+    // Targets that were added since the last assignment would otherwise receive requests of all instances at once.
+    m_pools.assignFreeSlots(pool, m_updateInterval);
     while (!pool.queue.requests.empty()) {
         bool sentAny = false;
         // A request that waits for a fast target doesn't block the next few, which a slower target can serve in time.
@@ -380,6 +391,7 @@
         finishWithFailure(exchange, true, "deadline");
         return;
     }
+    double estimatedFirstEvent = estimatedFirstEventMilliseconds(pool.targets, index, facts.promptTokens);
     TargetState& target = pool.targets[index];
     ++target.ownInProgress;
     target.ownPromptTokens += facts.promptTokens;
@@ -399,6 +411,8 @@
             { "peers_in_progress", std::int64_t { target.peersInProgress } }, { "settings", static_cast<std::int64_t>(facts.settings->settings.version.value()) } });
     TargetId id = target.entry.id;
     exchange.send(m_pools.takeConnection(pool, index, now), id, std::move(bytes));
+    if (exchange.attempt())
+        exchange.attempt()->estimatedFirstEventMilliseconds = estimatedFirstEvent;
 }
 
 void Gateway::onCallerDisconnected(HttpServerConnection& caller)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -21,6 +21,12 @@
 
 namespace limpetpond {
 
+/// The client accounts whose use an update reports.
+enum class ReportedAccounts {
+    Changed, ///< Those that used their quota since the last update.
+    All,
+};
+
 class Gateway final : public RequestHandler, public ExchangeOwner {
 public:
     Gateway(boost::asio::io_context&, const Clock&, const platform::BootSettings&, RateLimitedLog&);
@@ -44,7 +50,10 @@
     void setUpdateInterval(Duration interval) { m_updateInterval = interval; }
 
     /// The update for peers. The caller sets the sequence number and the version of the targets.
-    InstanceUpdate ownUpdate() const;
+    InstanceUpdate ownUpdate(ReportedAccounts);
+
+    /// Whether requests wait for a target here or, by the last updates, at a peer.
+    bool areRequestsWaiting() const { return m_pools.areRequestsWaiting(); }
 
     /// Enforces deadlines and timeouts and closes idle connections. Call it every few tens of milliseconds.
     void tick();
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -106,6 +106,8 @@
         PoolState& pool = m_pools.pool(exchange.facts().pool);
         double measured = milliseconds(now - attempt.sentAt);
         pool.serviceMilliseconds += (pool.serviceMilliseconds > 0 ? serviceTimeWeight : 1) * (measured - pool.serviceMilliseconds);
+        if (attempt.firstEventAt)
+            updateFirstEventFactor(pool.firstEventFactor, milliseconds(*attempt.firstEventAt - attempt.sentAt), attempt.estimatedFirstEventMilliseconds);
     }
     m_pools.returnConnection(attempt.target, attempt.connection, now);
     if (end == AttemptEnd::WrongTarget)
@@ -189,7 +191,6 @@
     for (auto& [id, pool] : m_pools.all()) {
         for (WaitTicket ticket : expiredRequests(pool.queue, now))
             finishWithFailure(*m_exchanges.at(ticket), true, "waited_too_long");
-        m_pools.assignFreeSlots(pool, m_updateInterval);
         dispatchWaiting(pool); // Ejected targets may have been readmitted.
         waiting += static_cast<std::int64_t>(pool.queue.requests.size());
     }
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -27,6 +27,9 @@
     /// An instance that reads the store is behind its peers for a shorter time: the pause after changes and a few round trips.
     constexpr Duration maxSettingsLag = std::chrono::milliseconds(500);
     constexpr Duration maxTargetsLag = std::chrono::milliseconds(700);
+    /// Longest time between two reports of an account's use, so that a lost datagram is made up for. Peers estimate the use
+    /// of an instance that doesn't report it for longer.
+    constexpr Duration allAccountsInterval = std::chrono::milliseconds(500);
     constexpr Duration shutdownReserve = std::chrono::milliseconds(400); ///< Left for an orderly end before the process is killed.
 
     tcp::endpoint storeEndpoint(const platform::BootSettings& boot)
@@ -69,6 +72,7 @@
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_updateSentAt(clock.steadyNow())
+    , m_allAccountsSentAt(clock.steadyNow())
 {
 }
 
@@ -253,7 +257,7 @@
         peers.push_back(peer);
     std::uint32_t ownHash = shortHash(m_boot.instance.value());
     m_settingsReader.setPolling(shouldUseShortPolls(ownHash, peers) ? StoreReader::Polling::Short : StoreReader::Polling::Long);
-    bool reads = shouldRead(ownHash, peers, now, m_peers.interval());
+    bool reads = shouldRead(ownHash, peers, now, limpetpond::updateInterval({ .livePeers = m_peers.livePeers() }));
     if (reads == m_targetReader.isFollowing())
         return;
     m_log.line("info", "reads_targets", { { "itself", reads }, { "peers", static_cast<std::int64_t>(peers.size()) } });
@@ -318,7 +322,7 @@
     if (removed)
         m_log.line("info", "missing_targets_removed", { { "count", std::int64_t { removed } } });
     m_peers.tick(now);
-    m_gateway.setUpdateInterval(m_peers.interval());
+    m_gateway.setUpdateInterval(updateInterval());
     m_gateway.tick();
     m_settingsReader.tick(now);
     m_targetReader.tick(now);
@@ -332,12 +336,20 @@
     checkShutdown(now);
 }
 
+Duration GatewayInstance::updateInterval() const
+{
+    return limpetpond::updateInterval({ .livePeers = m_peers.livePeers(), .areRequestsWaiting = m_gateway.areRequestsWaiting() });
+}
+
 void GatewayInstance::sendUpdate(SteadyTime now)
 {
-    if (now - m_updateSentAt < m_peers.interval())
+    if (now - m_updateSentAt < updateInterval())
         return;
     m_updateSentAt = now;
-    InstanceUpdate update = m_gateway.ownUpdate();
+    bool sendsAllAccounts = now - m_allAccountsSentAt >= allAccountsInterval;
+    if (sendsAllAccounts)
+        m_allAccountsSentAt = now;
+    InstanceUpdate update = m_gateway.ownUpdate(sendsAllAccounts ? ReportedAccounts::All : ReportedAccounts::Changed);
     update.sequence = ++m_updateSequence;
     update.targetsVersion = m_targetRows.version;
     update.readsTargets = m_targetReader.isReading();
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -56,6 +56,7 @@
     void checkShutdown(SteadyTime now);
     void scheduleTick();
     void tick();
+    Duration updateInterval() const;
     void sendUpdate(SteadyTime now);
     bool isReady() const;
     ShortAnswer answerReadiness(const ReceivedRequest&) const;
@@ -84,6 +85,7 @@
     boost::asio::steady_timer m_timer;
     std::uint64_t m_updateSequence { 0 };
     SteadyTime m_updateSentAt;
+    SteadyTime m_allAccountsSentAt;
     std::optional<SteadyTime> m_shutdownStartedAt;
 };
 
--- a/src/gateway/PeerUpdates.cpp
+++ b/src/gateway/PeerUpdates.cpp
@@ -14,7 +14,8 @@
     constexpr Duration peerTimeout = std::chrono::milliseconds(1500);
     constexpr Duration addressTimeout = std::chrono::seconds(60); ///< Updates are no longer sent to an address after this time without a datagram from it.
     constexpr Duration minInterval = std::chrono::milliseconds(50);
-    constexpr Duration intervalPerPeer = std::chrono::milliseconds(4);
+    constexpr Duration intervalPerPeer = std::chrono::milliseconds(4); ///< 250 datagrams a second in each direction.
+    constexpr Duration intervalPerPeerWhileWaiting = std::chrono::microseconds(1300); ///< 770 datagrams a second in each direction.
     constexpr Duration maxInterval = std::chrono::milliseconds(500);
 
     rpc::InstanceNews toWire(const InstanceUpdate& update)
@@ -172,9 +173,10 @@
     return static_cast<int>(std::count_if(m_received.begin(), m_received.end(), [](const auto& entry) { return entry.second.isLive; }));
 }
 
-Duration PeerUpdates::interval() const
+Duration updateInterval(const UpdateIntervalInput& input)
 {
-    return std::clamp(intervalPerPeer * livePeers(), minInterval, maxInterval);
+    Duration perPeer = input.areRequestsWaiting ? intervalPerPeerWhileWaiting : intervalPerPeer;
+    return std::clamp<Duration>(perPeer * input.livePeers, minInterval, maxInterval);
 }
 
 } // namespace limpetpond
--- a/src/gateway/PeerUpdates.h
+++ b/src/gateway/PeerUpdates.h
@@ -68,6 +68,17 @@
 ///     if (isNewer(received, update)) apply(update);
 bool isNewer(const ReceivedUpdate&, const InstanceUpdate&);
 
+/// What the time between two updates depends on.
+struct UpdateIntervalInput {
+    int livePeers { 0 };
+    bool areRequestsWaiting { false }; ///< At this instance or at a peer: outdated counts then cost callers time.
+};
+
+/// The time between two updates. It grows with the number of peers, to bound the datagrams that an instance handles.
+///
+///     updateInterval({ .livePeers = 76, .areRequestsWaiting = true }) < updateInterval({ .livePeers = 76 });
+Duration updateInterval(const UpdateIntervalInput&);
+
 struct PeerUpdatesOptions {
     InstanceId self;
     std::string ip;
@@ -95,9 +106,6 @@
     /// The number of peers that have sent updates lately.
     int livePeers() const;
 
-    /// The time between two updates. It grows with the number of peers to bound the load of updates.
-    Duration interval() const;
-
 private:
     void receive();
     void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint& from);
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -267,9 +267,33 @@
             waitingPeers.push_back({ .hash = report.hash, .failureDomain = report.failureDomain, .demand = found->second });
     }
     auto serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(pool.serviceMilliseconds));
-    bool isAssignable = canPartitionTargets(pool.targets.size(), waitingPeers.size() + 1, peerUpdateWeight(serviceTime, updateInterval));
-    for (std::size_t i = 0; i < pool.targets.size(); ++i)
-        pool.targets[i].isAssignedToPeer = isAssignable && isAssignedToPeer(pool.targets[i].entry.failureDomain, pool.connections[i].hash, self, waitingPeers);
+    double allowedPerSlot = requestsPerSlot(serviceTime, updateInterval);
+    pool.ownRequestsAllowed.reset();
+    for (TargetState& target : pool.targets)
+        target.assignedSlots.reset();
+    if (waitingPeers.empty())
+        return;
+    SlotDivision division = slotDivision(pool.targets.size(), waitingPeers.size() + 1, peerUpdateWeight(serviceTime, updateInterval));
+    int allowedInPool = 0;
+    for (std::size_t i = 0; i < pool.targets.size(); ++i) {
+        TargetState& target = pool.targets[i];
+        const FailureDomainId& domain = target.entry.failureDomain;
+        std::uint32_t hash = pool.connections[i].hash;
+        int allowed = requestsAllowed(target, allowedPerSlot);
+        allowedInPool += target.entry.isDraining ? 0 : allowed;
+        if (division == SlotDivision::SingleSlots)
+            target.assignedSlots = countAssignedSlots(domain, hash, allowed, self, waitingPeers);
+        else if (division == SlotDivision::WholeTargets && isAssignedToPeer(domain, hash, self, waitingPeers))
+            target.assignedSlots = 0;
+    }
+    if (division == SlotDivision::ShareOfPool)
+        pool.ownRequestsAllowed = countAllowedRequests(allowedInPool, self, waitingPeers);
+}
+
+bool Pools::areRequestsWaiting() const
+{
+    bool isWaitingHere = std::any_of(m_pools.begin(), m_pools.end(), [](const auto& pool) { return !pool.second.queue.requests.empty(); });
+    return isWaitingHere || std::any_of(m_peers.begin(), m_peers.end(), [](const auto& peer) { return !peer.second.demands.empty(); });
 }
 
 double waitingDemand(const PoolState& pool)
--- a/src/gateway/Pools.h
+++ b/src/gateway/Pools.h
@@ -60,6 +60,8 @@
     SendRate sendRate;
     WindowedRetryBudget retryBudget;
     double ownDemand { 0 }; ///< Demand of the requests that waited at this instance when free slots were last assigned.
+    std::optional<int> ownRequestsAllowed; ///< Requests of this instance that may be in progress; none for no limit.
+    double firstEventFactor { 1 }; ///< Moving average of measured over estimated times to the first event.
     bool hasStaleSlotAssignment { true }; ///< Demands have changed since free slots were last assigned.
     double serviceMilliseconds { 0 }; ///< Moving average of the time from sending a request to the end of its answer; 0 for unknown.
 };
@@ -114,6 +116,9 @@
     /// Removes a peer and the load that it reported.
     void removePeer(const InstanceId&);
 
+    /// Whether requests wait for any pool here or, by the last updates, at a peer.
+    bool areRequestsWaiting() const;
+
     /// The number of peers that have sent updates lately.
     int peers() const { return static_cast<int>(m_peers.size()); }
 
--- a/test/TargetSelectionTest.cpp
+++ b/test/TargetSelectionTest.cpp
@@ -146,7 +146,7 @@
 TEST(TargetSelection, targetAssignedToAPeerIsNotChosen)
 {
     add("a", "here", 10);
-    targets[0].isAssignedToPeer = true;
+    targets[0].assignedSlots = 0;
     STRCMP_EQUAL("", chosen().c_str());
 }
 
@@ -227,12 +227,43 @@
 }
 
 // Load: requests wait at all of 26 instances for two targets.
-TEST(TargetSelection, fewTargetsAreNotPartitionedAmongManyInstances)
+TEST(TargetSelection, fewTargetsAreNotAssignedAsAWholeToManyInstances)
 {
-    CHECK(canPartitionTargets(140, 26, 1));
-    CHECK(canPartitionTargets(9, 4, 1));
-    CHECK_FALSE(canPartitionTargets(2, 26, 1));
-    CHECK_FALSE(canPartitionTargets(140, 26, 0.1));
+    CHECK(slotDivision(140, 26, 1) == SlotDivision::WholeTargets);
+    CHECK(slotDivision(9, 4, 1) == SlotDivision::WholeTargets);
+    CHECK(slotDivision(2, 26, 1) == SlotDivision::SingleSlots);
+    CHECK(slotDivision(140, 26, 0.1) == SlotDivision::ShareOfPool);
+}
+
+// Load: requests wait at 77 instances for 78 targets of 6 slots, urgent ones at a few of them.
+TEST(TargetSelection, everySlotIsAssignedToOneInstanceInProportionToDemand)
+{
+    std::vector<DispatchingInstance> instances;
+    for (std::uint64_t i = 1; i <= 77; ++i)
+        instances.push_back({ .hash = i * 7919, .failureDomain = FailureDomainId("here"), .demand = i <= 7 ? demandOf(0) : demandOf(2) });
+    int assigned = 0;
+    int assignedToUrgent = 0;
+    for (const DispatchingInstance& instance : instances) {
+        std::vector<DispatchingInstance> others = instances;
+        std::erase_if(others, [&](const DispatchingInstance& other) { return other.hash == instance.hash; });
+        for (std::uint64_t target = 1; target <= 78; ++target) {
+            int slots = countAssignedSlots(FailureDomainId("here"), target, 6, instance, others);
+            assigned += slots;
+            assignedToUrgent += instance.demand > demandOf(2) ? slots : 0;
+        }
+    }
+    LONGS_EQUAL(78 * 6, assigned);
+    DOUBLES_EQUAL(7 * demandOf(0) / (7 * demandOf(0) + 70 * demandOf(2)), assignedToUrgent / (78 * 6.0), 0.05);
+}
+
+TEST(TargetSelection, targetWithAllAssignedSlotsInUseIsNotChosen)
+{
+    add("a", "here", 10);
+    targets[0].assignedSlots = 2;
+    targets[0].ownInProgress = 1;
+    STRCMP_EQUAL("a", chosen().c_str());
+    targets[0].ownInProgress = 2;
+    STRCMP_EQUAL("", chosen().c_str());
 }
 
 // Load: a target resets four in ten connections at once while all others are full. Its slots are always free, so it
