--- a/include/limpetpond/Clock.h
+++ b/include/limpetpond/Clock.h
@@ -10,6 +10,11 @@
 using SystemTime = std::chrono::system_clock::time_point;
 using Duration = std::chrono::nanoseconds;
 
+/// The duration in seconds.
+///
+///     toSeconds(std::chrono::milliseconds(250)) == 0.25;
+inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
 /// Gives the current time. Ages, leases and deadlines use only the steady clock;
 /// the system clock is for timelines and cleaning windows.
 ///
--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -13,8 +13,6 @@
     /// Weight of the latest interval in the moving average of a peer's rate.
     constexpr double rateWeight = 0.3;
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     /// Bounds the debt of a bucket by this many seconds of refill, so that one wrong report can't block an account for long.
     constexpr double maxDebtSeconds = 1.0;
 
@@ -43,7 +41,7 @@
             SteadyTime until = std::min(now, usage.reportedAt + departedAfter);
             if (until <= from)
                 continue;
-            double units = usage.perSecond * seconds(until - from);
+            double units = usage.perSecond * toSeconds(until - from);
             usage.chargedUntil = until;
             usage.estimated += units;
             charge(quota, units);
@@ -54,7 +52,7 @@
     {
         if (now <= quota.filledAt)
             return;
-        quota.left = std::min(quota.burst, quota.left + quota.perSecond * seconds(now - quota.filledAt));
+        quota.left = std::min(quota.burst, quota.left + quota.perSecond * toSeconds(now - quota.filledAt));
         quota.filledAt = now;
         chargeUnresponsivePeers(quota, now);
     }
@@ -94,7 +92,7 @@
 {
     if (quota.perSecond <= 0)
         return Duration::zero();
-    double missing = std::min(units, quota.burst) - quota.left - quota.perSecond * seconds(now - quota.filledAt);
+    double missing = std::min(units, quota.burst) - quota.left - quota.perSecond * toSeconds(now - quota.filledAt);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::max(missing, 0.0) / quota.perSecond));
 }
 
@@ -108,7 +106,7 @@
         return;
     }
     double units = admitted - usage.admitted;
-    double elapsed = seconds(now - usage.reportedAt);
+    double elapsed = toSeconds(now - usage.reportedAt);
     if (elapsed > 0)
         usage.perSecond += rateWeight * (std::max(units, 0.0) / elapsed - usage.perSecond);
     double ahead = std::min(usage.estimated, std::max(units, 0.0));
--- a/src/core/RankedQueue.cpp
+++ b/src/core/RankedQueue.cpp
@@ -21,13 +21,11 @@
     /// Share of a late request's time from arrival to expiry, at its end, in which it goes before all less urgent ranks.
     constexpr double promotedShare = 1.0 / 6;
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     Duration fromSeconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
 
     SteadyTime promotedAt(const RankedRequest& request)
     {
-        return request.expiresAt - fromSeconds(promotedShare * seconds(request.expiresAt - request.arrivedAt));
+        return request.expiresAt - fromSeconds(promotedShare * toSeconds(request.expiresAt - request.arrivedAt));
     }
 
     /// Moves requests that can no longer meet their objective from `inTime` to `late`.
@@ -117,7 +115,7 @@
     Duration elapsed = now - rate.countedFrom;
     if (elapsed < rateInterval)
         return;
-    double measured = rate.counted / seconds(elapsed);
+    double measured = rate.counted / toSeconds(elapsed);
     rate.perSecond = rate.perSecond > 0 ? rate.perSecond + rateWeight * (measured - rate.perSecond) : measured;
     rate.counted = 0;
     rate.countedFrom = now;
@@ -128,7 +126,7 @@
     if (admission.sentPerSecond <= 0)
         return {};
     double wait = static_cast<double>(admission.ahead) / std::max(admission.sentPerSecond, minSentPerSecond);
-    if (admission.ahead < alwaysAdmittedAhead || wait <= usableShareOfTimeToExpiry * seconds(admission.timeToExpiry))
+    if (admission.ahead < alwaysAdmittedAhead || wait <= usableShareOfTimeToExpiry * toSeconds(admission.timeToExpiry))
         return {};
     Duration retryAfter = std::clamp(fromSeconds(wait), minRetryAfter, maxRetryAfter);
     return { .mayWait = false, .retryAfter = retryAfter };
--- a/src/core/TargetModel.cpp
+++ b/src/core/TargetModel.cpp
@@ -23,11 +23,6 @@
     constexpr Duration readmissionRamp = std::chrono::seconds(10);
     constexpr double readmissionWeight = 0.1; // at the start of the ramp
 
-    double seconds(Duration time)
-    {
-        return duration<double>(std::max(time, minElapsed)).count();
-    }
-
     double clampRate(double rate, double expected)
     {
         return std::clamp(rate, expected * minRateFactor, expected * maxRateFactor);
@@ -88,7 +83,7 @@
 void learnFirstToken(TargetModel& target, double work, Duration elapsed, SteadyTime now)
 {
     double expected = target.settings.prefillRate.perSecond;
-    double time = seconds(elapsed);
+    double time = toSeconds(elapsed);
     if (work < minPromptForRate) {
         double base = std::max(0.0, time - work / target.prefillRate);
         target.firstTokenBase += firstTokenGain * (base - target.firstTokenBase);
@@ -101,7 +96,7 @@
 
 void learnOverdue(TargetModel& target, double work, Duration elapsed, SteadyTime now)
 {
-    double rate = clampRate(std::max(work, minPromptForRate) / seconds(elapsed), target.settings.prefillRate.perSecond);
+    double rate = clampRate(std::max(work, minPromptForRate) / toSeconds(elapsed), target.settings.prefillRate.perSecond);
     if (rate >= target.prefillRate)
         return;
     target.prefillRate += firstTokenGain * (rate - target.prefillRate);
@@ -110,7 +105,7 @@
 
 void learnDecode(TargetModel& target, TokenCount answer, Duration elapsed, SteadyTime now)
 {
-    double rate = clampRate(static_cast<double>(answer.count()) / seconds(elapsed), target.settings.decodeRate.perSecond);
+    double rate = clampRate(static_cast<double>(answer.count()) / toSeconds(elapsed), target.settings.decodeRate.perSecond);
     target.decodeRate += decodeGain * (rate - target.decodeRate);
     target.learnedAt = now;
 }
@@ -119,7 +114,7 @@
 {
     if (now - target.learnedAt < rateMemory)
         return;
-    double share = std::min(1.0, seconds(step) / seconds(rateMemory));
+    double share = std::min(1.0, toSeconds(step) / toSeconds(rateMemory));
     target.prefillRate += share * (target.settings.prefillRate.perSecond - target.prefillRate);
     target.decodeRate += share * (target.settings.decodeRate.perSecond - target.decodeRate);
 }
@@ -158,7 +153,7 @@
         return;
     if (target.consecutiveFailures)
         return;
-    double share = seconds(now - target.readmittedAt) / seconds(readmissionRamp);
+    double share = toSeconds(now - target.readmittedAt) / toSeconds(readmissionRamp);
     target.weight = std::clamp(share, readmissionWeight, 1.0);
     if (target.weight >= 1)
         target.ejectionTime = Duration(0);
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -25,14 +25,20 @@
         return entry.sequence < known.sequence;
     }
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     double valueOr0(const std::unordered_map<std::uint32_t, double>& values, std::uint32_t key)
     {
         auto found = values.find(key);
         return found == values.end() ? 0 : found->second;
     }
 
+    int usableSlots(const std::vector<TargetState>& targets)
+    {
+        int slots = 0;
+        for (const TargetState& target : targets)
+            slots += target.entry.isDraining ? 0 : requestsAllowed(target, 1);
+        return slots;
+    }
+
     /// Divides the slots that are free by the last updates; slots with requests of this instance stay assigned to it.
     void assignSingleSlots(PoolState& pool, double requestsPerSlot, const DispatchingInstance& self, const std::vector<DispatchingInstance>& peers)
     {
@@ -271,7 +277,7 @@
 {
     std::vector<DispatchingInstance> peers;
     for (const auto& [peer, report] : m_peers) {
-        double demand = valueOr0(report.demands, pool.hash) + seconds(updateInterval) * valueOr0(report.arrivalDemands, pool.hash);
+        double demand = valueOr0(report.demands, pool.hash) + toSeconds(updateInterval) * valueOr0(report.arrivalDemands, pool.hash);
         if (demand > 0)
             peers.push_back({ .hash = report.hash, .failureDomain = report.failureDomain, .demand = demand });
     }
@@ -309,10 +315,10 @@
         }
         return;
     }
-    self.demand += seconds(updateInterval) * arrivingDemand(pool.arrivals, m_clock.steadyNow());
+    self.demand += toSeconds(updateInterval) * arrivingDemand(pool.arrivals, m_clock.steadyNow());
     std::vector<DispatchingInstance> peers = peersWithDemand(pool, updateInterval);
     if (division == SlotDivision::ShareOfPool)
-        pool.ownRequestsAllowed = countAllowedRequests(pool.targets, self, peers);
+        pool.ownRequestsAllowed = countAllowedRequests(usableSlots(pool.targets), self, peers);
     else
         assignSingleSlots(pool, requestsPerSlot(serviceTime, updateInterval), self, peers);
 }
--- a/test/FleetReplay.h
+++ b/test/FleetReplay.h
@@ -60,7 +60,7 @@
     FleetResult run(const FleetLoad& load)
     {
         const Duration step = std::chrono::milliseconds(5);
-        std::poisson_distribution<int> arrivals(load.arrivalsPerSecond * seconds(step));
+        std::poisson_distribution<int> arrivals(load.arrivalsPerSecond * toSeconds(step));
         const int arrivalSteps = static_cast<int>(load.time / step);
         const int steps = arrivalSteps + static_cast<int>(m_options.timeToDrain / step);
         for (int i = 0; i < steps; ++i) {
@@ -89,7 +89,6 @@
         std::deque<Request> queue;
     };
 
-    static double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
     static std::string instanceName(int i) { return "instance-" + std::to_string(i); }
     static std::string targetName(int i) { return "target-" + std::to_string(i); }
 
@@ -98,7 +97,7 @@
         pools.putTarget({ .id = TargetId(targetName(target)), .pool = m_pool, .address = "10.0.0.1:80", .failureDomain = FailureDomainId("here"), .slots = m_options.slots });
         TargetState& state = *pools.findTarget(TargetId(targetName(target)));
         state.millisecondsPerUnit = 10;
-        pools.pool(m_pool).serviceMilliseconds = 1000 * seconds(m_options.serviceTime);
+        pools.pool(m_pool).serviceMilliseconds = 1000 * toSeconds(m_options.serviceTime);
     }
 
     void arrive(const FleetLoad& load)
