--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -296,11 +296,12 @@
 
 void Pools::assignFreeSlots(PoolState& pool, Duration updateInterval)
 {
+    // Nothing is sent, so the assignment doesn't matter; updates of peers arrive hundreds of times a second.
+    if (pool.queue.requests.empty())
+        return;
     pool.ownRequestsAllowed.reset();
     for (TargetState& target : pool.targets)
         target.assignedSlots.reset();
-    if (pool.queue.requests.empty())
-        return;
     std::vector<DispatchingInstance> waitingPeers = peersWithWaitingRequests(pool);
     if (waitingPeers.empty())
         return;
