Restore the lower bound of elapsed times in TargetModel

Found by reading the diff; no test noticed. The function says so in its name now, and a test fails without the bound.

--- a/src/core/TargetModel.cpp
+++ b/src/core/TargetModel.cpp
@@ -23,6 +23,12 @@
     constexpr Duration readmissionRamp = std::chrono::seconds(10);
     constexpr double readmissionWeight = 0.1; // at the start of the ramp
 
+    /// At least `minElapsed`, so that a rate is never divided by zero.
+    double clampedSeconds(Duration time)
+    {
+        return duration<double>(std::max(time, minElapsed)).count();
+    }
+
     double clampRate(double rate, double expected)
     {
         return std::clamp(rate, expected * minRateFactor, expected * maxRateFactor);
@@ -83,7 +89,7 @@
 void learnFirstToken(TargetModel& target, double work, Duration elapsed, SteadyTime now)
 {
     double expected = target.settings.prefillRate.perSecond;
-    double time = toSeconds(elapsed);
+    double time = clampedSeconds(elapsed);
     if (work < minPromptForRate) {
         double base = std::max(0.0, time - work / target.prefillRate);
         target.firstTokenBase += firstTokenGain * (base - target.firstTokenBase);
@@ -96,7 +102,7 @@
 
 void learnOverdue(TargetModel& target, double work, Duration elapsed, SteadyTime now)
 {
-    double rate = clampRate(std::max(work, minPromptForRate) / toSeconds(elapsed), target.settings.prefillRate.perSecond);
+    double rate = clampRate(std::max(work, minPromptForRate) / clampedSeconds(elapsed), target.settings.prefillRate.perSecond);
     if (rate >= target.prefillRate)
         return;
     target.prefillRate += firstTokenGain * (rate - target.prefillRate);
@@ -105,7 +111,7 @@
 
 void learnDecode(TargetModel& target, TokenCount answer, Duration elapsed, SteadyTime now)
 {
-    double rate = clampRate(static_cast<double>(answer.count()) / toSeconds(elapsed), target.settings.decodeRate.perSecond);
+    double rate = clampRate(static_cast<double>(answer.count()) / clampedSeconds(elapsed), target.settings.decodeRate.perSecond);
     target.decodeRate += decodeGain * (rate - target.decodeRate);
     target.learnedAt = now;
 }
@@ -114,7 +120,7 @@
 {
     if (now - target.learnedAt < rateMemory)
         return;
-    double share = std::min(1.0, toSeconds(step) / toSeconds(rateMemory));
+    double share = std::min(1.0, clampedSeconds(step) / clampedSeconds(rateMemory));
     target.prefillRate += share * (target.settings.prefillRate.perSecond - target.prefillRate);
     target.decodeRate += share * (target.settings.decodeRate.perSecond - target.decodeRate);
 }
@@ -153,7 +159,7 @@
         return;
     if (target.consecutiveFailures)
         return;
-    double share = toSeconds(now - target.readmittedAt) / toSeconds(readmissionRamp);
+    double share = clampedSeconds(now - target.readmittedAt) / clampedSeconds(readmissionRamp);
     target.weight = std::clamp(share, readmissionWeight, 1.0);
     if (target.weight >= 1)
         target.ejectionTime = Duration(0);
--- a/test/TargetModelTest.cpp
+++ b/test/TargetModelTest.cpp
@@ -52,6 +52,16 @@
     CHECK(target.prefillRate < 8000);
 }
 
+// An empty answer within the clock's resolution made the rate zero divided by zero, which no later answer repairs.
+TEST(TargetModel, answersThatTookNoTimeKeepTheRatesNumbers)
+{
+    learnDecode(target, TokenCount(0), Duration::zero(), now);
+    learnFirstToken(target, 4000, Duration::zero(), now);
+    learnOverdue(target, 4000, Duration::zero(), now);
+    CHECK(target.decodeRate >= 0);
+    CHECK(target.prefillRate > 0);
+}
+
 TEST(TargetModel, aSlowRateDecaysWhenNothingIsLearned)
 {
     for (int i = 0; i < 40; ++i)
