Bound unparsed bytes in putBytes instead of in both connections

The limit and its check stood in HttpClientConnection and in HttpServerConnection, each beside the shared function through which both parse. putBytes reports the error now, so that every user of the parsers has the bound. Behaviour is the same: a target's answer counts as malformed, a caller gets 400. Checked: build, 736 unit tests, format.

--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -16,7 +16,6 @@
 namespace {
 
     constexpr std::size_t readBufferBytes = 8192;
-    constexpr std::size_t maxUnparsedBytes = 131072; ///< The parser limits the head, but not the line with a chunk's length.
     constexpr Duration connectTimeout = std::chrono::milliseconds(200); ///< The latency between failure domains is a few milliseconds.
     constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
     constexpr double idleTimeShare = 0.6; ///< Of the idle time that the server announces in Keep-Alive.
@@ -168,7 +167,7 @@
         if (m_isClosed || !m_handler)
             return;
         m_input.erase(0, used);
-        if (error == boost::beast::http::error::need_more && m_input.size() <= maxUnparsedBytes)
+        if (error == boost::beast::http::error::need_more)
             return;
         if (error) {
             fail(ExchangeFailure::Malformed);
--- a/src/traffic/HttpParser.h
+++ b/src/traffic/HttpParser.h
@@ -107,7 +107,11 @@
     HttpAnswerHead m_head;
 };
 
-/// Parses bytes and returns how many were consumed. The caller passes the rest again, together with the bytes that follow it.
+/// Longest part of a message that is parsed only as a whole. Boost.Beast limits the head itself, but not the line with a
+/// chunk's length.
+inline constexpr std::size_t maxUnparsedBytes = 131072;
+
+/// Parses bytes and returns how many were consumed. Fails if more than `maxUnparsedBytes` are left that need more bytes. The caller passes the rest again, together with the bytes that follow it.
 ///
 ///     input.erase(0, putBytes(parser, input, error));
 template <bool isRequest>
@@ -120,7 +124,10 @@
         error = boost::beast::http::error::need_more;
         return 0;
     }
-    return parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    std::size_t used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (error == boost::beast::http::error::need_more && bytes.size() - used > maxUnparsedBytes)
+        error = boost::beast::http::error::bad_chunk_extension;
+    return used;
 }
 
 /// True if a line of the header block continues the previous one (obsolete line folding).
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -13,7 +13,6 @@
 namespace {
 
     constexpr std::size_t readBufferBytes = 16384;
-    constexpr std::size_t maxUnparsedBytes = 131072; ///< The parser limits the head, but not the line with a chunk's length.
     constexpr std::size_t maxPipelinedBytes = 65536; ///< Read ahead while a request is being served; then reading pauses.
 
     int statusForError(boost::system::error_code error)
@@ -88,9 +87,6 @@
         boost::system::error_code error;
         std::size_t used = putBytes(*m_parser, m_input, error);
         m_input.erase(0, used);
-        bool isTooLong = error == boost::beast::http::error::need_more && m_input.size() > maxUnparsedBytes;
-        if (isTooLong)
-            error = boost::beast::http::error::bad_chunk_extension;
         if (error && error != boost::beast::http::error::need_more) {
             rejectRequest(error);
             return;
