Compute the demand of peers in one function

peersWithWaitingRequests was peersWithDemand for an interval of zero. Behaviour is the same. Checked: build, 736 unit tests (FleetReplay and Pools among them), format.

--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -272,28 +272,18 @@
     }
 }
 
-/// The peers that send to the pool, with their demand over one update interval.
-std::vector<DispatchingInstance> Pools::peersWithDemand(const PoolState& pool, Duration updateInterval) const
+/// The peers with demand in the pool: their waiting requests and those that arrive within `interval`.
+std::vector<DispatchingInstance> Pools::peersWithDemand(const PoolState& pool, Duration interval) const
 {
     std::vector<DispatchingInstance> peers;
     for (const auto& [peer, report] : m_peers) {
-        double demand = valueOr0(report.demands, pool.hash) + toSeconds(updateInterval) * valueOr0(report.arrivalDemands, pool.hash);
+        double demand = valueOr0(report.demands, pool.hash) + toSeconds(interval) * valueOr0(report.arrivalDemands, pool.hash);
         if (demand > 0)
             peers.push_back({ .hash = report.hash, .failureDomain = report.failureDomain, .demand = demand });
     }
     return peers;
 }
 
-std::vector<DispatchingInstance> Pools::peersWithWaitingRequests(const PoolState& pool) const
-{
-    std::vector<DispatchingInstance> peers;
-    for (const auto& [peer, report] : m_peers) {
-        if (double demand = valueOr0(report.demands, pool.hash); demand > 0)
-            peers.push_back({ .hash = report.hash, .failureDomain = report.failureDomain, .demand = demand });
-    }
-    return peers;
-}
-
 void Pools::assignFreeSlots(PoolState& pool, Duration updateInterval)
 {
     // Nothing is sent, so the assignment doesn't matter; updates of peers arrive hundreds of times a second.
@@ -302,7 +292,7 @@
     pool.ownRequestsAllowed.reset();
     for (TargetState& target : pool.targets)
         target.assignedSlots.reset();
-    std::vector<DispatchingInstance> waitingPeers = peersWithWaitingRequests(pool);
+    std::vector<DispatchingInstance> waitingPeers = peersWithDemand(pool, Duration::zero());
     if (waitingPeers.empty())
         return;
     DispatchingInstance self = m_self;
--- a/src/gateway/Pools.h
+++ b/src/gateway/Pools.h
@@ -133,8 +133,7 @@
     /// Sets the counts and the distance of a new target.
     void applyPeers(TargetState&, std::uint32_t hash) const;
     std::vector<DispatchingInstance> allInstances() const;
-    std::vector<DispatchingInstance> peersWithWaitingRequests(const PoolState&) const;
-    std::vector<DispatchingInstance> peersWithDemand(const PoolState&, Duration updateInterval) const;
+    std::vector<DispatchingInstance> peersWithDemand(const PoolState&, Duration interval) const;
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
