Name the speed classes of targets

chooseTarget numbered them in a nested conditional. The classes are an enumeration, and one function decides the class. Behaviour is the same. Checked: build, 736 unit tests, format, lint of the file.

--- a/src/core/TargetSelection.cpp
+++ b/src/core/TargetSelection.cpp
@@ -27,7 +27,6 @@
     constexpr double roundingSlack = 1e-6; ///< Allows for rounding errors in counts computed from means.
     constexpr double unknownMillisecondsPerUnit = 1; ///< For pools whose targets have not answered yet.
 
-    constexpr std::size_t speedClasses = 3;
     constexpr double firstTokenMilliseconds = 60; ///< Sending, admission and one step, at a target of mean speed.
     constexpr double firstEventFactorWeight = 0.05; ///< Weight of the latest answer in the moving average.
     constexpr double minFirstEventFactor = 0.5;
@@ -80,8 +79,16 @@
 
     double slotsOf(const TargetState& target) { return std::max(target.entry.slots, 1); }
 
-    /// The targets of one speed class: those that meet the latency objective, those that end by the deadline, and the rest.
-    /// A request waits for a busy target of the best class that has any, instead of taking a free slot of a slower one.
+    /// How soon a target would answer a request. The request waits for a busy target of the first class that has any,
+    /// instead of taking a free slot of a slower one.
+    enum class SpeedClass : std::size_t {
+        MeetsObjective,
+        EndsInTime, ///< By the request's deadline, with a margin.
+        TooSlow,
+        Count,
+    };
+
+    /// The targets of one speed class.
     struct Candidates {
         bool isAny { false };
         double leastCost { std::numeric_limits<double>::infinity() }; ///< Of those with a free slot.
@@ -147,6 +154,13 @@
         return input.firstEventFactor * firstEventMilliseconds(target, input.promptTokens, mean) <= 1000 * toSeconds(*input.timeToObjective);
     }
 
+    SpeedClass speedClassOf(const TargetState& target, const TargetSelectionInput& input, double mean)
+    {
+        if (expectedMilliseconds(target, input, mean) > usableShareOfTimeLeft * 1000 * toSeconds(input.timeLeft))
+            return SpeedClass::TooSlow;
+        return meetsObjective(target, input, mean) ? SpeedClass::MeetsObjective : SpeedClass::EndsInTime;
+    }
+
     double expectedCost(const TargetState& target, const TargetSelectionInput& input, const PoolView& pool, SteadyTime now)
     {
         double expected = expectedMilliseconds(target, input, pool.meanMillisecondsPerUnit);
@@ -214,15 +228,11 @@
     PoolView pool = viewOf(targets);
     if (input.ownRequestsAllowed && pool.ownInProgress >= *input.ownRequestsAllowed)
         return std::nullopt;
-    double timeLimit = usableShareOfTimeLeft * 1000 * toSeconds(input.timeLeft);
-    std::array<Candidates, speedClasses> candidates;
+    std::array<Candidates, static_cast<std::size_t>(SpeedClass::Count)> candidates;
     for (std::size_t i = 0; i < targets.size(); ++i) {
         if (!isSelectable(targets[i], now) || isAvoided(targets[i], input))
             continue;
-        bool endsInTime = expectedMilliseconds(targets[i], input, pool.meanMillisecondsPerUnit) <= timeLimit;
-        bool isOnTime = endsInTime && meetsObjective(targets[i], input, pool.meanMillisecondsPerUnit);
-        Candidates& speedClass = candidates[isOnTime ? 0 : endsInTime ? 1
-                                                                      : 2];
+        Candidates& speedClass = candidates[static_cast<std::size_t>(speedClassOf(targets[i], input, pool.meanMillisecondsPerUnit))];
         speedClass.isAny = true;
         if (!hasFreeSlot(targets[i], input, pool))
             continue;
