Estimate the first event of streaming requests only

Each dispatch went over all targets for an estimate that only streams use. Behaviour is the same: the estimate is read only for answers with a first event.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -64,7 +64,7 @@
     SteadyTime sentAt;
     std::optional<SteadyTime> firstEventAt;
     SteadyTime lastProgressAt;
-    double estimatedFirstEventMilliseconds { 0 }; ///< From sending, without queueing at the target.
+    double estimatedFirstEventMilliseconds { 0 }; ///< From sending, without queueing at the target; 0 for an answer without events.
     int events { 0 };
     bool isPromptRead { false }; ///< The prompt no longer counts as pending work at the target.
 };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -396,7 +396,7 @@
         finishWithFailure(exchange, true, "deadline");
         return;
     }
-    double estimatedFirstEvent = estimatedFirstEventMilliseconds(pool.targets, index, facts.promptTokens);
+    double estimatedFirstEvent = exchange.isStreaming() ? estimatedFirstEventMilliseconds(pool.targets, index, facts.promptTokens) : 0;
     TargetState& target = pool.targets[index];
     ++target.ownInProgress;
     target.ownPromptTokens += facts.promptTokens;
