Use toSeconds where durations were converted by hand

Seven places of core, daemon and gateway spelled out what toSeconds says since. Values are the same.

--- a/src/core/PolicyRouting.cpp
+++ b/src/core/PolicyRouting.cpp
@@ -355,9 +355,9 @@
             waiting.warm.checkedAt = now;
         }
     }
-    double longestWait = std::chrono::duration<double>(waiting.expiresAt - waiting.queued.arrivedAt).count();
+    double longestWait = toSeconds(waiting.expiresAt - waiting.queued.arrivedAt);
     double maxWarmWait = std::min(waitPerSavedSecond * waiting.warm.savedSeconds + waitPerMeanWait * meanWait, longestWait * maxWarmWaitShare);
-    double waited = std::chrono::duration<double>(now - waiting.queued.arrivedAt).count();
+    double waited = toSeconds(now - waiting.queued.arrivedAt);
     if (waited > maxWarmWait)
         return false;
     double tokens = toDouble(tokensOf(waiting.queued));
--- a/src/core/RetryCreditBudget.cpp
+++ b/src/core/RetryCreditBudget.cpp
@@ -47,7 +47,7 @@
 void recordCompletion(RetryAfterSchedule& schedule, SteadyTime now)
 {
     if (schedule.lastCompletion != SteadyTime()) {
-        double gap = std::chrono::duration<double>(now - schedule.lastCompletion).count();
+        double gap = toSeconds(now - schedule.lastCompletion);
         double meanGap = 1 / schedule.completionsPerSecond;
         meanGap += completionGain * (gap - meanGap);
         schedule.completionsPerSecond = std::clamp(1 / std::max(meanGap, 1e-9), minCompletionsPerSecond, maxCompletionsPerSecond);
--- a/src/core/SchedulerDispatch.cpp
+++ b/src/core/SchedulerDispatch.cpp
@@ -46,7 +46,7 @@
         charge(queue, pool.waiting.slots[index]);
         QueuedRequest request = removeRequest(pool.waiting, queue, index);
         pool.waitingCount -= 1;
-        double waited = std::chrono::duration<double>(now - request.arrivedAt).count();
+        double waited = toSeconds(now - request.arrivedAt);
         queue.meanWait += waitGain * (waited - queue.meanWait);
         decisions.emplace_back(DispatchDecision { .request = request.request, .target = pool.targets[choice.target].settings.id });
         addRunning(pool, std::move(request), choice, now);
--- a/src/core/SchedulerTargets.cpp
+++ b/src/core/SchedulerTargets.cpp
@@ -82,7 +82,7 @@
                 continue;
             TargetModel& target = pool.targets[running.target];
             double expected = target.firstTokenBase + running.workToFirstToken / target.prefillRate;
-            double elapsed = std::chrono::duration<double>(now - running.dispatchedAt).count();
+            double elapsed = toSeconds(now - running.dispatchedAt);
             if (elapsed > overdueFactor * expected)
                 learnOverdue(target, running.workToFirstToken, now - running.dispatchedAt, now);
         }
--- a/src/core/TargetModel.cpp
+++ b/src/core/TargetModel.cpp
@@ -26,7 +26,7 @@
     /// At least `minElapsed`, so that a rate is never divided by zero.
     double clampedSeconds(Duration time)
     {
-        return duration<double>(std::max(time, minElapsed)).count();
+        return toSeconds(std::max(time, minElapsed));
     }
 
     double clampRate(double rate, double expected)
--- a/src/daemon/CallHandler.cpp
+++ b/src/daemon/CallHandler.cpp
@@ -16,7 +16,7 @@
 
     constexpr milliseconds abortCheckPeriod { 500 }; ///< How often a waiting thread checks for an abort.
 
-    double secondsBetween(SteadyTime from, SteadyTime to) { return std::chrono::duration<double>(to - from).count(); }
+    double secondsBetween(SteadyTime from, SteadyTime to) { return toSeconds(to - from); }
 
     /// Whether a chunk holds only the token usage. Engines send it because the daemon requests the usage of every stream.
     bool isUsageOnly(const EngineChunk& chunk)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -408,7 +408,7 @@
         { .target = target.entry.id.value(), .account = facts.account, .millisecondsLeft = left, .resumeAfter = resumeAfter });
     m_metrics.sends.add();
     if (exchange.sendCount() == 0)
-        m_metrics.waitSeconds.record(std::chrono::duration<double>(now - facts.arrivedAt).count());
+        m_metrics.waitSeconds.record(toSeconds(now - facts.arrivedAt));
     m_log.line("info", "request_sent",
         { { "request", facts.id }, { "route", facts.route->name }, { "target", target.entry.id.value() }, { "rank", std::int64_t { facts.rank } },
             { "waited_ms", std::chrono::duration<double, std::milli>(now - facts.arrivedAt).count() }, { "left_ms", left },
