--- a/test/SlotDivisionTest.cpp
+++ b/test/SlotDivisionTest.cpp
@@ -9,6 +9,12 @@
 TEST_GROUP(SlotDivision)
 {
     SteadyTime now { std::chrono::hours(1) };
+
+    static std::vector<DispatchingInstance> othersThan(const DispatchingInstance& instance, std::vector<DispatchingInstance> instances)
+    {
+        std::erase_if(instances, [&](const DispatchingInstance& other) { return other.hash == instance.hash; });
+        return instances;
+    }
 };
 
 // Load: 26 instances learn at the same time that a restarted target has free slots.
@@ -56,9 +62,7 @@
     for (std::uint64_t target = 1; target <= 2000; ++target) {
         int owners = 0;
         for (const DispatchingInstance& instance : instances) {
-            std::vector<DispatchingInstance> others = instances;
-            std::erase_if(others, [&](const DispatchingInstance& other) { return other.hash == instance.hash; });
-            if (isAssignedToPeer(FailureDomainId("here"), target, instance, others))
+            if (isAssignedToPeer(FailureDomainId("here"), target, instance, othersThan(instance, instances)))
                 continue;
             ++owners;
             ++owned[instance.hash];
@@ -94,8 +98,7 @@
     int assigned = 0;
     int assignedToUrgent = 0;
     for (const DispatchingInstance& instance : instances) {
-        std::vector<DispatchingInstance> others = instances;
-        std::erase_if(others, [&](const DispatchingInstance& other) { return other.hash == instance.hash; });
+        const std::vector<DispatchingInstance> others = othersThan(instance, instances);
         for (std::uint64_t target = 1; target <= 78; ++target) {
             int slots = countAssignedSlots(FailureDomainId("here"), target, 6, instance, others);
             assigned += slots;
