--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -24,10 +24,18 @@
 HOST = "permits.example"
 
 
+def choose_ips(count):
+    """Loopback addresses of their own for the machines, so that several trials can run at the same time."""
+    random_source = random.SystemRandom()
+    second, third = random_source.randrange(16, 240), random_source.randrange(0, 250)
+    return [f"127.{second}.{third}.{number + 1}" for number in range(count)]
+
+
 def free_ports(ips, count):
     """Ports in a row that are free on all the addresses."""
+    random_source = random.SystemRandom()
     for _ in range(200):
-        first = random.randrange(20000, 60000)
+        first = random_source.randrange(11000, 30000)  # Below those that the kernel gives to clients.
         held = []
         try:
             for ip in ips:
@@ -143,7 +151,8 @@
             for row in transaction["writes"]:
                 self.write(row["table"], row["key"], base64.b64decode(row["value"]))
             for row in transaction["delete"]:
-                self.write(row["table"], row["key"], None)
+                if (row["table"], row["key"]) in self.rows:
+                    self.write(row["table"], row["key"], None)
             return 200, self.answer({})
         return 404, self.answer({})
 
@@ -327,7 +336,7 @@
 
     def __init__(self, folder, machines, ram_mb):
         self.record = Record(pathlib.Path(folder) / "record.txt")
-        self.ips = [f"127.88.{number + 1}.1" for number in range(machines)]
+        self.ips = choose_ips(machines)
         self.port = free_ports(self.ips, 8)
         self.ram_mb = ram_mb
         self.store = Store(self.record)
@@ -353,7 +362,7 @@
         self.tasks += [asyncio.create_task(machine.watch()) for machine in self.machines]
         end = time.monotonic() + 10
         while not all([await machine.is_ready() for machine in self.machines]):
-            if time.monotonic() > end:
+            if time.monotonic() > end or any(machine.exits for machine in self.machines):
                 raise RuntimeError("the machines didn't become ready")
             await asyncio.sleep(0.1)
 
