--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SETTINGS_VARIABLE = "LIMPETPOND_BOOT"
 MEMORY_SAMPLE_SECONDS = 0.02
+MEGABYTE = 1 << 20
 RESTART_DELAY_SECONDS = 1.0
 KEY = "key-of-the-tenant"
 HOST = "permits.example"
@@ -306,12 +307,12 @@
             await asyncio.sleep(MEMORY_SAMPLE_SECONDS)
             used = self.memory()
             self.peak = max(self.peak, used)
-            if self.process.returncode is None and used <= self.site.ram_mb * 1_000_000:
+            if self.process.returncode is None and used <= self.site.ram_mb * MEGABYTE:
                 continue
             if self.process.returncode is None:
                 self.process.kill()
                 self.kills.append(self.site.record.now())
-                self.site.record.line("platform kills", self.name, f"which uses {used // 1_000_000} MB of {self.site.ram_mb}")
+                self.site.record.line("platform kills", self.name, f"which uses {used // MEGABYTE} MB of {self.site.ram_mb}")
             else:
                 self.exits.append(self.site.record.now())
                 self.site.record.line(self.name, "ended by itself, code", self.process.returncode)
