--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -182,22 +182,25 @@
         self.stamps = 0
         self.sequence = 0
         self.channels = set()
+        self.port = free_ports(["127.0.0.1"], 1)
+        self.is_up = False
 
-    async def start(self, port=0):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.is_up = True
         self.address = f"127.0.0.1:{self.port}"
         self.born = int(time.time() * 1000)
         self.report("ready")
 
     async def crash(self, down_seconds):
         """The process ends at once, and starts again under the id and at the address that it had."""
+        self.is_up = False
         self.server.close()
         for channel in self.channels:
             channel.transport.abort()
         await asyncio.sleep(down_seconds)
         self.sequence = 0
-        await self.start(self.port)
+        await self.start()
 
     def report(self, state):
         self.sequence += 1
