--- a/review/standins/crashing_part.py
+++ b/review/standins/crashing_part.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import os
 import random
 import traceback
 
@@ -41,9 +40,9 @@
 
 
 class Trial:
-    def __init__(self, options):
+    def __init__(self, options, is_in_trouble):
         self.options = options
-        self.is_in_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.is_in_trouble = is_in_trouble
         self.crashes = []  # Seconds.
         self.reached = []  # Seconds at which requests with the part reached workers.
         self.restarts = []  # Tasks of workers that start again.
@@ -95,11 +94,11 @@
             await site.stop()
 
 
-def main(folder, options):
+def main(record, options, is_in_trouble):
     """Returns 1 if more requests with the part reach workers than the rule allows, 0 if not, 2 if the case couldn't run."""
     random.seed(SEED)
-    site = deployment.Site(folder, MACHINES, RAM_MB)
-    trial = Trial(options)
+    site = deployment.Site(record, MACHINES, RAM_MB)
+    trial = Trial(options, is_in_trouble)
     try:
         sound = asyncio.run(trial.play(site))
     except Exception:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -336,10 +336,10 @@
 
 
 class Site:
-    """The whole deployment. `machines` processes of the project are started."""
+    """The whole deployment. `machines` processes of the project are started; `record` is the path of what was sent, answered and run."""
 
-    def __init__(self, folder, machines, ram_mb):
-        self.record = Record(pathlib.Path(folder) / "record.txt")
+    def __init__(self, record, machines, ram_mb):
+        self.record = Record(record)
         self.ips = choose_ips(machines)
         self.port = free_ports(self.ips, 8)
         self.ram_mb = ram_mb
