Notice polls that a short silence of the store has lost

What callers saw: after 0.5 to 1 s of silence of the store no instance learned for up to 21 s that a target leaves, has left or was added.

Cause: a call that waits long can't tell silence from calm. A store that is silent takes a poll in and never answers it. Only a failed poll of the settings made the readers call again, and those end every 2 s, so that a silence between two ends was never noticed. A change ends the polls of all instances at one time, so one silence lost them all.

Ruled out: changes that arrive and are dropped (no answer reached the instance); readers that follow one that missed the change (it also shows with a single instance).

Change: answers state the store's newest version over all tables. Up to three instances end their short polls in turns, 0.6 s apart by the store's clock. A reader that learns of a newer version and whose poll doesn't end within 0.15 s asks for an answer at once. Related paths: the settings' poll and the targets' poll of an instance that got rows from a peer are repeated, too; an instance that takes over a turn repeats its long poll; an instance that is behind a peer asks it after 0.5 s instead of 0.7 s.

Test, failing before (5 of 5 requests went to the leaving target): Gateway.aTargetThatLeavesAfterAMomentOfSilenceOfTheStoreGetsNoMoreRequests.

--- a/src/core/StoreReaders.cpp
+++ b/src/core/StoreReaders.cpp
@@ -8,7 +8,8 @@
 
     constexpr std::size_t allReadUpTo = 12; ///< Instances, this one included. For so few, reading the store costs less than sending each other the changes.
     constexpr std::ptrdiff_t readersByHash = 6; ///< Some readers are left when several instances stop at once.
-    constexpr std::ptrdiff_t shortPollersByHash = 3;
+    constexpr std::ptrdiff_t checkersByHash = 3; ///< One that stops or loses its own polls leaves the others' checks.
+    constexpr Duration minCheckWait = std::chrono::milliseconds(100); ///< A poll that ends at its turn may be answered a little early.
     constexpr std::ptrdiff_t minRecentReaders = 2;
     constexpr Duration minReaderTimeout = std::chrono::milliseconds(600);
     constexpr int readerTimeoutIntervals = 3;
@@ -31,6 +32,21 @@
     return std::count_if(peers.begin(), peers.end(), isRecentReader) < minRecentReaders;
 }
 
-bool shouldUseShortPolls(std::uint64_t ownHash, const std::vector<PeerReadState>& peers) { return countLower(ownHash, peers) < shortPollersByHash; }
+std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>& peers)
+{
+    std::ptrdiff_t place = countLower(ownHash, peers);
+    if (place >= checkersByHash)
+        return std::nullopt;
+    std::ptrdiff_t staying = 1 + std::count_if(peers.begin(), peers.end(), [](const PeerReadState& peer) { return !peer.isLeaving; });
+    return CheckTurn { .place = static_cast<int>(place), .instances = static_cast<int>(std::min(staying, checkersByHash)) };
+}
+
+Duration timeUntilCheck(const CheckTurn& turn, Duration storeTime)
+{
+    Duration period = turn.instances * storeCheckInterval;
+    Duration sinceLast = (storeTime + period - turn.place * storeCheckInterval) % period;
+    Duration wait = period - sinceLast;
+    return wait < minCheckWait ? wait + period : wait;
+}
 
 } // namespace limpetpond
--- a/src/core/StoreReaders.h
+++ b/src/core/StoreReaders.h
@@ -1,14 +1,17 @@
 #pragma once
 
-/// Decides which instances read the targets' table from the store, and which of them use short polls.
+/// Decides which instances read the targets' table from the store, and which of them check by short polls whether a long
+/// poll was lost.
 ///
 /// Load pattern: hundreds of instances in front of thousands of targets. Only a few instances read the table and send the
 /// changes to their peers; another instance reads it only while it receives updates from too few readers. A store that
-/// becomes unavailable loses the long polls sent meanwhile, so a few instances use short polls: they detect its recovery
-/// early, and the others learn of it from them.
+/// is unavailable for a moment loses the long polls sent meanwhile, and a lost poll looks like one without changes. So a few
+/// instances use short polls, which end in turns: each answer states the store's newest version, which shows that another
+/// poll should have ended. The other instances learn of the changes from them.
 
 #include "limpetpond/Clock.h"
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace limpetpond {
@@ -27,9 +30,25 @@
 ///     reader.setFollowing(shouldRead(ownHash, peers, now, 100ms));
 bool shouldRead(std::uint64_t ownHash, const std::vector<PeerReadState>&, SteadyTime now, Duration updateInterval);
 
-/// Whether this instance should use short polls: it is one of the few with the lowest hashes.
+/// Longest time between two checks of the store's newest version by any of the instances.
+inline constexpr Duration storeCheckInterval = std::chrono::milliseconds(600);
+
+/// An instance's place among those that check the store in turns.
+struct CheckTurn {
+    int place { 0 }; ///< From 0 on.
+    int instances { 1 }; ///< How many take turns.
+
+    bool operator==(const CheckTurn&) const = default;
+};
+
+/// The turn of this instance if it is one of the few with the lowest hashes; none for the others.
+///
+///     std::optional<CheckTurn> turn = checkTurn(ownHash, peers);
+std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>&);
+
+/// How long a poll that starts at `storeTime` may wait, so that the polls of all turns end `storeCheckInterval` apart.
 ///
-///     bool usesShortPolls = shouldUseShortPolls(ownHash, peers);
-bool shouldUseShortPolls(std::uint64_t ownHash, const std::vector<PeerReadState>&);
+///     Duration wait = timeUntilCheck({ .place = 1, .instances = 3 }, storeTime);
+Duration timeUntilCheck(const CheckTurn&, Duration storeTime);
 
 } // namespace limpetpond
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -27,8 +27,7 @@
     constexpr std::string_view settingsPath = "/rows/settings";
     constexpr std::string_view targetsPath = "/rows/targets";
     /// An instance that reads the store is behind its peers for a shorter time: the pause after changes and a few round trips.
-    constexpr Duration maxSettingsLag = std::chrono::milliseconds(500);
-    constexpr Duration maxTargetsLag = std::chrono::milliseconds(700);
+    constexpr Duration maxReaderLag = std::chrono::milliseconds(500);
     /// Longest time between two updates that hold everything, so that a lost datagram is made up for. Peers estimate the use of
     /// an account by an instance that doesn't report it for longer.
     constexpr Duration allInterval = std::chrono::milliseconds(500);
@@ -69,7 +68,9 @@
     , m_readinessServer(context, clock, [this](const ReceivedRequest& request) { return answerReadiness(request); })
     , m_metricsServer(context, clock, [this](const ReceivedRequest& request) { return answerMetrics(request); })
     , m_rowsServer(context, clock, [this](const ReceivedRequest& request) { return answerRows(request); })
-    , m_settingsReader(makeReader({ .table = std::string(platform::operatorTable), .onUpdate = [this](const TableUpdate& update) { applySettingsRows(update); } }))
+    , m_settingsReader(makeReader({ .table = std::string(platform::operatorTable),
+          .onUpdate = [this](const TableUpdate& update) { applySettingsRows(update); },
+          .onCheck = [this](const TableVersion& version) { m_targetReader.recordStoreVersion(version); } }))
     , m_targetReader(makeReader({ .table = std::string(platform::targetTable), .onUpdate = [this](const TableUpdate& update) { applyTargetRows(update); } }))
     , m_instanceReader(makeReader({ .table = std::string(platform::instanceTable), .followsChanges = false, .onUpdate = [this](const TableUpdate& update) { applyInstanceRows(update); } }))
     , m_writer(context, clock,
@@ -98,8 +99,8 @@
 void GatewayInstance::recordReachability(const std::string& table, bool reachable, std::string_view reason)
 {
     m_log.line(reachable ? "info" : "warning", reachable ? "store_regained" : "store_lost", { { "table", table }, { "reason", reason } });
-    // A store that stops answering loses the polls that it gets meanwhile, and only short polls detect that. The long
-    // poll for targets may be lost, so it is sent again.
+    // A store that stops answering loses the polls that it gets meanwhile. The long poll for targets may be lost, so it is
+    // sent again.
     if (reachable && table == platform::operatorTable && m_targetReader.isFollowing())
         m_targetReader.restartCall();
 }
@@ -119,9 +120,8 @@
         return error;
     for (const std::string& ip : m_boot.seedIps)
         m_peers.addPeer(ip);
+    m_settingsReader.setCheckTurn(CheckTurn()); // Until peers are known.
     m_settingsReader.start();
-    // The short polls of the settings' reader detect a store that stops answering for both tables.
-    m_targetReader.setPolling(StoreReader::Polling::Long);
     m_targetReader.start();
     m_writer.write(m_boot.instance.value(), m_boot.ip);
     acceptCallers();
@@ -186,6 +186,8 @@
         return;
     }
     logWholeRead(platform::targetTable, update);
+    if (update.isLate)
+        m_log.line("warning", "store_poll_lost", { { "table", platform::targetTable }, { "version", static_cast<std::int64_t>(update.version.number) }, { "rows", static_cast<std::int64_t>(update.rows.size()) } });
     std::set<TargetId> present;
     std::map<std::string, TableRow> allRows;
     for (const platform::Row& row : update.rows) {
@@ -361,6 +363,9 @@
     for (const auto& [key, row] : delta.rows)
         update.rows.push_back({ .key = key, .value = row.value, .version = row.version.number });
     applySettingsRows(update);
+    // The store would have answered by now, so the poll in progress was lost.
+    if (m_settingsReader.isReading())
+        m_settingsReader.restartCall();
 }
 
 void GatewayInstance::applyPeerTargets(const TableDelta& delta)
@@ -382,6 +387,7 @@
     }
     applyTargetRows(update);
     m_targetRows.version = std::max(m_targetRows.version, delta.version);
+    m_targetReader.recordStoreVersion(delta.version);
 }
 
 void GatewayInstance::chooseReaders(SteadyTime now)
@@ -391,7 +397,7 @@
     for (const auto& [id, peer] : m_peerReadStates)
         peers.push_back(peer);
     std::uint32_t ownHash = shortHash(m_boot.instance.value());
-    m_settingsReader.setPolling(shouldUseShortPolls(ownHash, peers) ? StoreReader::Polling::Short : StoreReader::Polling::Long);
+    m_settingsReader.setCheckTurn(checkTurn(ownHash, peers));
     bool reads = shouldRead(ownHash, peers, now, limpetpond::updateInterval({ .livePeers = m_peers.livePeers() }));
     if (reads == m_targetReader.isFollowing())
         return;
@@ -466,8 +472,8 @@
     writeSuspectRows();
     applyRowsOfDepartedTargets(now);
     chooseReaders(now);
-    m_settingsFetcher.tick(m_settingsRows.version, isStarting() ? Duration::zero() : maxSettingsLag, now);
-    m_targetFetcher.tick(targetsVersion(), m_targetReader.isReading() ? maxTargetsLag : Duration::zero(), now);
+    m_settingsFetcher.tick(m_settingsRows.version, isStarting() ? Duration::zero() : maxReaderLag, now);
+    m_targetFetcher.tick(targetsVersion(), m_targetReader.isReading() ? maxReaderLag : Duration::zero(), now);
     sendUpdate(now);
     m_log.flush();
     checkShutdown(now);
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -1,16 +1,18 @@
 #include "gateway/StoreReader.h"
 
 #include "core/Guard.h"
+#include <utility>
 
 namespace limpetpond {
 
 namespace {
 
-    constexpr int longPollMilliseconds = 20000;
-    constexpr int shortPollMilliseconds = 2000;
+    constexpr Duration longPoll = std::chrono::seconds(20);
     constexpr Duration answerTimeout = std::chrono::milliseconds(1000); ///< Added to the requested wait.
     /// Between an answer with changes and the next call, so that a series of changes needs few calls.
     constexpr Duration pauseAfterChanges = std::chrono::milliseconds(300);
+    /// A poll that has not ended for so long after the store reached a newer version was lost, or nothing changed in its table.
+    constexpr Duration changeTimeout = std::chrono::milliseconds(150);
     constexpr Duration readTimeout = std::chrono::milliseconds(1500);
     constexpr Duration firstBackoff = std::chrono::milliseconds(100);
     constexpr Duration maxBackoff = std::chrono::milliseconds(800);
@@ -32,19 +34,65 @@
 
 void StoreReader::call()
 {
+    m_calledAt = m_clock.steadyNow();
     if (m_isListing) {
         m_call.start(m_options.store, getRequestText(platform::rowsPath(m_options.table, m_nextPage), "store"), readTimeout);
         return;
     }
-    int wait = pollMilliseconds();
-    m_call.start(m_options.store, getRequestText(platform::feedPath(m_options.table, m_version.number, wait), "store"), std::chrono::milliseconds(wait) + answerTimeout);
+    auto wait = std::chrono::ceil<std::chrono::milliseconds>(pollWait());
+    std::string path = platform::feedPath(m_options.table, m_version.number, static_cast<int>(wait.count()));
+    m_call.start(m_options.store, getRequestText(path, "store"), wait + answerTimeout);
 }
 
-int StoreReader::pollMilliseconds() const
+Duration StoreReader::pollWait() const
 {
-    if (!m_isReachable)
-        return 0; // Detects the end of an outage at once.
-    return m_polling == Polling::Short ? shortPollMilliseconds : longPollMilliseconds;
+    bool isAnswerDue = !m_isReachable || m_storeVersion > m_version;
+    if (isAnswerDue || (m_checkTurn && !m_storeTimeOffset))
+        return Duration::zero();
+    if (!m_checkTurn)
+        return longPoll;
+    return timeUntilCheck(*m_checkTurn, m_clock.steadyNow().time_since_epoch() + *m_storeTimeOffset);
+}
+
+void StoreReader::setCheckTurn(const std::optional<CheckTurn>& turn)
+{
+    bool isFirstTurn = turn && !m_checkTurn;
+    m_checkTurn = turn;
+    if (!isFirstTurn)
+        return;
+    m_storeTimeOffset.reset();
+    if (isReading() && !m_isListing)
+        restartCall(); // The poll in progress may be a long one.
+}
+
+void StoreReader::recordStoreVersion(const TableVersion& version)
+{
+    if (version.epoch != m_epoch || version <= std::max(m_version, m_storeVersion))
+        return;
+    if (m_storeVersion <= m_version)
+        m_storeVersionAt = m_clock.steadyNow();
+    m_storeVersion = version;
+}
+
+bool StoreReader::isPollLost(SteadyTime now) const
+{
+    bool isPolling = isReading() && !m_isListing && m_call.isInProgress();
+    return isPolling && m_storeVersion > m_version && m_calledAt <= m_storeVersionAt && now - m_storeVersionAt >= changeTimeout;
+}
+
+void StoreReader::tick(SteadyTime now)
+{
+    m_call.tick(now);
+    if (!isPollLost(now))
+        return;
+    m_wasPollLost = true;
+    restartCall();
+}
+
+void StoreReader::recordAnswerTime(const platform::RowsAnswer& answer)
+{
+    if (m_checkTurn)
+        m_storeTimeOffset = answer.storeTime.value_or(Duration::zero()) - m_clock.steadyNow().time_since_epoch();
 }
 
 void StoreReader::setFollowing(bool follows)
@@ -123,19 +171,25 @@
         return;
     }
     recordReachable();
+    recordAnswerTime(*answer);
     if (m_isListing) {
         handlePage(std::move(*answer));
         return;
     }
     m_version.number = std::max(m_version.number, answer->version);
+    if (m_calledAt > m_storeVersionAt)
+        m_storeVersion = m_version; // This answer is newer than what was learned before its call.
+    if (m_checkTurn && m_options.onCheck)
+        m_options.onCheck(m_version);
     SteadyTime now = m_clock.steadyNow();
     bool afterOutage = m_wasUnreachable || now - m_reachableAgainAt < settlingTime;
     m_wasUnreachable = false;
+    bool isLate = std::exchange(m_wasPollLost, false);
     if (answer->rows.empty()) {
         call();
         return;
     }
-    m_options.onUpdate({ .isWholeTable = false, .afterOutage = afterOutage, .version = m_version, .rows = std::move(answer->rows) });
+    m_options.onUpdate({ .isWholeTable = false, .afterOutage = afterOutage, .isLate = isLate, .version = m_version, .rows = std::move(answer->rows) });
     callAfter(pauseAfterChanges);
 }
 
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -2,9 +2,14 @@
 
 /// Follows one table of the platform's store: reads all rows once, then its changes by long polls.
 ///
+/// A store that is unavailable for a moment loses the polls that it received meanwhile, and the reader can't tell such a
+/// poll from one without changes. So it asks for an answer at once when it learns from elsewhere that the store has reached
+/// a newer version.
+///
 /// An answer of another epoch than the last one shows that the store was restored from a copy. All rows are then read
 /// again, since changes may have been missed under versions that were given out a second time.
 
+#include "core/StoreReaders.h"
 #include "gateway/TimedHttpCall.h"
 #include "limpetpond/Clock.h"
 #include "platform/StoreCalls.h"
@@ -19,6 +24,7 @@
 struct TableUpdate {
     bool isWholeTable { false }; ///< `rows` holds all rows of the table; otherwise those that changed.
     bool afterOutage { false }; ///< The store was unavailable or restored shortly before, so that a missing row may soon be written again.
+    bool isLate { false }; ///< The poll that should have brought the rows was lost.
     TableVersion version; ///< Up to which the table is known.
     std::vector<platform::Row> rows; ///< Their versions are of the same epoch.
 };
@@ -28,6 +34,7 @@
     std::string table;
     bool followsChanges { true }; ///< If false, the table is read only once.
     std::function<void(const TableUpdate&)> onUpdate;
+    std::function<void(const TableVersion&)> onCheck; ///< Called with the store's newest version when a poll in this instance's turn has ended; may be empty.
     std::function<void(StoreEpoch)> onEpoch; ///< Called when an answer states another epoch than the last one.
     std::function<void(bool reachable, std::string_view reason)> onReachable; ///< Called when the store becomes available or unavailable.
 };
@@ -44,15 +51,14 @@
     /// Reads the whole table again after the delay, if the store's last answer to this reader was of another epoch.
     void readAgain(StoreEpoch, Duration delay);
 
-    /// Ends a call that has timed out. Call it several times a second.
-    void tick(SteadyTime now) { m_call.tick(now); }
+    /// Calls again if the store's version is newer than the table's and the poll in progress doesn't end soon.
+    void recordStoreVersion(const TableVersion&);
+
+    /// Ends a call that has timed out or was lost. Call it several times a second.
+    void tick(SteadyTime now);
 
-    /// How long the store may hold a poll for changes.
-    enum class Polling {
-        Long, ///< Few calls, but a store that stops answering is detected late.
-        Short, ///< A store that stops answering is detected within seconds.
-    };
-    void setPolling(Polling polling) { m_polling = polling; }
+    /// Sets when polls end; without a turn they are long.
+    void setCheckTurn(const std::optional<CheckTurn>&);
 
     /// Starts or stops following the table. After a start the whole table is read first.
     void setFollowing(bool);
@@ -76,7 +82,9 @@
     void retryLater();
     void callAfter(Duration pause);
     void recordReachable();
-    int pollMilliseconds() const;
+    Duration pollWait() const;
+    void recordAnswerTime(const platform::RowsAnswer&);
+    bool isPollLost(SteadyTime now) const;
 
     const Clock& m_clock;
     StoreReaderOptions m_options;
@@ -85,7 +93,12 @@
     bool m_hasRead { false };
     bool m_isFollowing { true };
     bool m_isListing { true };
-    Polling m_polling { Polling::Short };
+    std::optional<CheckTurn> m_checkTurn;
+    std::optional<Duration> m_storeTimeOffset; ///< The store's clock minus this instance's; none until the first answer in this turn.
+    TableVersion m_storeVersion; ///< The newest one that this reader has learned of from elsewhere since its last call.
+    SteadyTime m_storeVersionAt; ///< When it learned of a version newer than the table's.
+    SteadyTime m_calledAt;
+    bool m_wasPollLost { false }; ///< The call in progress repeats a poll that may have been lost.
     bool m_isReachable { true };
     bool m_wasUnreachable { false }; ///< A call has failed, or the store was restored, since the last update.
     SteadyTime m_reachableAgainAt;
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -825,6 +825,31 @@
     CHECK(eventually([&] { return statusOf(call(requestText("/pay/x"))) == "404"; }));
 }
 
+// A store that was silent for less than a second lost the poll for the targets, and no instance learned for 20 s that a target left.
+TEST(Gateway, aTargetThatLeavesAfterAMomentOfSilenceOfTheStoreGetsNoMoreRequests)
+{
+    auto serve = [](TargetCall& request) { request.answer(200, "done"); };
+    addTarget(serve);
+    addTarget(serve);
+    start();
+    std::this_thread::sleep_for(500ms);
+    // The changes end all polls at one time, so that the silence meets only the next poll for the targets.
+    store->put("op", "config", documentOfVersion(2));
+    std::this_thread::sleep_for(100ms);
+    store->put("servers", "t2", entryOf(1, "ready", 2));
+    std::this_thread::sleep_for(250ms);
+    store->setLosingCalls(true);
+    std::this_thread::sleep_for(200ms);
+    store->setLosingCalls(false);
+    std::this_thread::sleep_for(3000ms);
+    store->put("servers", "t1", entryOf(0, "draining", 2));
+    std::this_thread::sleep_for(1900ms);
+    int before = targets[0]->calls();
+    for (int i = 0; i < 5; ++i)
+        STRCMP_EQUAL("200", statusOf(call(requestText("/pay/x"))).c_str());
+    LONGS_EQUAL(before, targets[0]->calls());
+}
+
 TEST(Gateway, aCallerThatStallsInTheMiddleOfABodyIsDisconnected)
 {
     start();
--- a/test/StoreCallsTest.cpp
+++ b/test/StoreCallsTest.cpp
@@ -25,6 +25,16 @@
     CHECK(answer->rows[1].isDeleted);
     CHECK(answer->hasMore);
     LONGS_EQUAL(530, answer->version);
+    CHECK(answer->storeTime == std::chrono::milliseconds(1));
+}
+
+TEST(StoreCalls, aTimeThatCantBeTheStoresIsLeftOut)
+{
+    for (const char* time : { "-1", "1e300", "18446744073709551615", "\"1\"" }) {
+        std::optional<platform::RowsAnswer> answer = platform::decodeRows(std::string(R"({"rows":[],"objVer":1,"serverTimeMs":)") + time + "}");
+        CHECK(answer.has_value());
+        CHECK_FALSE(answer->storeTime.has_value());
+    }
 }
 
 TEST(StoreCalls, invalidRowsDontAffectOthers)
--- a/test/StoreReadersTest.cpp
+++ b/test/StoreReadersTest.cpp
@@ -1,5 +1,7 @@
 #include "core/StoreReaders.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace limpetpond;
@@ -63,9 +65,36 @@
     CHECK_TRUE(shouldRead(65, peers, now, 500ms));
 }
 
-TEST(StoreReaders, aFewInstancesUseShortPolls)
+TEST(StoreReaders, aFewInstancesCheckTheStore)
+{
+    CHECK(checkTurn(5, {}) == CheckTurn({ .place = 0, .instances = 1 }));
+    CHECK(checkTurn(15, peersOf(1, 1)) == CheckTurn({ .place = 1, .instances = 2 }));
+    CHECK(checkTurn(25, peersOf(25, 25)) == CheckTurn({ .place = 2, .instances = 3 }));
+    CHECK_FALSE(checkTurn(35, peersOf(25, 25)).has_value());
+    std::vector<PeerReadState> peers = peersOf(25, 25);
+    peers[0].isLeaving = true;
+    CHECK(checkTurn(35, peers) == CheckTurn({ .place = 2, .instances = 3 }));
+}
+
+// Whenever the instances' polls start, some poll ends in every interval, at most twice the interval after one was lost.
+TEST(StoreReaders, checksOfAllTurnsAreSpread)
 {
-    CHECK_TRUE(shouldUseShortPolls(5, {}));
-    CHECK_TRUE(shouldUseShortPolls(25, peersOf(25, 25)));
-    CHECK_FALSE(shouldUseShortPolls(35, peersOf(25, 25)));
+    for (int instances = 1; instances <= 3; ++instances) {
+        std::vector<Duration> ends;
+        for (int place = 0; place < instances; ++place) {
+            Duration time = place * 70ms;
+            while (time < 20s) {
+                Duration wait = timeUntilCheck({ .place = place, .instances = instances }, time);
+                CHECK(wait >= 100ms);
+                CHECK(wait <= instances * storeCheckInterval + 100ms);
+                time += wait + 4ms;
+                ends.push_back(time);
+            }
+        }
+        std::sort(ends.begin(), ends.end());
+        for (std::size_t i = 1; i < ends.size(); ++i) {
+            if (ends[i - 1] > 2s && ends[i] < 20s)
+                CHECK(ends[i] - ends[i - 1] <= storeCheckInterval + 5ms);
+        }
+    }
 }
--- a/test/fakes/edge/StoreFake.h
+++ b/test/fakes/edge/StoreFake.h
@@ -122,6 +122,13 @@
         m_changed.notify_all();
     }
 
+    /// While set, calls that arrive are never answered, not even after it is reset. Polls that arrived before are.
+    void setLosingCalls(bool isLosingCalls)
+    {
+        std::lock_guard lock(m_mutex);
+        m_isLosingCalls = isLosingCalls;
+    }
+
     /// The values of the table's rows that are not deleted, by key.
     std::map<std::string, std::string> rows(const std::string& table)
     {
@@ -169,10 +176,10 @@
         answerJson(response, json::object { { "rows", std::move(rows) }, { "hasMore", false }, { "objVer", m_version }, { "serverTimeMs", 1 } });
     }
 
-    /// Blocks a call received while the store is silent until the fake stops; true if it did.
-    bool blockedWhileSilent(std::unique_lock<std::mutex>& lock)
+    /// Blocks a call until the fake stops if it is to get no answer; true if it did.
+    bool blocked(std::unique_lock<std::mutex>& lock, bool isLost)
     {
-        if (!m_isSilent)
+        if (!isLost && !m_isSilent)
             return false;
         m_changed.wait(lock, [this] { return m_isStopping; });
         return true;
@@ -181,7 +188,7 @@
     void list(const httplib::Request& request, httplib::Response& response)
     {
         std::unique_lock lock(m_mutex);
-        if (blockedWhileSilent(lock))
+        if (blocked(lock, m_isLosingCalls))
             return;
         if (answersFailure(response))
             return;
@@ -201,11 +208,12 @@
     void feed(const httplib::Request& request, httplib::Response& response)
     {
         std::unique_lock lock(m_mutex);
+        bool isLost = m_isLosingCalls;
         std::string table = request.get_param_value("table");
         std::uint64_t after = std::stoull(request.get_param_value("after"));
         auto wait = std::chrono::milliseconds(std::stoi(request.get_param_value("waitMs")));
-        m_changed.wait_for(lock, wait, [&] { return m_isStopping || m_isSilent || m_failStatus || after < m_oldestVersion || hasChanges(table, after); });
-        if (blockedWhileSilent(lock) || answersFailure(response))
+        m_changed.wait_for(lock, wait, [&] { return isLost || m_isStopping || m_isSilent || m_failStatus || after < m_oldestVersion || hasChanges(table, after); });
+        if (blocked(lock, isLost) || answersFailure(response))
             return;
         if (after < m_oldestVersion || after > m_version)
             response.status = 410;
@@ -240,6 +248,7 @@
     std::uint64_t m_oldestVersion { 0 };
     int m_failStatus { 0 };
     bool m_isSilent { false };
+    bool m_isLosingCalls { false };
     int m_calls { 0 };
     int m_wholeReads { 0 };
     bool m_isStopping { false };
