Check the store by two instances, and ask only after changes that nothing accounts for

Each change of the settings raises the store's version, so each of the three asked whether the targets had changed as well.

Ruled out: asking without the wait for the poll in progress (more calls), one instance alone (its own lost poll leaves 1.7 s without a check).

Change: versions that the settings' own rows account for need no question; two instances take turns, 0.65 s apart. An instance that is behind a peer asks it after 0.4 s, so that the legs stay below 2 s also where one of the two polls was lost.

--- a/src/core/StoreReaders.cpp
+++ b/src/core/StoreReaders.cpp
@@ -1,6 +1,7 @@
 #include "core/StoreReaders.h"
 
 #include <algorithm>
+#include <set>
 
 namespace limpetpond {
 
@@ -8,7 +9,7 @@
 
     constexpr std::size_t allReadUpTo = 12; ///< Instances, this one included. For so few, reading the store costs less than sending each other the changes.
     constexpr std::ptrdiff_t readersByHash = 6; ///< Some readers are left when several instances stop at once.
-    constexpr std::ptrdiff_t checkersByHash = 3; ///< One that stops or loses its own polls leaves the others' checks.
+    constexpr std::ptrdiff_t checkersByHash = 2; ///< One that stops or loses its own polls leaves the other's checks.
     constexpr Duration minCheckWait = std::chrono::milliseconds(100); ///< A poll that ends at its turn may be answered a little early.
     constexpr std::ptrdiff_t minRecentReaders = 2;
     constexpr Duration minReaderTimeout = std::chrono::milliseconds(600);
@@ -49,4 +50,16 @@
     return wait < minCheckWait ? wait + period : wait;
 }
 
+bool areChangesKnown(const TableVersion& known, const StoreCheck& check)
+{
+    if (known.epoch != check.newest.epoch)
+        return false;
+    std::set<std::uint64_t> changes;
+    for (std::uint64_t version : check.rowVersions) {
+        if (version > known.number && version <= check.newest.number)
+            changes.insert(version);
+    }
+    return check.newest.number <= known.number + changes.size();
+}
+
 } // namespace limpetpond
--- a/src/core/StoreReaders.h
+++ b/src/core/StoreReaders.h
@@ -9,6 +9,7 @@
 /// instances use short polls, which end in turns: each answer states the store's newest version, which shows that another
 /// poll should have ended. The other instances learn of the changes from them.
 
+#include "core/TableVersion.h"
 #include "limpetpond/Clock.h"
 #include <cstdint>
 #include <optional>
@@ -31,7 +32,7 @@
 bool shouldRead(std::uint64_t ownHash, const std::vector<PeerReadState>&, SteadyTime now, Duration updateInterval);
 
 /// Longest time between two checks of the store's newest version by any of the instances.
-inline constexpr Duration storeCheckInterval = std::chrono::milliseconds(600);
+inline constexpr Duration storeCheckInterval = std::chrono::milliseconds(650);
 
 /// An instance's place among those that check the store in turns.
 struct CheckTurn {
@@ -51,4 +52,16 @@
 ///     Duration wait = timeUntilCheck({ .place = 1, .instances = 3 }, storeTime);
 Duration timeUntilCheck(const CheckTurn&, Duration storeTime);
 
+/// What an answer about one table tells of the whole store, whose tables share one sequence of versions.
+struct StoreCheck {
+    TableVersion newest;
+    std::vector<std::uint64_t> rowVersions; ///< Of the changed rows in the answer.
+};
+
+/// Whether the answer's own rows account for every version after `known`, so that no other table has changed.
+///
+///     if (!areChangesKnown(knownVersion, check))
+///         reader.recordStoreVersion(check.newest);
+bool areChangesKnown(const TableVersion& known, const StoreCheck&);
+
 } // namespace limpetpond
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -27,7 +27,7 @@
     constexpr std::string_view settingsPath = "/rows/settings";
     constexpr std::string_view targetsPath = "/rows/targets";
     /// An instance that reads the store is behind its peers for a shorter time: the pause after changes and a few round trips.
-    constexpr Duration maxReaderLag = std::chrono::milliseconds(500);
+    constexpr Duration maxReaderLag = std::chrono::milliseconds(400);
     /// Longest time between two updates that hold everything, so that a lost datagram is made up for. Peers estimate the use of
     /// an account by an instance that doesn't report it for longer.
     constexpr Duration allInterval = std::chrono::milliseconds(500);
@@ -70,7 +70,7 @@
     , m_rowsServer(context, clock, [this](const ReceivedRequest& request) { return answerRows(request); })
     , m_settingsReader(makeReader({ .table = std::string(platform::operatorTable),
           .onUpdate = [this](const TableUpdate& update) { applySettingsRows(update); },
-          .onCheck = [this](const TableVersion& version) { m_targetReader.recordStoreVersion(version); } }))
+          .onCheck = [this](const StoreCheck& check) { applyStoreCheck(check); } }))
     , m_targetReader(makeReader({ .table = std::string(platform::targetTable), .onUpdate = [this](const TableUpdate& update) { applyTargetRows(update); } }))
     , m_instanceReader(makeReader({ .table = std::string(platform::instanceTable), .followsChanges = false, .onUpdate = [this](const TableUpdate& update) { applyInstanceRows(update); } }))
     , m_writer(context, clock,
@@ -219,6 +219,14 @@
     m_gateway.onTargetsChanged();
 }
 
+void GatewayInstance::applyStoreCheck(const StoreCheck& check)
+{
+    if (areChangesKnown(std::max(m_checkedVersion, m_targetReader.version()), check))
+        m_checkedVersion = check.newest;
+    else
+        m_targetReader.recordStoreVersion(check.newest);
+}
+
 GatewayInstance::RowEffect GatewayInstance::putTargetRow(const platform::Row& row, const EntryRead& read)
 {
     std::string reason;
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -36,6 +36,7 @@
     void logWholeRead(std::string_view table, const TableUpdate&);
     void applySettingsRows(const TableUpdate&);
     void applyTargetRows(const TableUpdate&);
+    void applyStoreCheck(const StoreCheck&);
     void applyInstanceRows(const TableUpdate&);
     /// Reads the tables again if the epoch shows that the store was restored from a copy.
     void applyStoreEpoch(StoreEpoch, std::string_view source);
@@ -83,6 +84,7 @@
     ShortAnswerServer m_rowsServer;
     TableCopy m_settingsRows; ///< The row of the settings in force; the copy has the settings' version.
     TableCopy m_targetRows;
+    TableVersion m_checkedVersion; ///< No version of the store up to this one is a change of the targets that their reader hasn't been told of.
     std::map<InstanceId, PeerReadState> m_peerReadStates;
     StoreReader m_settingsReader;
     StoreReader m_targetReader;
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -179,8 +179,7 @@
     m_version.number = std::max(m_version.number, answer->version);
     if (m_calledAt > m_storeVersionAt)
         m_storeVersion = m_version; // This answer is newer than what was learned before its call.
-    if (m_checkTurn && m_options.onCheck)
-        m_options.onCheck(m_version);
+    reportCheck(*answer);
     SteadyTime now = m_clock.steadyNow();
     bool afterOutage = m_wasUnreachable || now - m_reachableAgainAt < settlingTime;
     m_wasUnreachable = false;
@@ -193,6 +192,16 @@
     callAfter(pauseAfterChanges);
 }
 
+void StoreReader::reportCheck(const platform::RowsAnswer& answer)
+{
+    if (!m_checkTurn || !m_options.onCheck)
+        return;
+    StoreCheck check { .newest = m_version };
+    for (const platform::Row& row : answer.rows)
+        check.rowVersions.push_back(row.version);
+    m_options.onCheck(check);
+}
+
 void StoreReader::handlePage(platform::RowsAnswer answer)
 {
     if (m_nextPage.empty()) {
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -34,7 +34,7 @@
     std::string table;
     bool followsChanges { true }; ///< If false, the table is read only once.
     std::function<void(const TableUpdate&)> onUpdate;
-    std::function<void(const TableVersion&)> onCheck; ///< Called with the store's newest version when a poll in this instance's turn has ended; may be empty.
+    std::function<void(const StoreCheck&)> onCheck; ///< Called when a poll has ended in this instance's turn; may be empty.
     std::function<void(StoreEpoch)> onEpoch; ///< Called when an answer states another epoch than the last one.
     std::function<void(bool reachable, std::string_view reason)> onReachable; ///< Called when the store becomes available or unavailable.
 };
@@ -84,6 +84,7 @@
     void recordReachable();
     Duration pollWait() const;
     void recordAnswerTime(const platform::RowsAnswer&);
+    void reportCheck(const platform::RowsAnswer&);
     bool isPollLost(SteadyTime now) const;
 
     const Clock& m_clock;
