Look for a crashing prompt part among all parts of a prompt

What callers saw: requests whose prompt lists 63 parts or more before the part that crashes targets were never refused.

Cause: the list of a request's parts was read up to 64 entries, and the last one that was read was dropped as the request's own. Ruled out by a test of the decision alone: that the parts displace each other is no cause at 66 parts; it is at 300.

Change: the list is bounded by the request's head alone, and all fields of that name are read. The same cause in the bounds behind it: more parts are kept as suspects and as answered than two heads can list, and parts with answers are dropped first. Loops over all suspects for each suspect look at the quarantined ones only, which are few.

Tests, failing before: WireFields.noPromptPartOfALongListIsLeftOut (64 of 4,000), CrashingParts.aCrashingPartIsFoundAmongThousands (with 300 parts). Two tests stated the fault as a bound: at most 64 entries, at most 256 suspects. They now expect every entry, and a bound of the memory that is derived from the limit of a head.

--- a/src/core/CrashingParts.cpp
+++ b/src/core/CrashingParts.cpp
@@ -25,8 +25,11 @@
     constexpr Duration suspicionLifetime = std::chrono::hours(2);
 
     constexpr std::size_t maxRecentCrashes = 64;
-    constexpr std::size_t maxSuspects = 256;
-    constexpr std::size_t maxAnsweredParts = 1024; ///< In each of the two maps.
+    /// More than the heads of two requests can list. Otherwise the parts of one request would displace each other, and the
+    /// crashing one might never be kept.
+    constexpr std::size_t maxSuspects = 8192;
+    constexpr std::size_t suspectsDroppedAtOnce = maxSuspects / 8;
+    constexpr std::size_t maxAnsweredParts = 8192; ///< In each of the two maps.
 
     constexpr Duration firstTrialInterval = std::chrono::seconds(15);
     constexpr int trialIntervalFactor = 4; ///< For each further crash: a trial that fails costs a target and the requests in progress there.
@@ -56,15 +59,23 @@
     /// Whether so many parts are suspected at the same time that a sound part meets several crashes by coincidence.
     bool areManySuspected(const CrashingParts& parts)
     {
-        auto count = std::count_if(parts.suspects.begin(), parts.suspects.end(), [](const auto& entry) { return !entry.second.crashes.empty(); });
-        return static_cast<std::size_t>(count) >= manySuspects;
+        std::size_t count = 0;
+        return std::any_of(parts.suspects.begin(), parts.suspects.end(), [&](const auto& entry) { return !entry.second.crashes.empty() && ++count == manySuspects; });
     }
 
+    /// What the decisions on single parts share; valid until a suspicion changes.
+    struct Evidence {
+        const CrashingParts& parts;
+        bool areManySuspected { false };
+    };
+
+    Evidence evidenceOf(const CrashingParts& parts) { return { .parts = parts, .areManySuspected = areManySuspected(parts) }; }
+
     /// One more crash for each factor of four in the number of answers: a popular part is at most targets that crash.
-    std::size_t crashesNeeded(const CrashingParts& parts, PromptPart part)
+    std::size_t crashesNeeded(const Evidence& evidence, PromptPart part)
     {
-        std::size_t forAnswers = static_cast<std::size_t>(std::bit_width(answersOf(parts.answered, part))) / 2;
-        return std::min(minCrashes + forAnswers + areManySuspected(parts), maxCrashes);
+        std::size_t forAnswers = static_cast<std::size_t>(std::bit_width(answersOf(evidence.parts.answered, part))) / 2;
+        return std::min(minCrashes + forAnswers + evidence.areManySuspected, maxCrashes);
     }
 
     std::size_t countCrashes(const SuspectPart& suspect) { return suspect.crashes.size() + suspect.simultaneousCrashes.size(); }
@@ -81,22 +92,22 @@
         return static_cast<double>(countCrashes(suspect)) >= minShareOfCrashes * static_cast<double>(all);
     }
 
-    bool hasCrashedWhileOthersAreAnswered(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect)
+    bool hasCrashedWhileOthersAreAnswered(const Evidence& evidence, PromptPart part, const SuspectPart& suspect)
     {
-        return suspect.otherAnswers >= minOtherAnswers && suspect.crashes.size() >= crashesNeeded(parts, part);
+        return suspect.otherAnswers >= minOtherAnswers && suspect.crashes.size() >= crashesNeeded(evidence, part);
     }
 
-    bool explainsAlmostAllCrashes(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect)
+    bool explainsAlmostAllCrashes(const Evidence& evidence, PromptPart part, const SuspectPart& suspect)
     {
-        if (answersOf(parts.answered, part) > 0 || !isAtAlmostAllCrashes(parts, suspect))
+        if (answersOf(evidence.parts.answered, part) > 0 || !isAtAlmostAllCrashes(evidence.parts, suspect))
             return false;
-        bool areManyApart = suspect.crashes.size() >= crashesNeeded(parts, part);
+        bool areManyApart = suspect.crashes.size() >= crashesNeeded(evidence, part);
         return areManyApart || (suspect.crashes.size() >= minCrashesApart && countCrashes(suspect) >= manyCrashes);
     }
 
-    bool explainsCrashes(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect)
+    bool explainsCrashes(const Evidence& evidence, PromptPart part, const SuspectPart& suspect)
     {
-        return hasCrashedWhileOthersAreAnswered(parts, part, suspect) || explainsAlmostAllCrashes(parts, part, suspect);
+        return hasCrashedWhileOthersAreAnswered(evidence, part, suspect) || explainsAlmostAllCrashes(evidence, part, suspect);
     }
 
     /// Whether each other part has been answered or was missing at some of the crashes.
@@ -110,21 +121,22 @@
     }
 
     /// The evidence for an instance with few answers. An answer to a request without the part shows that not all have it.
-    bool standsOut(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect)
+    bool standsOut(const Evidence& evidence, PromptPart part, const SuspectPart& suspect)
     {
-        return suspect.clearings == 0 && suspect.otherAnswers > 0 && countCrashes(suspect) >= minCrashesWithFewAnswers && explainsAlmostAllCrashes(parts, part, suspect)
-            && isOnlyExplanation(parts, part, suspect);
+        return suspect.clearings == 0 && suspect.otherAnswers > 0 && countCrashes(suspect) >= minCrashesWithFewAnswers && explainsAlmostAllCrashes(evidence, part, suspect)
+            && isOnlyExplanation(evidence.parts, part, suspect);
     }
 
-    bool isCause(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect)
+    bool isCause(const Evidence& evidence, PromptPart part, const SuspectPart& suspect)
     {
-        if (suspect.crashes.empty() || suspect.isQuarantined)
+        if (suspect.crashes.size() < minCrashesApart || suspect.isQuarantined)
             return false;
-        return hasEnoughAnswers(parts) ? explainsCrashes(parts, part, suspect) : standsOut(parts, part, suspect);
+        return hasEnoughAnswers(evidence.parts) ? explainsCrashes(evidence, part, suspect) : standsOut(evidence, part, suspect);
     }
 
-    void clear(SuspectPart& suspect, std::uint32_t clearings, SteadyTime now)
+    void clear(CrashingParts& parts, PromptPart part, SuspectPart& suspect, std::uint32_t clearings, SteadyTime now)
     {
+        std::erase(parts.quarantined, part);
         suspect.clearings = clearings;
         suspect.crashes.clear();
         suspect.simultaneousCrashes.clear();
@@ -194,8 +206,7 @@
     /// Whether another part that is quarantined explains the crash.
     bool isExplained(const CrashingParts& parts, PromptPart part, const TargetCrash& crash)
     {
-        return std::any_of(parts.suspects.begin(), parts.suspects.end(),
-            [&](const auto& entry) { return entry.first != part && entry.second.isQuarantined && hasCrash(entry.second, crash); });
+        return std::any_of(parts.quarantined.begin(), parts.quarantined.end(), [&](PromptPart cause) { return cause != part && hasCrash(parts.suspects.at(cause), crash); });
     }
 
     /// Forgets the crashes that quarantined parts explain.
@@ -213,32 +224,46 @@
             suspect.otherAnswers = 0;
     }
 
-    void quarantine(CrashingParts& parts, const std::vector<SuspectPart*>& causes)
+    void quarantine(CrashingParts& parts, const PromptParts& causes)
     {
-        for (SuspectPart* cause : causes)
-            cause->isQuarantined = true;
+        if (causes.empty())
+            return;
+        for (PromptPart cause : causes) {
+            parts.suspects.at(cause).isQuarantined = true;
+            parts.quarantined.insert(std::lower_bound(parts.quarantined.begin(), parts.quarantined.end(), cause), cause);
+        }
         for (auto& [part, suspect] : parts.suspects) {
-            if (!causes.empty() && !suspect.isQuarantined)
+            if (!suspect.isQuarantined)
                 dropExplainedCrashes(parts, part, suspect);
         }
     }
 
     void decideQuarantines(CrashingParts& parts)
     {
-        std::vector<SuspectPart*> causes;
-        for (auto& [part, suspect] : parts.suspects) {
-            if (isCause(parts, part, suspect))
-                causes.push_back(&suspect);
+        PromptParts causes;
+        Evidence evidence = evidenceOf(parts);
+        for (const auto& [part, suspect] : parts.suspects) {
+            if (isCause(evidence, part, suspect))
+                causes.push_back(part);
         }
         quarantine(parts, causes);
     }
 
-    void dropWeakestSuspect(CrashingParts& parts)
+    /// Drops many at once, so that a full map costs little for each part that is added.
+    void dropWeakestSuspects(CrashingParts& parts)
     {
-        auto weaker = [](const auto& a, const auto& b) {
-            return std::tuple(a.second.crashes.size(), a.second.changedAt) < std::tuple(b.second.crashes.size(), b.second.changedAt);
-        };
-        parts.suspects.erase(std::min_element(parts.suspects.begin(), parts.suspects.end(), weaker));
+        using Strength = std::tuple<std::size_t, bool, SteadyTime, PromptPart>;
+        std::vector<Strength> strengths;
+        strengths.reserve(parts.suspects.size());
+        for (const auto& [part, suspect] : parts.suspects)
+            strengths.emplace_back(suspect.crashes.size(), answersOf(parts.answered, part) == 0, suspect.changedAt, part);
+        auto kept = strengths.begin() + suspectsDroppedAtOnce;
+        std::nth_element(strengths.begin(), kept, strengths.end());
+        for (auto weakest = strengths.begin(); weakest != kept; ++weakest) {
+            PromptPart part = std::get<PromptPart>(*weakest);
+            parts.suspects.erase(part);
+            std::erase(parts.quarantined, part);
+        }
     }
 
     SuspectPart& suspectOf(CrashingParts& parts, PromptPart part, SteadyTime now)
@@ -247,7 +272,7 @@
         if (found != parts.suspects.end())
             return found->second;
         if (parts.suspects.size() >= maxSuspects)
-            dropWeakestSuspect(parts);
+            dropWeakestSuspects(parts);
         return parts.suspects.emplace(part, SuspectPart { .changedAt = now }).first->second;
     }
 
@@ -278,6 +303,22 @@
         return report;
     }
 
+    /// Counts an answer for the parts that are still suspected; false where it is evidence for none of them.
+    bool countAnswerForOthers(CrashingParts& parts)
+    {
+        if (parts.answersToCount == 0)
+            return false;
+        --parts.answersToCount;
+        bool isEvidence = false;
+        for (auto& [part, suspect] : parts.suspects) {
+            if (suspect.crashes.empty() || suspect.otherAnswers >= minOtherAnswers)
+                continue;
+            ++suspect.otherAnswers;
+            isEvidence = true;
+        }
+        return isEvidence;
+    }
+
     bool wasObservedLately(const SuspectPart& suspect, SteadyTime now) { return suspect.observedAt && now - *suspect.observedAt < reportTime; }
 
 } // namespace
@@ -293,6 +334,7 @@
             continue;
         suspect.changedAt = crash.at;
         suspect.observedAt = crash.at;
+        parts.answersToCount = minOtherAnswers;
     }
     decideQuarantines(parts);
 }
@@ -306,17 +348,12 @@
         auto suspect = parts.suspects.find(part);
         if (suspect == parts.suspects.end() || suspect->second.crashes.empty())
             continue;
-        clear(suspect->second, suspect->second.clearings + 1, now);
+        clear(parts, part, suspect->second, suspect->second.clearings + 1, now);
         suspect->second.observedAt = now;
         cleared.push_back(part);
     }
     bool hasNewEvidence = !cleared.empty();
-    for (auto& [part, suspect] : parts.suspects) {
-        if (suspect.crashes.empty() || suspect.otherAnswers >= minOtherAnswers)
-            continue;
-        ++suspect.otherAnswers;
-        hasNewEvidence = true;
-    }
+    hasNewEvidence |= countAnswerForOthers(parts);
     if (hasNewEvidence)
         decideQuarantines(parts);
     return cleared;
@@ -324,7 +361,7 @@
 
 std::optional<PromptPart> findQuarantined(const CrashingParts& parts, const PromptParts& requested)
 {
-    if (parts.suspects.empty())
+    if (parts.quarantined.empty())
         return std::nullopt;
     auto found = std::find_if(requested.begin(), requested.end(), [&](PromptPart part) { return isQuarantined(parts, part); });
     return found == requested.end() ? std::nullopt : std::optional(*found);
@@ -336,16 +373,6 @@
     return found != parts.suspects.end() && !found->second.crashes.empty();
 }
 
-PromptParts quarantinedParts(const CrashingParts& parts)
-{
-    PromptParts quarantined;
-    for (const auto& [part, suspect] : parts.suspects) {
-        if (suspect.isQuarantined)
-            quarantined.push_back(part);
-    }
-    return quarantined;
-}
-
 Duration timeToTrial(const CrashingParts& parts, PromptPart part, int turn, SteadyTime now)
 {
     auto found = parts.suspects.find(part);
@@ -397,7 +424,7 @@
     }
     SuspectPart& suspect = suspectOf(parts, report.part, now);
     if (report.clearings > suspect.clearings)
-        clear(suspect, report.clearings, now);
+        clear(parts, report.part, suspect, report.clearings, now);
     suspect.otherAnswers = std::max(suspect.otherAnswers, std::min(report.otherAnswers, minOtherAnswers));
     for (const SuspectReport::Crash& reported : report.crashes) {
         if (reported.age < Duration::zero() || reported.age >= suspicionLifetime)
@@ -407,16 +434,18 @@
             continue;
         if (!suspect.isQuarantined)
             addRecentCrash(parts, crash);
-        if (addCrash(suspect, crash))
+        if (addCrash(suspect, crash)) {
             suspect.changedAt = now;
+            parts.answersToCount = minOtherAnswers;
+        }
     }
     if (suspect.isQuarantined || suspect.crashes.empty())
         return;
     // A peer may have seen crashes that this instance hasn't; only an answer here speaks against its decision.
     bool isTakenOver = report.isQuarantined && (!hasEnoughAnswers(parts) || answersOf(parts.answered, report.part) == 0);
     // With few answers the reports of all parts count, and this is one of them.
-    if (isTakenOver || (hasEnoughAnswers(parts) && explainsCrashes(parts, report.part, suspect)))
-        quarantine(parts, { &suspect });
+    if (isTakenOver || (hasEnoughAnswers(parts) && isCause(evidenceOf(parts), report.part, suspect)))
+        quarantine(parts, { report.part });
 }
 
 void mergeStoredSuspect(CrashingParts& parts, const SuspectReport& report, SteadyTime now)
@@ -463,6 +492,7 @@
 void expireSuspects(CrashingParts& parts, SteadyTime now)
 {
     std::erase_if(parts.suspects, [now](const auto& entry) { return now - entry.second.changedAt > suspicionLifetime; });
+    std::erase_if(parts.quarantined, [&](PromptPart part) { return !parts.suspects.contains(part); });
 }
 
 } // namespace limpetpond
--- a/src/core/CrashingParts.h
+++ b/src/core/CrashingParts.h
@@ -65,6 +65,8 @@
 /// The suspicions of one pool.
 struct CrashingParts {
     std::map<PromptPart, SuspectPart> suspects; ///< Bounded; the weakest suspicions are dropped first.
+    std::vector<PromptPart> quarantined; ///< Those of `suspects` that are, in order; few.
+    int answersToCount { 0 }; ///< Further answers that count for the suspected parts, until each has enough.
     std::vector<TargetCrash> recentCrashes; ///< Of all targets that no quarantined part explains; bounded.
     AnsweredParts answered;
     std::uint64_t answers { 0 }; ///< Since the start of this instance.
@@ -95,9 +97,6 @@
 /// part that another pool has quarantined.
 bool hasCrashed(const CrashingParts&, PromptPart);
 
-/// All quarantined parts.
-PromptParts quarantinedParts(const CrashingParts&);
-
 /// The time until this instance may send a request with the quarantined part to find out whether it still crashes targets;
 /// zero or less if it may do so now. The interval grows with the number of crashes. `turn` is the position of this instance
 /// in an order of all instances, which differs from part to part, so that usually only one of them sends a request.
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -31,8 +31,8 @@
     PoolId pool;
     int rank { 0 };
     double promptTokens { 0 };
-    std::vector<SharedPart> sharedParts; ///< The parts of the prompt without the last one, which is the request's own.
-    PromptParts promptParts; ///< The same parts without their tokens.
+    PromptParts promptParts; ///< All parts of the prompt without the last one, which is the request's own.
+    std::vector<SharedPart> sharedParts; ///< The first ones of them, with their tokens.
     double expectedAnswerTokens { 0 };
     double quotaUnits { 0 };
     SteadyTime arrivedAt;
--- a/src/gateway/GatewayCrashes.cpp
+++ b/src/gateway/GatewayCrashes.cpp
@@ -87,7 +87,7 @@
     if (pool.crashingParts.suspects.empty() && pool.loggedQuarantines.empty())
         return;
     expireSuspects(pool.crashingParts, now);
-    PromptParts quarantined = quarantinedParts(pool.crashingParts);
+    const PromptParts& quarantined = pool.crashingParts.quarantined;
     auto logChanges = [&](const PromptParts& before, const PromptParts& after, std::string_view event) {
         for (PromptPart part : after) {
             if (std::find(before.begin(), before.end(), part) == before.end())
@@ -96,7 +96,7 @@
     };
     logChanges(pool.loggedQuarantines, quarantined, "prompt_part_quarantined");
     logChanges(quarantined, pool.loggedQuarantines, "prompt_part_released");
-    pool.loggedQuarantines = std::move(quarantined);
+    pool.loggedQuarantines = quarantined;
 }
 
 PoolState* Gateway::findPool(std::uint32_t hash)
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -21,6 +21,7 @@
     constexpr Duration minWaitTime = std::chrono::seconds(2);
     constexpr int waitTimeInObjectives = 4;
     constexpr int waitTimeInPauses = 8;
+    constexpr std::size_t maxComparedParts = 64; ///< With what targets have in their caches, which takes time for each part and target.
     constexpr int mostUrgentRank = -1; ///< Rank of streams that have begun and wait for a retry.
 
     std::string lowerCaseHost(std::string_view host)
@@ -52,8 +53,12 @@
     std::vector<SharedPart> sharedPartsOf(const ReceivedRequest& request)
     {
         std::vector<SharedPart> parts;
-        for (const platform::PromptPartEntry& entry : platform::promptPartEntries(fieldValue(request.fields, Field::PromptParts)))
-            parts.push_back({ .part = promptPartOf(entry.id), .tokens = entry.tokens });
+        for (const HeaderField& field : request.fields) {
+            if (field.meaning != Field::PromptParts)
+                continue;
+            for (const platform::PromptPartEntry& entry : platform::promptPartEntries(field.value))
+                parts.push_back({ .part = promptPartOf(entry.id), .tokens = entry.tokens });
+        }
         if (!parts.empty())
             parts.pop_back();
         return parts;
@@ -107,6 +112,7 @@
     facts.promptParts.reserve(facts.sharedParts.size());
     for (const SharedPart& shared : facts.sharedParts)
         facts.promptParts.push_back(shared.part);
+    facts.sharedParts.resize(std::min(facts.sharedParts.size(), maxComparedParts));
     facts.expectedAnswerTokens = std::min(parseDecimal(fieldValue(request.fields, Field::AnswerTokensHint)).value_or(tokens.maxAnswer), tokens.maxAnswer);
     if (std::optional<Refusal> refusal = checkAccount(request, facts))
         return refusal;
--- a/test/CrashingPartsTest.cpp
+++ b/test/CrashingPartsTest.cpp
@@ -16,6 +16,19 @@
 /// The users allow this many requests with the part once five targets have crashed and the news has spread.
 constexpr int maxSendsAfterFiveCrashes = 3;
 
+/// The lists of two requests have at most so many parts, by the limit of a request's head.
+constexpr std::size_t maxPartsKept = 8192;
+
+/// So many parts with consecutive ids.
+PromptParts longPrompt(std::uint64_t first, std::size_t count)
+{
+    PromptParts parts;
+    parts.reserve(count);
+    for (std::uint64_t i = 0; i < count; ++i)
+        parts.push_back(PromptPart(first + i));
+    return parts;
+}
+
 } // namespace
 
 TEST_GROUP(CrashingParts)
@@ -358,12 +371,12 @@
 {
     crash({ { badPart } });
     crash({ { badPart } });
-    for (std::uint64_t i = 0; i < 5000; ++i) {
-        crash({ { PromptPart(100 + i) } });
-        recordAnswer(parts, { PromptPart(100000 + i) }, now);
+    for (std::uint64_t i = 0; i < 600; ++i) {
+        crash({ longPrompt(100 + 100 * i, 100) });
+        recordAnswer(parts, longPrompt(100000 + 100 * i, 100), now);
     }
-    CHECK(parts.suspects.size() <= 256);
-    CHECK(parts.answered.recent.size() + parts.answered.older.size() <= 2048);
+    CHECK(parts.suspects.size() <= maxPartsKept);
+    CHECK(parts.answered.recent.size() + parts.answered.older.size() <= 2 * maxPartsKept);
     // One crash more than usual is needed while so many parts are suspected.
     crash({ { badPart } });
     crash({ { badPart } });
@@ -371,6 +384,26 @@
     CHECK(isRefused({ badPart }));
 }
 
+// The parts of one long prompt displaced each other among the suspects, and the one that crashed targets was never kept.
+TEST(CrashingParts, aCrashingPartIsFoundAmongThousands)
+{
+    constexpr std::uint64_t common = 1000;
+    for (std::size_t count : { 66U, 300U, 2000U, 4000U }) {
+        CrashingParts instance;
+        answerMany(instance);
+        PromptParts bad = longPrompt(common, count);
+        bad.push_back(badPart);
+        for (std::uint64_t i = 1; i <= 3; ++i) {
+            now += 200ms;
+            recordCrash(instance, { .id = CrashId(i), .at = now }, { bad });
+            for (int answer = 0; answer < 3; ++answer)
+                recordAnswer(instance, longPrompt(common, count), now);
+        }
+        CHECK(findQuarantined(instance, bad) == badPart);
+        CHECK_FALSE(findQuarantined(instance, longPrompt(common, count)).has_value());
+    }
+}
+
 TEST(CrashingParts, aQuarantineLastsWhileManyOtherPartsAreSuspected)
 {
     quarantineBadPart();
--- a/test/WireFieldsTest.cpp
+++ b/test/WireFieldsTest.cpp
@@ -53,10 +53,17 @@
     DOUBLES_EQUAL(0, promptPartEntries("a:-5")[0].tokens, 0);
     CHECK(promptPartEntries("").empty());
     CHECK(promptPartEntries(",,:5,").empty());
+}
+
+// A part behind the first 64 was never seen, so that it could crash targets for ever.
+TEST(WireFields, noPromptPartOfALongListIsLeftOut)
+{
     std::string many;
-    for (int i = 0; i < 1000; ++i)
-        many += "a:1,";
-    CHECK(promptPartEntries(many).size() <= 64);
+    for (int i = 0; i < 4000; ++i)
+        many += std::to_string(i) + ":1,";
+    std::vector<PromptPartEntry> entries = promptPartEntries(many);
+    LONGS_EQUAL(4000, entries.size());
+    CHECK(entries.back().id == "3999");
 }
 
 TEST(WireFields, extractsApiKeyOfTokenScheme)
