Report equally suspected prompt parts in turns

What callers would have seen: peers that go on sending requests with a part that one instance has seen crash targets.

Cause: an update holds 16 suspicions, the strongest first and among equals those with the lowest ids. The parts of a prompt of more than 16 parts are equally suspect after a crash, so that the others never reached the peers.

Change: equally strong suspicions take turns, those first that were reported longest ago.

Test, failing before (16 of 120 parts within nine updates): CrashingParts.eachOfManyEquallySuspectedPartsIsReported.

--- a/src/core/CrashingParts.cpp
+++ b/src/core/CrashingParts.cpp
@@ -395,20 +395,27 @@
         found->second.triedAt = now;
 }
 
-std::vector<SuspectReport> suspectsToReport(const CrashingParts& parts, ReportScope scope, SteadyTime now)
+std::vector<SuspectReport> suspectsToReport(CrashingParts& parts, ReportScope scope, SteadyTime now)
 {
+    std::vector<std::pair<const PromptPart, SuspectPart>*> candidates;
+    for (auto& entry : parts.suspects) {
+        bool isRepeated = scope == ReportScope::All && entry.second.crashes.size() >= minCrashesToRepeat;
+        if (isRepeated || wasObservedLately(entry.second, now))
+            candidates.push_back(&entry);
+    }
+    // Parts of one long prompt are equally suspect, and each of them has to reach the peers.
+    auto isFirst = [](const auto* a, const auto* b) {
+        return std::tuple(countCrashes(b->second), a->second.reportedAt, a->first) < std::tuple(countCrashes(a->second), b->second.reportedAt, b->first);
+    };
+    std::sort(candidates.begin(), candidates.end(), isFirst);
+    candidates.resize(std::min(candidates.size(), maxReports));
     std::vector<SuspectReport> reports;
-    for (const auto& [part, suspect] : parts.suspects) {
-        bool isRepeated = scope == ReportScope::All && suspect.crashes.size() >= minCrashesToRepeat;
-        if (!isRepeated && !wasObservedLately(suspect, now))
-            continue;
+    for (auto* candidate : candidates) {
+        auto& [part, suspect] = *candidate;
+        suspect.reportedAt = now;
         reports.push_back(reportOf(part, suspect, now));
         addCrashes(reports.back(), suspect.simultaneousCrashes, now);
     }
-    auto isStronger = [](const SuspectReport& a, const SuspectReport& b) { return std::tuple(b.crashes.size(), a.part) < std::tuple(a.crashes.size(), b.part); };
-    std::sort(reports.begin(), reports.end(), isStronger);
-    if (reports.size() > maxReports)
-        reports.resize(maxReports);
     return reports;
 }
 
--- a/src/core/CrashingParts.h
+++ b/src/core/CrashingParts.h
@@ -50,6 +50,7 @@
     int otherAnswers { 0 }; ///< Answers to requests without the part since the first crash, up to a maximum.
     bool isQuarantined { false }; ///< Until an answer clears the part.
     SteadyTime changedAt;
+    SteadyTime reportedAt; ///< When an update for peers last held it.
     std::optional<SteadyTime> observedAt; ///< When this instance itself last saw a crash or cleared the part; none where it has only reports of peers.
     std::optional<SteadyTime> triedAt; ///< When this instance last sent a request with the part in spite of its quarantine.
     std::size_t storedCrashes { 0 }; ///< Number of crashes in the part's row in the store.
@@ -126,11 +127,11 @@
     All, ///< Everything, so that a lost update is made up for.
 };
 
-/// The suspicions to report, the strongest ones first; bounded. Changes are those that this instance made; all are these and
-/// every suspicion that is more than a coincidence.
+/// The suspicions to report, the strongest ones first; bounded. Equally strong ones take turns. Changes are those that this
+/// instance made; all are these and every suspicion that is more than a coincidence.
 ///
 ///     update.suspects = suspectsToReport(pool.crashingParts, ReportScope::Changes, now);
-std::vector<SuspectReport> suspectsToReport(const CrashingParts&, ReportScope, SteadyTime now);
+std::vector<SuspectReport> suspectsToReport(CrashingParts&, ReportScope, SteadyTime now);
 
 /// Merges a report of a peer or of the store. The result doesn't depend on the order of reports or on repetitions, except
 /// for crashes at almost the same time, of which any one is kept.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -104,7 +104,7 @@
         .settingsVersion = m_settings ? m_settings->settings.version : SettingsVersion(),
         .isLeaving = m_isShuttingDown,
     };
-    for (const auto& [id, pool] : m_pools.all()) {
+    for (auto& [id, pool] : m_pools.all()) {
         if (!pool.queue.requests.empty())
             update.demands.push_back({ .pool = pool.hash, .demand = static_cast<int>(waitingDemand(pool)) });
         if (int arriving = static_cast<int>(arrivingDemand(pool.arrivals, now)); arriving > 0)
--- a/test/CrashReplay.h
+++ b/test/CrashReplay.h
@@ -227,7 +227,7 @@
     {
         ReportScope scope = m_elapsed % std::chrono::milliseconds(500) < m_options.updateInterval ? ReportScope::All : ReportScope::Changes;
         std::vector<std::vector<SuspectReport>> reports;
-        for (const CrashingParts& instance : m_instances)
+        for (CrashingParts& instance : m_instances)
             reports.push_back(suspectsToReport(instance, scope, m_now));
         for (std::size_t sender = 0; sender < m_instances.size(); ++sender) {
             for (std::size_t receiver = 0; receiver < m_instances.size() && !reports[sender].empty(); ++receiver) {
--- a/test/CrashingPartsTest.cpp
+++ b/test/CrashingPartsTest.cpp
@@ -1,5 +1,6 @@
 #include "core/CrashingParts.h"
 #include "test/CrashReplay.h"
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -404,6 +405,20 @@
     }
 }
 
+// An update held the sixteen suspects with the lowest ids, so that peers never learned of the others.
+TEST(CrashingParts, eachOfManyEquallySuspectedPartsIsReported)
+{
+    PromptParts many = longPrompt(1000, 120);
+    crash({ many });
+    std::set<PromptPart> reported;
+    for (int update = 0; update < 9; ++update) {
+        now += 100ms;
+        for (const SuspectReport& report : suspectsToReport(parts, ReportScope::Changes, now))
+            reported.insert(report.part);
+    }
+    LONGS_EQUAL(many.size(), reported.size());
+}
+
 TEST(CrashingParts, aQuarantineLastsWhileManyOtherPartsAreSuspected)
 {
     quarantineBadPart();
