Close no connection as unused while an instance stops

Cause: from 2.8 s on each tick closed all connections without a request, among them those that had just been accepted and kept ones whose next request was on its way. Ruled out: that such requests are passed on to a target (they are refused).

Change: nothing is closed for being unused. The instance ends once no request is in progress or has arrived in part, the listener is closed and 0.15 s have passed. closeIfIdle() goes, and its test with it; a test of isInUse() takes its place and covers requests that have arrived in part as well.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -137,13 +137,6 @@
     connection->start();
 }
 
-void Gateway::stopAcceptingRequests()
-{
-    m_acceptsRequests = false;
-    for (const std::shared_ptr<HttpServerConnection>& connection : openConnections())
-        connection->closeIfIdle();
-}
-
 std::vector<std::shared_ptr<HttpServerConnection>> Gateway::openConnections() const
 {
     std::vector<std::shared_ptr<HttpServerConnection>> open;
@@ -154,12 +147,12 @@
     return open;
 }
 
-bool Gateway::hasUnfinishedAnswers() const
+bool Gateway::hasUnfinishedRequests() const
 {
     if (!m_exchanges.empty())
         return true;
     std::vector<std::shared_ptr<HttpServerConnection>> open = openConnections();
-    return std::any_of(open.begin(), open.end(), [](const auto& connection) { return connection->unwrittenBytes() > 0 || connection->unreadBytes() > 0; });
+    return std::any_of(open.begin(), open.end(), [](const auto& connection) { return connection->isInUse(); });
 }
 
 CallerLimits Gateway::callerLimits() const { return m_settings ? m_settings->settings.limits : CallerLimits {}; }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -69,11 +69,11 @@
 
     /// From now on answers carry `Connection: close`.
     void beginShutdown() { m_isShuttingDown = true; }
-    /// Closes idle connections; requests that still arrive are rejected.
-    void stopAcceptingRequests();
+    /// From now on requests that arrive are refused.
+    void stopAcceptingRequests() { m_acceptsRequests = false; }
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
-    /// True while a request is in progress, or bytes of an answer are not written to the caller, or bytes of a caller's request are not read yet.
-    bool hasUnfinishedAnswers() const;
+    /// True while a request is in progress or has arrived in part, or bytes of an answer are not written to the caller.
+    bool hasUnfinishedRequests() const;
 
     void addConnection(const std::shared_ptr<HttpServerConnection>&);
 
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -39,6 +39,8 @@
     constexpr Duration readDelayPerInstance = std::chrono::milliseconds(2);
     constexpr Duration ownTableDelayPerInstance = std::chrono::milliseconds(20);
     constexpr Duration shutdownReserve = std::chrono::milliseconds(400); ///< Left for an orderly end before the process is killed.
+    /// Requests on connections that callers keep are still answered for so long after the listener was closed.
+    constexpr Duration lastRequestsTime = std::chrono::milliseconds(150);
 
     tcp::endpoint storeEndpoint(const platform::BootSettings& boot)
     {
@@ -443,16 +445,29 @@
     if (!m_shutdownStartedAt)
         return;
     Duration elapsed = now - *m_shutdownStartedAt;
-    if (elapsed > acceptTimeAfterShutdown)
+    Duration grace = m_boot.shutdownGrace;
+    bool acceptsRequests = elapsed <= acceptTimeAfterShutdown;
+    if (!acceptsRequests)
         m_gateway.stopAcceptingRequests();
-    bool isEmpty = (elapsed > acceptTimeAfterShutdown && !m_gateway.hasUnfinishedAnswers()) || isGuardDisabled(GuardId::StopWaitsForWork);
-    if (!isEmpty && elapsed < m_boot.shutdownGrace - shutdownReserve)
+    bool isEmpty = (!acceptsRequests && !m_gateway.hasUnfinishedRequests() && hasAnsweredLastRequests(now)) || isGuardDisabled(GuardId::StopWaitsForWork);
+    if (!isEmpty && elapsed < grace - shutdownReserve)
         return;
     m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
     m_log.flush();
     m_context.stop();
 }
 
+/// Closes the listener at the first call: a request on an accepted connection is answered, and later connections are refused.
+bool GatewayInstance::hasAnsweredLastRequests(SteadyTime now)
+{
+    if (!m_listenerClosedAt) {
+        m_listenerClosedAt = now;
+        boost::system::error_code ignored; // Nothing else can be done about it.
+        m_callerAcceptor.close(ignored);
+    }
+    return now - *m_listenerClosedAt >= lastRequestsTime;
+}
+
 void GatewayInstance::scheduleTick()
 {
     m_timer.expires_after(m_gateway.exchangesInProgress() ? tickInterval : idleTickInterval);
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -63,6 +63,7 @@
     void waitForSignal();
     void beginShutdown();
     void checkShutdown(SteadyTime now);
+    bool hasAnsweredLastRequests(SteadyTime now);
     void scheduleTick();
     void tick();
     Duration updateInterval() const;
@@ -103,6 +104,7 @@
     SteadyTime m_updateSentAt;
     SteadyTime m_allSentAt;
     std::optional<SteadyTime> m_shutdownStartedAt;
+    std::optional<SteadyTime> m_listenerClosedAt;
 };
 
 } // namespace limpetpond
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -228,12 +228,7 @@
     return std::nullopt;
 }
 
-void HttpServerConnection::closeIfIdle()
-{
-    bool isUnused = !m_isServing && !m_parser && m_input.empty();
-    if (isUnused && !unwrittenBytes() && !unreadBytes())
-        close();
-}
+bool HttpServerConnection::isInUse() const { return m_isServing || m_parser || !m_input.empty() || unwrittenBytes() > 0 || unreadBytes() > 0; }
 
 void HttpServerConnection::close()
 {
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -67,8 +67,8 @@
     /// were not read yet keep it open: the delay is this process's own.
     void closeIfTimedOut(SteadyTime now);
 
-    /// Closes the connection if all answers are written and no byte of a further request has arrived.
-    void closeIfIdle();
+    /// True while a request is being served or has arrived in part, or bytes of an answer are not written.
+    bool isInUse() const;
 
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size(); }
 
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -80,10 +80,10 @@
         STRCMP_CONTAINS("200 OK", caller->readAnswer().c_str());
     }
 
-    /// The caller sends a request, and nothing reads it yet.
-    void sendUnread()
+    /// The caller sends a request or a part of one, and nothing reads it yet.
+    void sendUnread(const std::string& bytes = request)
     {
-        caller->send(request);
+        caller->send(bytes);
         for (int i = 0; i < 1000 && !connection->unreadBytes(); ++i)
             std::this_thread::sleep_for(1ms);
         CHECK(connection->unreadBytes() > 0);
@@ -103,14 +103,21 @@
     LONGS_EQUAL(2, handler.requests);
 }
 
-TEST(HttpServerConnection, aRequestThatHasArrivedIsServedWhenUnusedConnectionsAreClosed)
+// An instance that stops must not end before a request that has arrived, whole or in part, is answered.
+TEST(HttpServerConnection, aConnectionWithARequestThatHasArrivedIsInUse)
 {
     serveRequest();
+    CHECK_FALSE(connection->isInUse());
     sendUnread();
-    connection->closeIfIdle();
+    CHECK_TRUE(connection->isInUse());
     poll();
     LONGS_EQUAL(0, handler.closed);
     LONGS_EQUAL(2, handler.requests);
+    CHECK_FALSE(connection->isInUse());
+    sendUnread(request.substr(0, 10));
+    CHECK_TRUE(connection->isInUse());
+    poll();
+    CHECK_TRUE(connection->isInUse());
 }
 
 TEST(HttpServerConnection, aLoweredIdleLimitHoldsFromTheNextRequestOn)
