Answer what is in progress when the grace of a stop ends

What callers saw: requests that wait or run at the end of the grace lost their connections without a byte, among them ones that may not be repeated (report of another operator).

Cause: the event loop ended at that moment, whatever was in progress. Ruled out: that late requests are taken (they get 503 from 2.8 s on).

Change: 0.4 s before the grace ends each request gets an answer: 503 with Retry-After where it has not run, 502 where it may have; a begun stream is cut without its last chunk. Requests are taken for 2.8 s or half of the grace, whichever is shorter, so that a short grace leaves time for answers.

Test, failing before (no answer instead of 503 and 502): GatewayStop.requestsOfTheEndOfTheGraceAreAnswered.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -23,6 +23,8 @@
 
 namespace limpetpond {
 
+inline constexpr Duration retryAfterShutdown = std::chrono::milliseconds(100); ///< The next connection reaches another instance.
+
 /// A change of a row of suspected prompt parts.
 struct PoolRowChange {
     PoolSuspect suspect;
@@ -71,6 +73,8 @@
     void beginShutdown() { m_isShuttingDown = true; }
     /// From now on requests that arrive are refused.
     void stopAcceptingRequests() { m_acceptsRequests = false; }
+    /// Answers all requests in progress at once, as the instance is about to end.
+    void endRequests();
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
     /// True while a request is in progress or has arrived in part, or bytes of an answer are not written to the caller.
     bool hasUnfinishedRequests() const;
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -312,6 +312,21 @@
     return true;
 }
 
+void Gateway::endRequests()
+{
+    std::vector<std::shared_ptr<Exchange>> exchanges;
+    exchanges.reserve(m_exchanges.size());
+    for (const auto& [ticket, exchange] : m_exchanges)
+        exchanges.push_back(exchange);
+    for (const std::shared_ptr<Exchange>& exchange : exchanges) {
+        if (exchange->attempt()) {
+            exchange->abandonAttempt();
+            releaseAttempt(*exchange, std::nullopt);
+        }
+        finishWithFailure(*exchange, { .reason = "stopping", .retryAfter = retryAfterShutdown });
+    }
+}
+
 void Gateway::onAnswerBuffersExceeded()
 {
     while (m_answerBuffers->isExceeded()) {
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -38,7 +38,9 @@
     /// After a restore of the store, each instance reads its tables within this time, multiplied by the number of instances.
     constexpr Duration readDelayPerInstance = std::chrono::milliseconds(2);
     constexpr Duration ownTableDelayPerInstance = std::chrono::milliseconds(20);
-    constexpr Duration shutdownReserve = std::chrono::milliseconds(400); ///< Left for an orderly end before the process is killed.
+    /// Left before the process is killed: for the answers to requests that are still in progress, and for its end.
+    constexpr Duration shutdownReserve = std::chrono::milliseconds(400);
+    constexpr Duration exitReserve = std::chrono::milliseconds(150);
     /// Requests on connections that callers keep are still answered for so long after the listener was closed.
     constexpr Duration lastRequestsTime = std::chrono::milliseconds(150);
 
@@ -446,11 +448,13 @@
         return;
     Duration elapsed = now - *m_shutdownStartedAt;
     Duration grace = m_boot.shutdownGrace;
-    bool acceptsRequests = elapsed <= acceptTimeAfterShutdown;
+    bool acceptsRequests = elapsed <= std::min<Duration>(acceptTimeAfterShutdown, grace / 2);
     if (!acceptsRequests)
         m_gateway.stopAcceptingRequests();
+    if (elapsed >= grace - shutdownReserve)
+        m_gateway.endRequests();
     bool isEmpty = (!acceptsRequests && !m_gateway.hasUnfinishedRequests() && hasAnsweredLastRequests(now)) || isGuardDisabled(GuardId::StopWaitsForWork);
-    if (!isEmpty && elapsed < grace - shutdownReserve)
+    if (!isEmpty && elapsed < grace - exitReserve)
         return;
     m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
     m_log.flush();
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -12,7 +12,6 @@
 
     constexpr Duration defaultTimeout = std::chrono::seconds(30); ///< Used where the caller states none.
     constexpr Duration retryAfterNoSettings = std::chrono::milliseconds(500);
-    constexpr Duration retryAfterShutdown = std::chrono::milliseconds(100); ///< The next connection reaches another instance.
     constexpr Duration retryAfterNoTarget = std::chrono::milliseconds(800);
     constexpr Duration minQuotaRetryAfter = std::chrono::milliseconds(200);
     constexpr Duration firstTokenOverhead = std::chrono::milliseconds(40); ///< Time to the first token besides reading the prompt: sending, admission and one step.
--- a/test/GatewayStopTest.cpp
+++ b/test/GatewayStopTest.cpp
@@ -88,6 +88,32 @@
     }
 };
 
+// Requests that were still waiting or running at the end of the grace lost their connections without a byte of an answer.
+TEST(GatewayStop, requestsOfTheEndOfTheGraceAreAnswered)
+{
+    start(2, 3000ms);
+    auto stream = connect();
+    stream->send(requestText("/sum/x"));
+    auto running = connect();
+    running->send(requestText("/pay/x"));
+    CHECK(eventually([&] { return this->running == 2; }));
+    auto waiting = connect();
+    waiting->send(requestText("/pay/x"));
+    std::raise(SIGTERM);
+    auto begun = std::chrono::steady_clock::now();
+    std::string answer = waiting->readAnswer();
+    STRCMP_EQUAL("503", statusOf(answer).c_str());
+    STRCMP_CONTAINS("Retry-After: ", answer.c_str());
+    STRCMP_CONTAINS("Connection: close\r\n", answer.c_str());
+    STRCMP_EQUAL("502", statusOf(running->readAnswer()).c_str());
+    std::string cut = stream->readAnswer();
+    STRCMP_EQUAL("200", statusOf(cut).c_str());
+    CHECK(cut.find("\r\n0\r\n\r\n") == std::string::npos);
+    auto elapsed = std::chrono::steady_clock::now() - begun;
+    CHECK(elapsed > 2s);
+    CHECK(elapsed < 3s);
+}
+
 // After the first seconds of a stop, connections that had just been accepted were closed as unused before their request was read.
 TEST(GatewayStop, everyRequestOnAnOpenConnectionIsAnswered)
 {
