Close idle connections of callers before an instance runs out of descriptors

Cause: each idle connection was kept for the whole idle limit, however few descriptors were left, and a failed accept() was tried again at once.

Change: callers may have three quarters of the descriptors that the instance's own connections leave. At the limit the longest idle ones close first; while none is idle, and after an error, the listener pauses until the next tick.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -147,6 +147,18 @@
     return open;
 }
 
+std::size_t Gateway::closeIdleConnections(std::size_t count)
+{
+    std::vector<std::pair<SteadyTime, std::shared_ptr<HttpServerConnection>>> idle;
+    for (const std::shared_ptr<HttpServerConnection>& connection : openConnections()) {
+        if (std::optional<SteadyTime> since = connection->idleSince())
+            idle.emplace_back(*since, connection);
+    }
+    std::sort(idle.begin(), idle.end());
+    idle.resize(std::min(idle.size(), count));
+    return static_cast<std::size_t>(std::count_if(idle.begin(), idle.end(), [](const auto& entry) { return entry.second->closeIfIdle(); }));
+}
+
 bool Gateway::hasUnfinishedRequests() const
 {
     if (!m_exchanges.empty())
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -80,6 +80,9 @@
     bool hasUnfinishedRequests() const;
 
     void addConnection(const std::shared_ptr<HttpServerConnection>&);
+    std::size_t callerConnections() const { return m_connections.size(); }
+    /// Closes up to so many connections that are idle, the longest idle ones first. Returns how many it closed.
+    std::size_t closeIdleConnections(std::size_t count);
 
     CallerLimits callerLimits() const override;
     void onRequest(const std::shared_ptr<HttpServerConnection>&, ReceivedRequest&&) override;
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayInstance.h"
 
+#include "core/ConnectionLimit.h"
 #include "core/Guard.h"
 #include "core/Hash.h"
 #include "platform/OperatorDocument.h"
@@ -136,15 +137,33 @@
 
 void GatewayInstance::acceptCallers()
 {
-    m_callerAcceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (error)
-            m_log.line("warning", "accept_failed", { { "error", std::string_view(error.message()) } });
-        else
-            m_gateway.addConnection(std::make_shared<HttpServerConnection>(std::move(socket), m_clock, m_gateway));
+    m_isAcceptPaused = false;
+    m_callerAcceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) { onCallerAccepted(error, std::move(socket)); });
+}
+
+void GatewayInstance::onCallerAccepted(boost::system::error_code error, tcp::socket socket)
+{
+    if (error == asio::error::operation_aborted)
+        return;
+    if (error)
+        m_log.line("warning", "accept_failed", { { "error", std::string_view(error.message()) }, { "callers", static_cast<std::int64_t>(m_gateway.callerConnections()) } });
+    else
+        m_gateway.addConnection(std::make_shared<HttpServerConnection>(std::move(socket), m_clock, m_gateway));
+    // An error lasts until a descriptor is free, so that trying again at once would only take time.
+    m_isAcceptPaused = error || !makeRoomForCaller();
+    if (!m_isAcceptPaused)
         acceptCallers();
-    });
+}
+
+bool GatewayInstance::makeRoomForCaller()
+{
+    std::size_t limit = callerConnectionLimit(m_boot.maxDescriptors);
+    std::size_t excess = idleConnectionsToClose(m_gateway.callerConnections(), limit);
+    if (!excess)
+        return true;
+    std::size_t closed = m_gateway.closeIdleConnections(excess);
+    m_log.line("warning", "callers_closed", { { "idle_closed", static_cast<std::int64_t>(closed) }, { "callers", static_cast<std::int64_t>(m_gateway.callerConnections()) }, { "limit", static_cast<std::int64_t>(limit) } });
+    return m_gateway.callerConnections() < limit;
 }
 
 void GatewayInstance::logWholeRead(std::string_view table, const TableUpdate& update)
@@ -492,6 +511,8 @@
     m_peers.tick(now);
     m_gateway.setUpdateInterval(updateInterval());
     m_gateway.tick();
+    if (m_isAcceptPaused && !m_listenerClosedAt && makeRoomForCaller())
+        acceptCallers();
     m_settingsReader.tick(now);
     m_targetReader.tick(now);
     m_instanceReader.tick(now);
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -33,6 +33,9 @@
 
 private:
     void acceptCallers();
+    void onCallerAccepted(boost::system::error_code, boost::asio::ip::tcp::socket);
+    /// Closes idle connections of callers where there are too many; true while another one may be accepted.
+    bool makeRoomForCaller();
     void logWholeRead(std::string_view table, const TableUpdate&);
     void applySettingsRows(const TableUpdate&);
     void applyTargetRows(const TableUpdate&);
@@ -103,6 +106,7 @@
     std::uint64_t m_updateSequence { 0 };
     SteadyTime m_updateSentAt;
     SteadyTime m_allSentAt;
+    bool m_isAcceptPaused { false }; ///< Until the next tick that finds room for another caller.
     std::optional<SteadyTime> m_shutdownStartedAt;
     std::optional<SteadyTime> m_listenerClosedAt;
 };
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -26,6 +26,7 @@
     Counter& brokenAnswers;
     Counter& oversizedAnswers;
     Gauge& answerBufferBytes;
+    Gauge& callerConnections;
     Gauge& waiting;
     Gauge& inProgress;
     Gauge& settingsVersion;
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -230,6 +230,14 @@
 
 bool HttpServerConnection::isInUse() const { return m_isServing || m_parser || !m_input.empty() || unwrittenBytes() > 0 || unreadBytes() > 0; }
 
+bool HttpServerConnection::closeIfIdle()
+{
+    if (m_isClosed || isInUse())
+        return false;
+    close();
+    return true;
+}
+
 void HttpServerConnection::close()
 {
     if (m_isClosed)
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -70,6 +70,12 @@
     /// True while a request is being served or has arrived in part, or bytes of an answer are not written.
     bool isInUse() const;
 
+    /// Since when the connection has no request; none while it is in use.
+    std::optional<SteadyTime> idleSince() const { return isInUse() ? std::nullopt : std::optional(m_idleSince); }
+
+    /// Closes the connection unless it is in use; true where it was closed.
+    bool closeIfIdle();
+
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size(); }
 
     /// Bytes that have arrived and were not read yet.
--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -1,4 +1,4 @@
-/// Tests the bounds of the memory that the gateway takes for what others send.
+/// Tests the bounds of the memory and of the descriptors that the gateway takes for others.
 
 #include "test/RunningGateway.h"
 #include "test/fakes/edge/StoreFake.h"
@@ -49,7 +49,7 @@
         request.closeConnection();
     }
 
-    void start(std::size_t targetCount, std::size_t memoryBytes)
+    void start(std::size_t targetCount, const RunningGatewayOptions& options)
     {
         for (std::size_t i = 0; i < targetCount; ++i) {
             targets.push_back(std::make_unique<TargetFake>([this](TargetCall& request) { serve(request); }));
@@ -57,7 +57,7 @@
                 R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(targets[i]->port()) + R"(","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1700000000000})");
         }
         store->put("op", "config", documentOfVersion(1));
-        gateway = std::make_unique<RunningGateway>(store->port(), RunningGatewayOptions { .memoryBytes = memoryBytes });
+        gateway = std::make_unique<RunningGateway>(store->port(), options);
         CHECK(eventually([&] { return gateway->readiness() == 200; }));
     }
 
@@ -67,6 +67,13 @@
             + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n";
     }
 
+    std::string metricsText()
+    {
+        RawConnection connection(gateway->metricsPort());
+        connection.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        return connection.readAnswer();
+    }
+
     std::string statusOfCall(const std::string& path, int number)
     {
         RawConnection connection(gateway->callerPort());
@@ -79,7 +86,7 @@
 TEST(GatewayMemory, answersWithoutEndOfManyTargetsTakeBoundedMemoryTogether)
 {
     constexpr int endlessCount = 12;
-    start(3, 16 * megabyte);
+    start(3, { .memoryBytes = 16 * megabyte });
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (int i = 0; i < endlessCount; ++i) {
         callers.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
@@ -110,3 +117,29 @@
     CHECK(eventually([&] { return ended > 0; }));
     CHECK(written < maxBytes / 2);
 }
+
+// Idle connections of callers used up all descriptors; new callers then waited for seconds, and targets could not be reached.
+TEST(GatewayMemory, newCallersAreServedWhereOthersKeepIdleConnections)
+{
+    constexpr int callerCount = 150;
+    constexpr int limit = 102; // Three quarters of what 400 descriptors leave.
+    start(1, { .maxDescriptors = 400 });
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
+        auto sentAt = std::chrono::steady_clock::now();
+        callers.back()->send(requestText("/read/x", i));
+        STRCMP_EQUAL("200", statusOf(callers.back()->readAnswer()).c_str());
+        CHECK(std::chrono::steady_clock::now() - sentAt < 1s);
+    }
+    std::this_thread::sleep_for(200ms);
+    std::string metrics = metricsText();
+    std::size_t at = metrics.find("\nlimpetpond_caller_connections ");
+    CHECK(at != std::string::npos);
+    int open = std::atoi(metrics.c_str() + metrics.find(' ', at));
+    CHECK(open > limit / 2 && open <= limit);
+    // Those that were used last are kept.
+    callers.back()->send(requestText("/read/x", callerCount));
+    STRCMP_EQUAL("200", statusOf(callers.back()->readAnswer()).c_str());
+    CHECK(callers.front()->isClosed());
+}
--- a/test/RunningGateway.h
+++ b/test/RunningGateway.h
@@ -38,6 +38,7 @@
     std::vector<std::string> seedIps; ///< Peers that it sends its first updates to.
     int logDescriptor { -1 }; ///< File descriptor of its log; negative for no log.
     std::size_t memoryBytes { 256'000'000 };
+    std::size_t maxDescriptors { 4000 };
     std::chrono::milliseconds shutdownGrace { 8000 };
 };
 
@@ -57,6 +58,7 @@
         m_boot.storeAddress = "127.0.0.1:" + std::to_string(storePort);
         m_boot.retrySlack = 50;
         m_boot.memoryBytes = options.memoryBytes;
+        m_boot.maxDescriptors = options.maxDescriptors;
         m_boot.shutdownGrace = options.shutdownGrace;
         m_instance = std::make_unique<GatewayInstance>(m_context, m_clock, m_boot, GatewayInstanceOptions { .logDescriptor = options.logDescriptor });
         m_error = m_instance->start().value_or("");
