Keep targets whose entries lapsed in a silence that another reader noticed

Cause: entries lapse while the store is away. The settings' reader notices the end of the silence and makes the targets' reader call again, which didn't know of the outage and took the missing rows for those of targets that had left.

Change: the targets' reader is told of the outage, so missing rows get the same grace as after its own failure.

Test, failing before (503): Gateway.aTargetWhoseEntryLapsedInASilenceOfTheStoreIsUsedUntilItIsWrittenAgain.

--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -107,7 +107,7 @@
     // A store that stops answering loses the polls that it gets meanwhile. The long poll for targets may be lost, so it is
     // sent again.
     if (reachable && table == platform::operatorTable && m_targetReader.isFollowing())
-        m_targetReader.restartCall();
+        m_targetReader.restartAfterOutage();
 }
 
 std::optional<std::string> GatewayInstance::start()
--- a/src/gateway/StoreReader.cpp
+++ b/src/gateway/StoreReader.cpp
@@ -117,6 +117,13 @@
     call();
 }
 
+void StoreReader::restartAfterOutage()
+{
+    m_wasUnreachable = true;
+    m_reachableAgainAt = m_clock.steadyNow();
+    restartCall();
+}
+
 void StoreReader::readAgain(StoreEpoch epoch, Duration delay)
 {
     if (epoch == m_epoch || !m_isFollowing)
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -48,6 +48,9 @@
     /// Cancels the call in progress or scheduled and makes it again at once, since the store may have lost it.
     void restartCall();
 
+    /// The same after an outage that another reader has noticed: missing rows may soon be written again.
+    void restartAfterOutage();
+
     /// Reads the whole table again after the delay, if the store's last answer to this reader was of another epoch.
     void readAgain(StoreEpoch, Duration delay);
 
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -85,7 +85,7 @@
     {
         std::string text = documentOfVersion(2);
         const std::string before = R"("attempts":2)";
-        for (std::size_t at = text.find(before); at != std::string::npos; at = text.find(before, at))
+        for (std::size_t at = text.find(before); at != std::string::npos; at = text.find(before, at + 1))
             text.replace(at, before.size(), R"("attempts":)" + std::to_string(attempts));
         text.insert(text.find("\"routes\":[") + 10, R"({"name":"new","host":"h.example","prefix":"/new/","kind":"idempotent","service":"none","public":true},)");
         store->put("op", "config", text);
@@ -878,6 +878,26 @@
     LONGS_EQUAL(before, targets[0]->calls());
 }
 
+// A silence that only the settings' reader noticed: entries that had lapsed meanwhile were taken for those of targets that had left.
+TEST(Gateway, aTargetWhoseEntryLapsedInASilenceOfTheStoreIsUsedUntilItIsWrittenAgain)
+{
+    addTarget([](TargetCall& request) { request.answer(200, "done"); });
+    auto running = start();
+    std::this_thread::sleep_for(500ms);
+    store->setSilent(true);
+    std::this_thread::sleep_for(2500ms);
+    store->drop("servers", "t1");
+    store->setSilent(false);
+    putDocumentWithAttempts(3); // Once it is in force, the settings' reader has noticed the silence and its end.
+    for (int i = 0; i < 12; ++i) {
+        std::this_thread::sleep_for(100ms);
+        STRCMP_EQUAL("200", statusOf(call(requestText("/pay/x"))).c_str());
+    }
+    store->put("servers", "t1", entryOf(0, "ready", 2));
+    std::this_thread::sleep_for(1500ms);
+    STRCMP_EQUAL("200", statusOf(call(requestText("/pay/x"))).c_str());
+}
+
 TEST(Gateway, aCallerThatStallsInTheMiddleOfABodyIsDisconnected)
 {
     auto running = start();
