Take only finite numbers from header fields

Cause: std::from_chars reads "inf" and "nan". Change: numbers that aren't finite are no numbers.

Test, failing before: HttpParser.onlyFiniteNumbersAreDecimals.

--- a/src/gateway/HttpText.cpp
+++ b/src/gateway/HttpText.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/status.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace limpetpond {
@@ -39,7 +40,7 @@
 {
     double number = 0;
     auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc() || !(number >= 0))
+    if (parsed.ec != std::errc() || !std::isfinite(number) || number < 0)
         return std::nullopt;
     return number;
 }
--- a/test/HttpParserTest.cpp
+++ b/test/HttpParserTest.cpp
@@ -1,4 +1,5 @@
 #include "traffic/HttpParser.h"
+#include "gateway/HttpText.h"
 
 #include <boost/beast/http/error.hpp>
 
@@ -66,3 +67,12 @@
     putBytes(answer, "HTTP/1.1 200 OK\r\n" + fields + "\r\n", error);
     CHECK(error == boost::beast::http::error::header_limit);
 }
+
+// A count of "inf" made an account's use infinite, and its refund not a number.
+TEST(HttpParser, onlyFiniteNumbersAreDecimals)
+{
+    for (const char* text : { "inf", "INF", "infinity", "nan", "-1", "-0.5", "1e999", "", "x" })
+        CHECK_FALSE(parseDecimal(text).has_value());
+    DOUBLES_EQUAL(2.5, *parseDecimal("2.5"), 0);
+    DOUBLES_EQUAL(0, *parseDecimal("0"), 0);
+}
