--- a/src/core/StoreReaders.h
+++ b/src/core/StoreReaders.h
@@ -49,7 +49,7 @@
 
 /// How long a poll that starts at `storeTime` may wait, so that the polls of all turns end `storeCheckInterval` apart.
 ///
-///     Duration wait = timeUntilCheck({ .place = 1, .instances = 3 }, storeTime);
+///     Duration wait = timeUntilCheck({ .place = 1, .instances = 2 }, storeTime);
 Duration timeUntilCheck(const CheckTurn&, Duration storeTime);
 
 /// What an answer about one table tells of the whole store, whose tables share one sequence of versions.
