Let the soak's restored store pass the gateways' versions before a poll ends

The stand-in's versions took a second to pass those that the gateways polled from, and a poll that ends meanwhile gets 410 and reads the table again. Polls now end 0.65 s apart, so one always did, and its instance told the others.

Change: the stand-in gives out the versions at once, so that only the comparison of epochs shows the restore. The check and its bound stay.

--- a/test/faultsoak/Run.cpp
+++ b/test/faultsoak/Run.cpp
@@ -344,13 +344,23 @@
             fakes::StoreFake::Copy copy = m_fleet.store().copy();
             m_fleet.writeSettings();
             std::this_thread::sleep_for(versionsTime);
+            std::uint64_t lastVersion = m_fleet.store().version();
             m_fleet.store().restore(copy);
-            writeAndCheckSettings("restored", restoredSettingsTimeout, "settings of a restored store are in force");
+            m_fleet.writeSettings();
+            // No poll ends in between and shows by its answer that it asked for a version that the store doesn't have.
+            while (m_fleet.store().version() <= lastVersion)
+                m_fleet.store().put("other", "row", "");
+            checkSettings("restored", restoredSettingsTimeout, "settings of a restored store are in force");
         }
 
         void writeAndCheckSettings(const std::string& callerName, std::chrono::milliseconds timeout, const std::string& guarantee)
         {
             m_fleet.writeSettings();
+            checkSettings(callerName, timeout, guarantee);
+        }
+
+        void checkSettings(const std::string& callerName, std::chrono::milliseconds timeout, const std::string& guarantee)
+        {
             std::string path = "/added" + std::to_string(m_fleet.settingsVersion()) + "/x";
             for (const std::unique_ptr<GatewayProcess>& gateway : m_fleet.gateways()) {
                 Caller caller = makeCaller(*gateway, callerName);
