Leave the soak's draining target as the only one that takes requests

The check calls one request at a time, and a gateway sends such requests to the one target that it expects to be quickest.

Change: after the sequential calls, which stay, all other targets turn requests away while each gateway is called for 1.5 s. The leaving target must get nothing then, either, which asks more than before.

--- a/test/faultsoak/Run.cpp
+++ b/test/faultsoak/Run.cpp
@@ -379,6 +379,7 @@
                 for (int i = 0; i < recoveryRequests; ++i)
                     caller.call("/read/x");
             }
+            turnAwayAndCall(1); // The leaving target gets nothing where no other one takes requests, either.
             if (m_fleet.requestsAt(0) != before)
                 m_checker.recordViolation("a leaving target gets nothing", std::to_string(m_fleet.requestsAt(0) - before) + " requests reached t1");
         }
