Let other instances check the store where those with turns get no answers

Cause: the two instances with the lowest hashes check the store in turns, whether or not it answers them. Ruled out: changes that were answered and lost (the others' logs have no line of the table between 9.0 s and 25.6 s, then store_poll_lost).

Change: updates state how long ago the store answered a check. Where none is recent, the next instance by hash takes over and reads the table, too.

Tests, red with the places given by hash alone: StoreReaders.theStoreIsCheckedWhileThoseWithTurnsAreCutOffFromIt (longest gap over its bound), oneInstanceTakesOverWhereNoCheckIsAnswered.

--- a/src/core/StoreReaders.cpp
+++ b/src/core/StoreReaders.cpp
@@ -10,6 +10,9 @@
     constexpr std::size_t allReadUpTo = 12; ///< Instances, this one included. For so few, reading the store costs less than sending each other the changes.
     constexpr std::ptrdiff_t readersByHash = 6; ///< Some readers are left when several instances stop at once.
     constexpr std::ptrdiff_t checkersByHash = 2; ///< One that stops or loses its own polls leaves the other's checks.
+    constexpr Duration checkSlack = std::chrono::milliseconds(200); ///< For the answer and the ticks of the two instances.
+    constexpr int checkReportIntervals = 2; ///< Updates of a peer, one of which may be lost.
+    constexpr Duration takeoverStep = std::chrono::milliseconds(50); ///< Between the instances that take over, so that the first one's check holds the others back.
     constexpr Duration minCheckWait = std::chrono::milliseconds(100); ///< A poll that ends at its turn may be answered a little early.
     constexpr std::ptrdiff_t minRecentReaders = 2;
     constexpr Duration minReaderTimeout = std::chrono::milliseconds(600);
@@ -33,11 +36,14 @@
     return std::count_if(peers.begin(), peers.end(), isRecentReader) < minRecentReaders;
 }
 
-std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>& peers)
+std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>& peers, SteadyTime now, Duration updateInterval)
 {
     std::ptrdiff_t place = countLower(ownHash, peers);
-    if (place >= checkersByHash)
-        return std::nullopt;
+    if (place >= checkersByHash) {
+        Duration maxAge = storeCheckInterval + checkSlack + checkReportIntervals * updateInterval + (place - checkersByHash) * takeoverStep;
+        auto hasChecked = [now, maxAge](const PeerReadState& peer) { return peer.checkedAt && now - *peer.checkedAt < maxAge; };
+        return std::any_of(peers.begin(), peers.end(), hasChecked) ? std::nullopt : std::optional(CheckTurn());
+    }
     std::ptrdiff_t staying = 1 + std::count_if(peers.begin(), peers.end(), [](const PeerReadState& peer) { return !peer.isLeaving; });
     return CheckTurn { .place = static_cast<int>(place), .instances = static_cast<int>(std::min(staying, checkersByHash)) };
 }
--- a/src/core/StoreReaders.h
+++ b/src/core/StoreReaders.h
@@ -7,7 +7,8 @@
 /// changes to their peers; another instance reads it only while it receives updates from too few readers. A store that
 /// is unavailable for a moment loses the long polls sent meanwhile, and a lost poll looks like one without changes. So a few
 /// instances use short polls, which end in turns: each answer states the store's newest version, which shows that another
-/// poll should have ended. The other instances learn of the changes from them.
+/// poll should have ended. The other instances learn of the changes from them. Where those with turns get no answers, since
+/// they are cut off from the store, frozen or gone, the next instances in the order of their hashes take over.
 
 #include "core/TableVersion.h"
 #include "limpetpond/Clock.h"
@@ -23,6 +24,7 @@
     SteadyTime updatedAt; ///< When the update arrived.
     bool isReading { false }; ///< The peer reads the table, and the store answers it.
     bool isLeaving { false }; ///< The peer is shutting down.
+    std::optional<SteadyTime> checkedAt; ///< When the store last answered a check by the peer; none from a peer that has no turn.
 };
 
 /// Whether this instance should read the table. In a small fleet every instance does; otherwise those with the lowest
@@ -42,10 +44,10 @@
     bool operator==(const CheckTurn&) const = default;
 };
 
-/// The turn of this instance if it is one of the few with the lowest hashes; none for the others.
+/// The turn of this instance if it is one of the few with the lowest hashes, or if no peer's check is recent; none otherwise.
 ///
-///     std::optional<CheckTurn> turn = checkTurn(ownHash, peers);
-std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>&);
+///     std::optional<CheckTurn> turn = checkTurn(ownHash, peers, now, 100ms);
+std::optional<CheckTurn> checkTurn(std::uint64_t ownHash, const std::vector<PeerReadState>&, SteadyTime now, Duration updateInterval);
 
 /// How long a poll that starts at `storeTime` may wait, so that the polls of all turns end `storeCheckInterval` apart.
 ///
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -244,6 +244,7 @@
 
 void GatewayInstance::applyStoreCheck(const StoreCheck& check)
 {
+    m_storeCheckedAt = m_clock.steadyNow();
     if (areChangesKnown(std::max(m_checkedVersion, m_targetReader.version()), check))
         m_checkedVersion = check.newest;
     else
@@ -377,7 +378,10 @@
 void GatewayInstance::applyPeerUpdate(const InstanceUpdate& update, const std::string& ip)
 {
     SteadyTime now = m_clock.steadyNow();
-    m_peerReadStates[update.instance] = { .hash = shortHash(update.instance.value()), .updatedAt = now, .isReading = update.readsTargets, .isLeaving = update.isLeaving };
+    PeerReadState state { .hash = shortHash(update.instance.value()), .updatedAt = now, .isReading = update.readsTargets, .isLeaving = update.isLeaving };
+    if (update.storeCheckAge)
+        state.checkedAt = now - *update.storeCheckAge;
+    m_peerReadStates[update.instance] = state;
     m_settingsFetcher.recordPeerVersion({ .number = update.settingsVersion.value() }, ip, now);
     m_targetFetcher.recordPeerVersion({ .epoch = update.targetsEpoch.value_or(m_targetRows.version.epoch), .number = update.targetsVersion }, ip, now);
     if (update.targetsEpoch && update.targetsVersion)
@@ -428,14 +432,25 @@
     for (const auto& [id, peer] : m_peerReadStates)
         peers.push_back(peer);
     std::uint32_t ownHash = shortHash(m_boot.instance.value());
-    m_settingsReader.setCheckTurn(checkTurn(ownHash, peers));
-    bool reads = shouldRead(ownHash, peers, now, limpetpond::updateInterval({ .livePeers = m_peers.livePeers() }));
+    Duration interval = limpetpond::updateInterval({ .livePeers = m_peers.livePeers() });
+    std::optional<CheckTurn> turn = checkTurn(ownHash, peers, now, interval);
+    setCheckTurn(turn);
+    bool reads = turn || shouldRead(ownHash, peers, now, interval);
     if (reads == m_targetReader.isFollowing())
         return;
     m_log.line("info", "reads_targets", { { "itself", reads }, { "peers", static_cast<std::int64_t>(peers.size()) } });
     m_targetReader.setFollowing(reads);
 }
 
+void GatewayInstance::setCheckTurn(const std::optional<CheckTurn>& turn)
+{
+    if (turn.has_value() != m_settingsReader.hasCheckTurn())
+        m_log.line("info", "checks_store", { { "itself", turn.has_value() }, { "peers", static_cast<std::int64_t>(m_peerReadStates.size()) } });
+    m_settingsReader.setCheckTurn(turn);
+    if (!turn)
+        m_storeCheckedAt.reset();
+}
+
 /// The reader's version also covers changes that didn't raise the version of the copied rows.
 TableVersion GatewayInstance::targetsVersion() const { return std::max(m_targetRows.version, m_targetReader.version()); }
 
@@ -545,6 +560,8 @@
     update.targetsVersion = m_targetRows.version.number;
     update.targetsEpoch = m_targetRows.version.epoch;
     update.readsTargets = m_targetReader.isReading();
+    if (m_storeCheckedAt)
+        update.storeCheckAge = now - *m_storeCheckedAt;
     m_peers.send(update);
 }
 
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -52,6 +52,7 @@
     void applyPeerSettings(const TableDelta&);
     void applyPeerTargets(const TableDelta&);
     void chooseReaders(SteadyTime now);
+    void setCheckTurn(const std::optional<CheckTurn>&);
     ShortAnswer answerRows(const ReceivedRequest&) const;
     TableVersion targetsVersion() const;
     enum class RowEffect {
@@ -89,6 +90,7 @@
     TableCopy m_settingsRows; ///< The row of the settings in force; the copy has the settings' version.
     TableCopy m_targetRows;
     TableVersion m_checkedVersion; ///< No version of the store up to this one is a change of the targets that their reader hasn't been told of.
+    std::optional<SteadyTime> m_storeCheckedAt; ///< When the store last answered a check by this instance; none without a turn.
     std::map<InstanceId, PeerReadState> m_peerReadStates;
     StoreReader m_settingsReader;
     StoreReader m_targetReader;
--- a/src/gateway/PeerUpdates.cpp
+++ b/src/gateway/PeerUpdates.cpp
@@ -26,6 +26,12 @@
         return static_cast<std::int32_t>(std::min(1000 * perSecond, maxThousandths));
     }
 
+    std::int32_t millisecondsOf(Duration age)
+    {
+        constexpr Duration maxAge = std::chrono::hours(24);
+        return static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::min(age, maxAge)).count());
+    }
+
     rpc::InstanceNews toWire(const InstanceUpdate& update)
     {
         rpc::InstanceNews wire;
@@ -37,6 +43,8 @@
         if (update.targetsEpoch)
             wire.__set_targetsEpoch(static_cast<std::int64_t>(update.targetsEpoch->value()));
         wire.readsTargets = update.readsTargets;
+        if (update.storeCheckAge)
+            wire.__set_storeCheckAge(millisecondsOf(*update.storeCheckAge));
         wire.leaving = update.isLeaving;
         wire.failureDomain = update.failureDomain.value();
         for (const InstanceUpdate::TargetWork& work : update.targets) {
@@ -59,7 +67,7 @@
         for (const InstanceUpdate::TargetLimit& limit : update.rateLimits) {
             wire.limitedTargets.push_back(static_cast<std::int32_t>(limit.target));
             wire.rateLimits.push_back(limit.perSecond ? thousandthsOf(*limit.perSecond) : noRateLimit);
-            wire.limitAges.push_back(static_cast<std::int32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(limit.age).count()));
+            wire.limitAges.push_back(millisecondsOf(limit.age));
         }
         for (const PoolSuspect& suspect : update.suspects)
             wire.suspectParts.push_back(limpetpond::toWire(suspect));
@@ -80,6 +88,8 @@
         };
         if (wire.__isset.targetsEpoch)
             update.targetsEpoch = StoreEpoch(static_cast<std::uint64_t>(wire.targetsEpoch));
+        if (wire.__isset.storeCheckAge)
+            update.storeCheckAge = std::chrono::milliseconds(std::max(wire.storeCheckAge, 0));
         for (std::size_t i = 0; i < std::min(wire.targets.size(), wire.inProgress.size()); ++i)
             update.targets.push_back({ .target = static_cast<std::uint32_t>(wire.targets[i]), .inProgress = wire.inProgress[i] });
         for (std::size_t i = 0; i < std::min(wire.accounts.size(), wire.admitted.size()); ++i)
--- a/src/gateway/PeerUpdates.h
+++ b/src/gateway/PeerUpdates.h
@@ -30,6 +30,7 @@
     std::uint64_t targetsVersion { 0 }; ///< The store's version of the last target change known to the sender; 0 for none.
     std::optional<StoreEpoch> targetsEpoch; ///< Of `targetsVersion`; none from an instance of an earlier release.
     bool readsTargets { false }; ///< The sender follows the targets' table and the store answers it.
+    std::optional<Duration> storeCheckAge; ///< Since the store last answered a check by the sender; none without a turn.
     bool isLeaving { false };
     struct TargetWork {
         std::uint32_t target { 0 }; ///< `shortHash` of the id.
--- a/src/gateway/StoreReader.h
+++ b/src/gateway/StoreReader.h
@@ -63,6 +63,8 @@
     /// Sets when polls end; without a turn they are long.
     void setCheckTurn(const std::optional<CheckTurn>&);
 
+    bool hasCheckTurn() const { return m_checkTurn.has_value(); }
+
     /// Starts or stops following the table. After a start the whole table is read first.
     void setFollowing(bool);
 
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -470,6 +470,11 @@
   this->targetsEpoch = val;
 __isset.targetsEpoch = true;
 }
+
+void InstanceNews::__set_storeCheckAge(const int32_t val) {
+  this->storeCheckAge = val;
+__isset.storeCheckAge = true;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -830,6 +835,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->storeCheckAge);
+          this->__isset.storeCheckAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1040,6 +1053,11 @@
     xfer += oprot->writeI64(this->targetsEpoch);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.storeCheckAge) {
+    xfer += oprot->writeFieldBegin("storeCheckAge", ::apache::thrift::protocol::T_I32, 23);
+    xfer += oprot->writeI32(this->storeCheckAge);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1069,6 +1087,7 @@
   swap(a.rateLimits, b.rateLimits);
   swap(a.limitAges, b.limitAges);
   swap(a.targetsEpoch, b.targetsEpoch);
+  swap(a.storeCheckAge, b.storeCheckAge);
   swap(a.__isset, b.__isset);
 }
 
@@ -1095,6 +1114,7 @@
   rateLimits = other94.rateLimits;
   limitAges = other94.limitAges;
   targetsEpoch = other94.targetsEpoch;
+  storeCheckAge = other94.storeCheckAge;
   __isset = other94.__isset;
 }
 InstanceNews& InstanceNews::operator=(const InstanceNews& other95) {
@@ -1120,6 +1140,7 @@
   rateLimits = other95.rateLimits;
   limitAges = other95.limitAges;
   targetsEpoch = other95.targetsEpoch;
+  storeCheckAge = other95.storeCheckAge;
   __isset = other95.__isset;
   return *this;
 }
@@ -1148,6 +1169,7 @@
   out << ", " << "rateLimits=" << to_string(rateLimits);
   out << ", " << "limitAges=" << to_string(limitAges);
   out << ", " << "targetsEpoch="; (__isset.targetsEpoch ? (out << to_string(targetsEpoch)) : (out << "<null>"));
+  out << ", " << "storeCheckAge="; (__isset.storeCheckAge ? (out << to_string(storeCheckAge)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -160,7 +160,7 @@
 std::ostream& operator<<(std::ostream& out, const StoredSuspectPart& obj);
 
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false), activePools(false), arrivals(false), suspectParts(false), limitedTargets(false), rateLimits(false), limitAges(false), targetsEpoch(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false), activePools(false), arrivals(false), suspectParts(false), limitedTargets(false), rateLimits(false), limitAges(false), targetsEpoch(false), storeCheckAge(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -183,6 +183,7 @@
   bool rateLimits :1;
   bool limitAges :1;
   bool targetsEpoch :1;
+  bool storeCheckAge :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -199,7 +200,8 @@
                  failureDomain(),
                  targetsVersion(0),
                  readsTargets(0),
-                 targetsEpoch(0) {
+                 targetsEpoch(0),
+                 storeCheckAge(0) {
   }
 
   virtual ~InstanceNews() noexcept;
@@ -225,6 +227,7 @@
   std::vector<int32_t>  rateLimits;
   std::vector<int32_t>  limitAges;
   int64_t targetsEpoch;
+  int32_t storeCheckAge;
 
   _InstanceNews__isset __isset;
 
@@ -272,6 +275,8 @@
 
   void __set_targetsEpoch(const int64_t val);
 
+  void __set_storeCheckAge(const int32_t val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -320,6 +325,10 @@
       return false;
     else if (__isset.targetsEpoch && !(targetsEpoch == rhs.targetsEpoch))
       return false;
+    if (__isset.storeCheckAge != rhs.__isset.storeCheckAge)
+      return false;
+    else if (__isset.storeCheckAge && !(storeCheckAge == rhs.storeCheckAge))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/test/PeerUpdatesTest.cpp
+++ b/test/PeerUpdatesTest.cpp
@@ -20,10 +20,12 @@
     update.suspects.push_back({ .pool = 9, .report = { .part = PromptPart(0xfedcba9876543210U), .clearings = 2, .crashes = { { .id = CrashId(5), .age = std::chrono::milliseconds(700) } } } });
     update.targetsVersion = 530;
     update.targetsEpoch = StoreEpoch(2);
+    update.storeCheckAge = std::chrono::milliseconds(640);
     std::optional<InstanceUpdate> decoded = decodeUpdate(encodeUpdate(update));
     CHECK(decoded.has_value());
     LONGS_EQUAL(530, decoded->targetsVersion);
     CHECK(decoded->targetsEpoch == StoreEpoch(2));
+    CHECK(decoded->storeCheckAge == Duration(std::chrono::milliseconds(640)));
     LONGS_EQUAL(0xfffffff3U, decoded->rateLimits.at(0).target);
     DOUBLES_EQUAL(2.75, *decoded->rateLimits.at(0).perSecond, 1e-9);
     CHECK(decoded->rateLimits.at(0).age == Duration(std::chrono::milliseconds(300)));
@@ -47,6 +49,7 @@
 {
     std::optional<InstanceUpdate> decoded = decodeUpdate(encodeUpdate({ .instance = InstanceId("a"), .targetsVersion = 530 }));
     CHECK_FALSE(decoded->targetsEpoch.has_value());
+    CHECK_FALSE(decoded->storeCheckAge.has_value());
 }
 
 TEST(PeerUpdates, malformedBytesAreRejected)
--- a/test/StoreReadersTest.cpp
+++ b/test/StoreReadersTest.cpp
@@ -1,6 +1,8 @@
 #include "core/StoreReaders.h"
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -67,13 +69,29 @@
 
 TEST(StoreReaders, aFewInstancesCheckTheStore)
 {
-    CHECK(checkTurn(5, {}) == CheckTurn({ .place = 0, .instances = 1 }));
-    CHECK(checkTurn(15, peersOf(1, 1)) == CheckTurn({ .place = 1, .instances = 2 }));
-    CHECK(checkTurn(15, peersOf(25, 25)) == CheckTurn({ .place = 1, .instances = 2 }));
-    CHECK_FALSE(checkTurn(25, peersOf(25, 25)).has_value());
+    auto turnOf = [&](std::uint64_t ownHash, std::vector<PeerReadState> peers) {
+        for (PeerReadState& peer : peers)
+            peer.checkedAt = now - 300ms;
+        return checkTurn(ownHash, peers, now, 100ms);
+    };
+    CHECK(turnOf(5, {}) == CheckTurn({ .place = 0, .instances = 1 }));
+    CHECK(turnOf(15, peersOf(1, 1)) == CheckTurn({ .place = 1, .instances = 2 }));
+    CHECK(turnOf(15, peersOf(25, 25)) == CheckTurn({ .place = 1, .instances = 2 }));
+    CHECK_FALSE(turnOf(25, peersOf(25, 25)).has_value());
     std::vector<PeerReadState> peers = peersOf(25, 25);
     peers[0].isLeaving = true;
-    CHECK(checkTurn(25, peers) == CheckTurn({ .place = 1, .instances = 2 }));
+    CHECK(turnOf(25, peers) == CheckTurn({ .place = 1, .instances = 2 }));
+}
+
+TEST(StoreReaders, oneInstanceTakesOverWhereNoCheckIsAnswered)
+{
+    std::vector<PeerReadState> peers = peersOf(25, 25);
+    peers[0].checkedAt = now - 1200ms;
+    peers[1].checkedAt = now - 1100ms;
+    CHECK(checkTurn(25, peers, now, 100ms) == CheckTurn());
+    CHECK_FALSE(checkTurn(65, peers, now, 100ms).has_value());
+    peers[2].checkedAt = now - 50ms; // The instance that has taken over.
+    CHECK_FALSE(checkTurn(35, peers, now + 200ms, 100ms).has_value());
 }
 
 TEST(StoreReaders, anAnswerAccountsForTheChangesThatItHolds)
@@ -114,3 +132,81 @@
         }
     }
 }
+
+namespace {
+
+/// Instances that check the store and tell each other of it, in steps of a tick.
+///
+/// At `cutAt` those with the lowest hashes get no more answers of the store, as they are cut off from it.
+struct CheckReplay {
+    int instances { 4 };
+    Duration updateInterval { 100ms };
+    int cutOff { 2 };
+    Duration cutAt { 5s };
+
+    /// The longest time without an answered check at the instances that aren't cut off, from the second second on.
+    Duration longestGap() const
+    {
+        constexpr Duration replayTime = 8s;
+        constexpr Duration step = 25ms;
+        constexpr Duration answerTime = 5ms;
+        auto count = static_cast<std::size_t>(instances);
+        std::vector<std::optional<SteadyTime>> checkedAt(count);
+        std::vector<std::optional<SteadyTime>> pollEndsAt(count);
+        std::vector<PeerReadState> told(count); ///< What each instance has told the others.
+        SteadyTime start { 1h };
+        SteadyTime lastCheck = start + 1s;
+        Duration gap {};
+        for (SteadyTime now = start; now < start + replayTime; now += step) {
+            bool isCut = now - start >= cutAt;
+            for (std::size_t i = 0; i < count; ++i) {
+                // Updates of the instances are spread over the interval.
+                auto offset = updateInterval * static_cast<int>(i) / instances;
+                if ((now - start + offset) % updateInterval < step)
+                    told[i] = { .hash = 10 * (i + 1), .updatedAt = now, .isReading = true, .checkedAt = checkedAt[i] };
+                std::vector<PeerReadState> peers = told;
+                peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
+                std::erase_if(peers, [](const PeerReadState& peer) { return !peer.hash; });
+                std::optional<CheckTurn> turn = checkTurn(10 * (i + 1), peers, now, updateInterval);
+                if (!turn) {
+                    pollEndsAt[i].reset();
+                    checkedAt[i].reset();
+                    continue;
+                }
+                if (!pollEndsAt[i])
+                    pollEndsAt[i] = now; // The first poll of a turn asks for an answer at once.
+                if (now < *pollEndsAt[i] || (isCut && i < static_cast<std::size_t>(cutOff)))
+                    continue;
+                checkedAt[i] = now;
+                pollEndsAt[i] = now + answerTime + timeUntilCheck(*turn, now.time_since_epoch());
+                if (now >= start + 1s && (!isCut || i >= static_cast<std::size_t>(cutOff))) {
+                    gap = std::max(gap, now - lastCheck);
+                    lastCheck = now;
+                }
+            }
+        }
+        return std::max(gap, start + replayTime - lastCheck);
+    }
+};
+
+} // namespace
+
+// Instances that were cut off from the store kept the checks, so that the others' lost polls stayed unnoticed for as long as the cut.
+TEST(StoreReaders, theStoreIsCheckedWhileThoseWithTurnsAreCutOffFromIt)
+{
+    struct Fleet {
+        int instances;
+        Duration updateInterval;
+    };
+    constexpr Duration stepPerLostInstance = 50ms;
+    for (const Fleet& fleet : { Fleet { 4, 50ms }, Fleet { 26, 100ms }, Fleet { 77, 300ms }, Fleet { 300, 500ms } }) {
+        for (int cutOff : { 0, 2, 3 }) {
+            for (Duration cutAt = 5s; cutAt < 6300ms; cutAt += 220ms) {
+                CheckReplay replay { .instances = fleet.instances, .updateInterval = fleet.updateInterval, .cutOff = cutOff, .cutAt = cutAt };
+                // One interval between checks, the slack of an answer and two updates, of which one may be lost.
+                Duration bound = storeCheckInterval + 300ms + 3 * fleet.updateInterval + cutOff * stepPerLostInstance;
+                CHECK(replay.longestGap() <= bound);
+            }
+        }
+    }
+}
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -43,4 +43,5 @@
   20: list<i32> rateLimits     // of each of them: thousandths of a request a second over all instances; -1 for no limit
   21: list<i32> limitAges      // of each of them: milliseconds since the answer
   22: optional i64 targetsEpoch // counts the restores of the store from a copy, after which it gives out versions again; of targetsVersion
+  23: optional i32 storeCheckAge // milliseconds since the store last answered a check of its newest version by the sender
 }
