Let instances find each other again after a long cut

Each spends client accounts' quotas as if it were alone.

Cause: both sides drop the other's address after 60 s without a datagram, and addresses are learned from the settings file, the table of instances at the start and datagrams only. Ruled out: the table (it is read once).

Test, red before (0 of 1 update arrives after half an hour): PeerPair.instancesThatWereCutOffForLongFindEachOtherAgain; aSilentAddressGetsFewUpdates (2 in 10 s).

--- a/src/gateway/PeerUpdates.cpp
+++ b/src/gateway/PeerUpdates.cpp
@@ -12,7 +12,9 @@
 namespace {
 
     constexpr Duration peerTimeout = std::chrono::milliseconds(1500);
-    constexpr Duration addressTimeout = std::chrono::seconds(60); ///< Updates are no longer sent to an address after this time without a datagram from it.
+    constexpr Duration silentAddressAge = std::chrono::seconds(60); ///< An address without a datagram for so long may belong to no instance any more.
+    constexpr Duration addressTimeout = std::chrono::hours(24);
+    constexpr Duration silentAddressInterval = std::chrono::seconds(5); ///< Between updates to such an address: after a long cut nothing else finds its instance again.
     constexpr Duration minInterval = std::chrono::milliseconds(50);
     constexpr Duration intervalPerPeer = std::chrono::milliseconds(4); ///< 250 datagrams a second in each direction.
     constexpr Duration intervalPerPeerWhileWaiting = std::chrono::microseconds(1300); ///< 770 datagrams a second in each direction.
@@ -166,12 +168,22 @@
 void PeerUpdates::send(const InstanceUpdate& update)
 {
     std::string bytes = encodeUpdate(update);
-    for (const auto& [address, peer] : m_peers) {
+    SteadyTime now = m_clock.steadyNow();
+    for (auto& [address, peer] : m_peers) {
+        if (!isDue(peer, now))
+            continue;
+        peer.sentAt = now;
         boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
         m_socket.send_to(asio::buffer(bytes), { address, static_cast<unsigned short>(m_options.port) }, 0, ignored);
     }
 }
 
+bool PeerUpdates::isDue(const Peer& peer, SteadyTime now)
+{
+    bool isSilent = now - lastSeen(peer) > silentAddressAge;
+    return !isSilent || now - peer.sentAt >= silentAddressInterval;
+}
+
 void PeerUpdates::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_from, [this](boost::system::error_code error, std::size_t count) {
@@ -206,7 +218,7 @@
         received.isLive = false;
         m_options.onPeerTimeout(instance);
     }
-    std::erase_if(m_peers, [now](const auto& entry) { return now - entry.second.receivedAt.value_or(entry.second.addedAt) > addressTimeout; });
+    std::erase_if(m_peers, [now](const auto& entry) { return now - lastSeen(entry.second) > addressTimeout; });
 }
 
 int PeerUpdates::livePeers() const
--- a/src/gateway/PeerUpdates.h
+++ b/src/gateway/PeerUpdates.h
@@ -112,21 +112,25 @@
 
     void send(const InstanceUpdate&);
 
-    /// Detects peers that have stopped sending, and drops their addresses after a longer time.
+    /// Detects peers that have stopped sending, and drops their addresses after a day. Call it several times a second.
     void tick(SteadyTime now);
 
     /// The number of peers that have sent updates lately.
     int livePeers() const;
 
 private:
-    void receive();
-    void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint& from);
-
     struct Peer {
         SteadyTime addedAt;
         std::optional<SteadyTime> receivedAt;
+        SteadyTime sentAt;
     };
 
+    static SteadyTime lastSeen(const Peer& peer) { return peer.receivedAt.value_or(peer.addedAt); }
+    /// Whether an update is due for the peer; silent ones get fewer.
+    static bool isDue(const Peer&, SteadyTime now);
+    void receive();
+    void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint& from);
+
     const Clock& m_clock;
     PeerUpdatesOptions m_options;
     boost::asio::ip::udp::socket m_socket;
--- a/test/PeerUpdatesTest.cpp
+++ b/test/PeerUpdatesTest.cpp
@@ -1,4 +1,6 @@
 #include "gateway/PeerUpdates.h"
+#include "test/FreePort.h"
+#include <set>
 #include <sys/resource.h>
 
 #include <CppUTest/TestHarness.h>
@@ -108,3 +110,56 @@
     received = { .incarnation = 900, .earlierIncarnation = 1000, .sequence = 1 };
     CHECK_FALSE(isNewer(received, { .incarnation = 1000, .sequence = 9 }));
 }
+
+/// Two instances that send each other updates by loopback addresses.
+TEST_GROUP(PeerPair)
+{
+    boost::asio::io_context context;
+    ManualClock clock;
+    int port { freePort() };
+    std::vector<InstanceUpdate> received; ///< By the second one.
+    PeerUpdates first { context, clock, { .self = InstanceId("a"), .ip = "127.0.0.1", .port = port, .onUpdate = [](InstanceUpdate&&, const std::string&) { }, .onPeerTimeout = [](const InstanceId&) { } } };
+    PeerUpdates second { context, clock,
+        { .self = InstanceId("b"), .ip = "127.0.0.2", .port = port, .onUpdate = [this](InstanceUpdate&& update, const std::string&) { received.push_back(std::move(update)); }, .onPeerTimeout = [](const InstanceId&) { } } };
+
+    void setup() override
+    {
+        CHECK_FALSE(first.start().has_value());
+        CHECK_FALSE(second.start().has_value());
+        first.addPeer("127.0.0.2");
+    }
+
+    /// Datagrams on loopback arrive before the call that sends them returns.
+    void receiveAll()
+    {
+        context.restart();
+        context.poll();
+    }
+};
+
+// Both sides of a cut dropped each other's address after a minute, and nothing found it again.
+TEST(PeerPair, instancesThatWereCutOffForLongFindEachOtherAgain)
+{
+    InstanceUpdate update { .instance = InstanceId("a"), .incarnation = 1 };
+    for (int minute = 0; minute < 30; ++minute) {
+        clock.advance(std::chrono::minutes(1));
+        first.tick(clock.steadyNow());
+    }
+    update.sequence = 1;
+    first.send(update);
+    receiveAll();
+    LONGS_EQUAL(1, received.size());
+}
+
+TEST(PeerPair, aSilentAddressGetsFewUpdates)
+{
+    InstanceUpdate update { .instance = InstanceId("a"), .incarnation = 1 };
+    clock.advance(std::chrono::minutes(2));
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(std::chrono::milliseconds(100));
+        ++update.sequence;
+        first.send(update);
+        receiveAll();
+    }
+    LONGS_EQUAL(2, received.size());
+}
