Send the use of many client accounts in several updates

Cause: an update holds all accounts of the sender, and the receiver's buffer 16 KB. A longer datagram arrives cut off and can't be decoded. Above 64 KB it couldn't be sent at all, and that error is counted as a lost datagram.

Change: an update with more than 1,000 accounts goes out as several, which tell the same of everything else; the buffer holds the longest datagram. PeerUpdates numbers what it sends.

Test, red before (0 of 5,800 accounts arrive): PeerPair.theUseOfThousandsOfAccountsArrives.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -53,7 +53,7 @@
     /// Sets how often instances send each other updates.
     void setUpdateInterval(Duration interval) { m_updateInterval = interval; }
 
-    /// The update for peers. The caller sets the sequence number and the version of the targets.
+    /// The update for peers. The caller sets the version of the targets.
     InstanceUpdate ownUpdate(ReportScope);
 
     /// Changes of the rows of suspected prompt parts in the store; each is returned once.
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -556,13 +556,12 @@
     if (sendsAll)
         m_allSentAt = now;
     InstanceUpdate update = m_gateway.ownUpdate(sendsAll ? ReportScope::All : ReportScope::Changes);
-    update.sequence = ++m_updateSequence;
     update.targetsVersion = m_targetRows.version.number;
     update.targetsEpoch = m_targetRows.version.epoch;
     update.readsTargets = m_targetReader.isReading();
     if (m_storeCheckedAt)
         update.storeCheckAge = now - *m_storeCheckedAt;
-    m_peers.send(update);
+    m_peers.send(std::move(update));
 }
 
 bool GatewayInstance::isStarting() const { return m_clock.steadyNow() - m_startedAt < startTime; }
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -105,7 +105,6 @@
     std::optional<StoreEpoch> m_storeEpoch; ///< The highest one that an answer of the store or a peer has stated.
     std::optional<SteadyTime> m_targetsRestoredAt; ///< When the targets were read from a restored store, until entries of departed ones have expired.
     SteadyTime m_startedAt;
-    std::uint64_t m_updateSequence { 0 };
     SteadyTime m_updateSentAt;
     SteadyTime m_allSentAt;
     bool m_isAcceptPaused { false }; ///< Until the next tick that finds room for another caller.
--- a/src/gateway/PeerUpdates.cpp
+++ b/src/gateway/PeerUpdates.cpp
@@ -20,6 +20,7 @@
     constexpr Duration intervalPerPeerWhileWaiting = std::chrono::microseconds(1300); ///< 770 datagrams a second in each direction.
     constexpr Duration maxInterval = std::chrono::milliseconds(500);
 
+    constexpr std::size_t maxAccountsPerUpdate = 1000; ///< Some 10 KB; instances of an earlier release read 16 KB at most.
     constexpr std::int32_t noRateLimit = -1;
 
     std::int32_t thousandthsOf(double perSecond)
@@ -125,6 +126,20 @@
     return fromWire(*wire);
 }
 
+std::vector<InstanceUpdate> splitUpdate(InstanceUpdate update)
+{
+    std::vector<InstanceUpdate::AccountUse> accounts = std::move(update.accounts);
+    std::vector<InstanceUpdate> parts;
+    std::size_t begin = 0;
+    do {
+        std::size_t end = std::min(begin + maxAccountsPerUpdate, accounts.size());
+        update.accounts.assign(accounts.begin() + static_cast<std::ptrdiff_t>(begin), accounts.begin() + static_cast<std::ptrdiff_t>(end));
+        parts.push_back(update);
+        begin = end;
+    } while (begin < accounts.size());
+    return parts;
+}
+
 bool isNewer(const ReceivedUpdate& received, const InstanceUpdate& update)
 {
     if (update.incarnation == received.incarnation)
@@ -165,16 +180,24 @@
     m_peers.try_emplace(address, Peer { .addedAt = m_clock.steadyNow() });
 }
 
-void PeerUpdates::send(const InstanceUpdate& update)
+void PeerUpdates::send(InstanceUpdate update)
 {
-    std::string bytes = encodeUpdate(update);
+    std::vector<InstanceUpdate> parts = splitUpdate(std::move(update));
+    std::vector<std::string> datagrams;
+    datagrams.reserve(parts.size());
+    for (InstanceUpdate& part : parts) {
+        part.sequence = ++m_sequence;
+        datagrams.push_back(encodeUpdate(part));
+    }
     SteadyTime now = m_clock.steadyNow();
     for (auto& [address, peer] : m_peers) {
         if (!isDue(peer, now))
             continue;
         peer.sentAt = now;
-        boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
-        m_socket.send_to(asio::buffer(bytes), { address, static_cast<unsigned short>(m_options.port) }, 0, ignored);
+        for (const std::string& bytes : datagrams) {
+            boost::system::error_code ignored; // A datagram that can't be sent now counts as lost.
+            m_socket.send_to(asio::buffer(bytes), { address, static_cast<unsigned short>(m_options.port) }, 0, ignored);
+        }
     }
 }
 
--- a/src/gateway/PeerUpdates.h
+++ b/src/gateway/PeerUpdates.h
@@ -2,7 +2,8 @@
 
 /// Load updates between instances, sent in one small UDP datagram to each peer several times a second.
 ///
-/// A lost datagram does no harm, since each one carries the whole state of the sender. Counters run from the sender's start.
+/// A lost datagram does no harm, since each one carries the whole state of the sender, but for the use of many accounts, which
+/// takes several datagrams. Counters run from the sender's start.
 
 #include "core/TableVersion.h"
 #include "gateway/SuspectWire.h"
@@ -65,6 +66,12 @@
 std::string encodeUpdate(const InstanceUpdate&);
 std::optional<InstanceUpdate> decodeUpdate(std::string_view bytes);
 
+/// Updates that tell the same together and have few accounts each, so that each fits into a datagram. At least one.
+///
+///     for (const InstanceUpdate& part : splitUpdate(std::move(own)))
+///         send(encodeUpdate(part));
+std::vector<InstanceUpdate> splitUpdate(InstanceUpdate);
+
 /// The last update received from one instance.
 struct ReceivedUpdate {
     std::uint64_t incarnation { 0 }; ///< 0 before the first.
@@ -110,7 +117,8 @@
     /// Adds an address that updates are sent to.
     void addPeer(const std::string& ip);
 
-    void send(const InstanceUpdate&);
+    /// Numbers the update and sends it to all peers.
+    void send(InstanceUpdate);
 
     /// Detects peers that have stopped sending, and drops their addresses after a day. Call it several times a second.
     void tick(SteadyTime now);
@@ -135,7 +143,8 @@
     PeerUpdatesOptions m_options;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_from;
-    std::array<char, 16384> m_buffer {};
+    std::array<char, 65536> m_buffer {}; ///< Holds the longest datagram.
+    std::uint64_t m_sequence { 0 };
     std::map<boost::asio::ip::address, Peer> m_peers;
     std::map<InstanceId, ReceivedUpdate> m_received;
 };
--- a/test/PeerUpdatesTest.cpp
+++ b/test/PeerUpdatesTest.cpp
@@ -118,9 +118,9 @@
     ManualClock clock;
     int port { freePort() };
     std::vector<InstanceUpdate> received; ///< By the second one.
-    PeerUpdates first { context, clock, { .self = InstanceId("a"), .ip = "127.0.0.1", .port = port, .onUpdate = [](InstanceUpdate&&, const std::string&) { }, .onPeerTimeout = [](const InstanceId&) { } } };
+    PeerUpdates first { context, clock, { .self = InstanceId("a"), .ip = "127.0.0.1", .port = port, .onUpdate = [](InstanceUpdate&&, const std::string&) {}, .onPeerTimeout = [](const InstanceId&) {} } };
     PeerUpdates second { context, clock,
-        { .self = InstanceId("b"), .ip = "127.0.0.2", .port = port, .onUpdate = [this](InstanceUpdate&& update, const std::string&) { received.push_back(std::move(update)); }, .onPeerTimeout = [](const InstanceId&) { } } };
+        { .self = InstanceId("b"), .ip = "127.0.0.2", .port = port, .onUpdate = [this](InstanceUpdate&& update, const std::string&) { received.push_back(std::move(update)); }, .onPeerTimeout = [](const InstanceId&) {} } };
 
     void setup() override
     {
@@ -145,7 +145,6 @@
         clock.advance(std::chrono::minutes(1));
         first.tick(clock.steadyNow());
     }
-    update.sequence = 1;
     first.send(update);
     receiveAll();
     LONGS_EQUAL(1, received.size());
@@ -157,9 +156,27 @@
     clock.advance(std::chrono::minutes(2));
     for (int i = 0; i < 100; ++i) {
         clock.advance(std::chrono::milliseconds(100));
-        ++update.sequence;
         first.send(update);
         receiveAll();
     }
     LONGS_EQUAL(2, received.size());
 }
+
+// An update longer than the receiver's buffer arrived cut off and was dropped, so that the sender seemed to be gone.
+TEST(PeerPair, theUseOfThousandsOfAccountsArrives)
+{
+    constexpr std::uint32_t accounts = 5800;
+    InstanceUpdate update { .instance = InstanceId("a"), .incarnation = 1 };
+    for (std::uint32_t i = 0; i < accounts; ++i)
+        update.accounts.push_back({ .account = i * 740'000U, .admitted = 1e9 + i });
+    first.send(update);
+    receiveAll();
+    std::set<std::uint32_t> reported;
+    for (const InstanceUpdate& part : received) {
+        constexpr std::size_t bufferOfEarlierRelease = 16384;
+        CHECK(encodeUpdate(part).size() < bufferOfEarlierRelease);
+        for (const InstanceUpdate::AccountUse& use : part.accounts)
+            reported.insert(use.account);
+    }
+    LONGS_EQUAL(accounts, reported.size());
+}
