Bound the memory of the bodies of all requests together

Cause: a limit for each body, none for their sum. Ruled out: the targets' connections alone (they keep a copy of their last request, also while idle: mended, too); the account of answers, which doesn't count bodies.

Change: bodies take a sixth of the memory. Above it the request whose large body is being read gets 503 with Retry-After at once; it has not run, and the rest of its body is ignored. Small bodies are always taken.

Test, red before (all 12 held, 12 MB where 2.7 are allowed): GatewayMemory.largeBodiesOfManyRequestsTakeBoundedMemoryTogether, with a small request served beside each and a large one served afterwards; BufferAccount.countedMemoryMovesAlongAndIsGivenBack, onlyLargeBodiesAreRefused.

--- a/src/core/BufferAccount.h
+++ b/src/core/BufferAccount.h
@@ -1,9 +1,9 @@
 #pragma once
 
-/// Bounds the memory that the buffered answers of all requests take together.
+/// Bounds the memory that the buffered answers of all requests take together, and that of the bodies of all requests.
 ///
-/// Load pattern: targets in trouble send bytes without an end on many connections at once. A limit on each answer alone
-/// leaves their sum unbounded.
+/// Load pattern: targets in trouble send bytes without an end on many connections at once, or many callers send large bodies
+/// at once. A limit on each alone leaves their sum unbounded.
 
 #include <cstddef>
 #include <memory>
@@ -25,6 +25,33 @@
 ///     account->limit = answerBufferLimit(256 << 20);
 std::size_t answerBufferLimit(std::size_t memoryBytes);
 
+/// The limit for the bodies of all requests of an instance with so much memory.
+///
+///     account->limit = requestBodyLimit(256 << 20);
+std::size_t requestBodyLimit(std::size_t memoryBytes);
+
+/// Whether a body that takes so much memory is refused, so that those of other requests find room. Small bodies never are.
+///
+///     if (mustRefuseBody(*account, body.capacity())) refuse();
+bool mustRefuseBody(const BufferAccount&, std::size_t bodyMemory);
+
+/// Counts memory that is held elsewhere. It moves along with that memory.
+class CountedMemory {
+public:
+    CountedMemory() = default;
+    /// Without an account nothing is counted.
+    explicit CountedMemory(std::shared_ptr<BufferAccount>);
+    CountedMemory(CountedMemory&&) noexcept;
+    CountedMemory& operator=(CountedMemory&&) noexcept;
+    ~CountedMemory();
+
+    void set(std::size_t bytes);
+
+private:
+    std::shared_ptr<BufferAccount> m_account;
+    std::size_t m_counted { 0 };
+};
+
 /// A growing buffer that counts in an account with the memory that it holds, not only with the bytes in use.
 ///
 ///     AccountedBuffer body(account);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -85,6 +85,8 @@
     std::size_t closeIdleConnections(std::size_t count);
 
     CallerLimits callerLimits() const override;
+    std::shared_ptr<BufferAccount> requestBodies() const override { return m_requestBodies; }
+    std::string refuseBody(const ReceivedRequest&) override;
     void onRequest(const std::shared_ptr<HttpServerConnection>&, ReceivedRequest&&) override;
     void onCallerDisconnected(HttpServerConnection&, const boost::system::error_code&) override;
     void onCallerTimedOut(const TimedOutCaller&) override;
@@ -175,6 +177,7 @@
     Pools m_pools;
     CrashChecks m_crashChecks;
     std::shared_ptr<BufferAccount> m_answerBuffers;
+    std::shared_ptr<BufferAccount> m_requestBodies;
     std::shared_ptr<const IndexedSettings> m_settings;
     std::map<ClientAccountId, AccountQuota> m_quotas;
     std::unordered_map<std::uint32_t, ClientAccountId> m_accountByHash; ///< By `shortHash` of the id.
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -390,6 +390,7 @@
     m_metrics.inProgress.set(static_cast<std::int64_t>(inProgress.size()));
     m_metrics.callerConnections.set(static_cast<std::int64_t>(m_connections.size()));
     m_metrics.answerBufferBytes.set(static_cast<std::int64_t>(m_answerBuffers->used));
+    m_metrics.requestBodyBytes.set(static_cast<std::int64_t>(m_requestBodies->used));
     for (const std::shared_ptr<Exchange>& exchange : inProgress) {
         if (exchange->attempt())
             checkAttempt(*exchange, now);
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -26,6 +26,8 @@
     Counter& brokenAnswers;
     Counter& oversizedAnswers;
     Gauge& answerBufferBytes;
+    Counter& refusedBodies;
+    Gauge& requestBodyBytes;
     Gauge& callerConnections;
     Gauge& waiting;
     Gauge& inProgress;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -14,6 +14,7 @@
     constexpr Duration retryAfterNoSettings = std::chrono::milliseconds(500);
     constexpr Duration retryAfterNoTarget = std::chrono::milliseconds(800);
     constexpr Duration minQuotaRetryAfter = std::chrono::milliseconds(200);
+    constexpr std::chrono::milliseconds bodyRetryAfter { 1000 }; ///< Bodies are held for as long as their requests run.
     constexpr Duration firstTokenOverhead = std::chrono::milliseconds(40); ///< Time to the first token besides reading the prompt: sending, admission and one step.
     /// A streaming request may wait for the longest of these times: a fixed one, a number of latency objectives, and a number
     /// of the route's longest pauses between events.
@@ -145,6 +146,15 @@
     return Refusal { .status = 429, .reason = "over_quota", .retryAfter = retryAfter };
 }
 
+std::string Gateway::refuseBody(const ReceivedRequest& request)
+{
+    std::string_view requestId = fieldValue(request.fields, Field::RequestId);
+    m_metrics.refusedBodies.add();
+    m_log.line("warning", "body_refused",
+        { { "request", requestId }, { "bytes", static_cast<std::int64_t>(request.body.capacity()) }, { "bytes_of_all", static_cast<std::int64_t>(m_requestBodies->used) } });
+    return gatewayAnswerText({ .status = 503, .reason = "bodies_too_large", .requestId = requestId, .retryAfter = bodyRetryAfter, .keepAlive = false });
+}
+
 void Gateway::answerRefusal(HttpServerConnection& caller, const ReceivedRequest& request, std::string_view requestId, const Refusal& refusal)
 {
     if (refusal.status != 429 && refusal.status != 503)
--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -111,6 +111,7 @@
     m_wroteBytes = true;
     asio::async_write(m_socket, asio::buffer(m_output), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
         self->m_isWriting = false;
+        self->m_output = std::string(); // An idle connection holds no memory of its last request.
         // The server may have answered before it read the whole request; the read reports the outcome.
         if (error)
             self->m_mayReuse = false;
--- a/src/traffic/HttpParser.cpp
+++ b/src/traffic/HttpParser.cpp
@@ -103,10 +103,17 @@
 
 std::size_t RequestParser::on_body_impl(View body, Error&)
 {
-    m_request.body.append(body.data(), body.size());
+    if (!m_discardsBody)
+        m_request.body.append(body.data(), body.size());
     return body.size();
 }
 
+void RequestParser::discardBody()
+{
+    m_discardsBody = true;
+    m_request.body = std::string();
+}
+
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, View body, Error& error) { return on_body_impl(body, error); }
 
 AnswerParser::AnswerParser(AnswerSink& sink)
--- a/src/traffic/HttpParser.h
+++ b/src/traffic/HttpParser.h
@@ -6,6 +6,7 @@
 /// rejected here: folded fields, transfer codings other than chunked, Content-Length together with chunked coding,
 /// and repeated Host or Content-Length fields.
 
+#include "core/BufferAccount.h"
 #include "limpetpond/Units.h"
 #include "platform/WireFields.h"
 #include <boost/asio/buffer.hpp>
@@ -42,6 +43,7 @@
     std::vector<HeaderField> fields;
     std::string body;
     bool keepAlive { true };
+    CountedMemory bodyMemory; ///< Of `body`.
 };
 
 /// Status and header fields of an answer.
@@ -60,6 +62,9 @@
     ReceivedRequest takeRequest() { return std::move(m_request); }
     const ReceivedRequest& request() const { return m_request; }
 
+    /// Frees the part of the body that has arrived, and ignores the rest.
+    void discardBody();
+
 private:
     using View = boost::beast::string_view;
     using Error = boost::system::error_code;
@@ -75,6 +80,7 @@
 
     ReceivedRequest m_request;
     int m_hostFields { 0 };
+    bool m_discardsBody { false };
 };
 
 /// Receives the parts of an answer as they are parsed.
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -78,6 +78,7 @@
         if (!m_parser) {
             CallerLimits limits = m_handler.callerLimits();
             m_parser = std::make_unique<RequestParser>(limits.headerBytes, limits.bodyBytes);
+            m_bodyMemory = CountedMemory(m_handler.requestBodies());
             m_requestStartedAt = m_clock.steadyNow();
             m_sentContinue = false;
         }
@@ -93,6 +94,7 @@
             rejectRequest(error);
             return;
         }
+        countBody();
         if (m_parser->is_header_done() && !m_parser->is_done() && !m_sentContinue && hasField(m_parser->request().fields, Field::Expect)) {
             m_sentContinue = true;
             write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -103,8 +105,13 @@
             continue;
         }
         ReceivedRequest request = m_parser->takeRequest();
+        request.bodyMemory = std::move(m_bodyMemory);
         m_parser.reset();
         m_isServing = true;
+        if (m_isRefused) {
+            finishAnswer(false);
+            return;
+        }
         m_handler.onRequest(shared_from_this(), std::move(request));
     }
 }
@@ -113,10 +120,26 @@
 {
     m_isServing = true;
     int status = statusForError(error);
-    write("HTTP/1.1 " + std::to_string(status) + " Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    if (!m_isRefused)
+        write("HTTP/1.1 " + std::to_string(status) + " Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     finishAnswer(false);
 }
 
+void HttpServerConnection::countBody()
+{
+    if (m_isRefused)
+        return;
+    std::size_t memory = m_parser->request().body.capacity();
+    m_bodyMemory.set(memory);
+    std::shared_ptr<BufferAccount> account = m_handler.requestBodies();
+    if (!account || !mustRefuseBody(*account, memory))
+        return;
+    m_isRefused = true;
+    write(m_handler.refuseBody(m_parser->request()));
+    m_parser->discardBody();
+    m_bodyMemory.set(0);
+}
+
 void HttpServerConnection::write(std::string_view bytes)
 {
     if (m_isClosed)
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -37,6 +37,10 @@
 public:
     virtual ~RequestHandler() = default;
     virtual CallerLimits callerLimits() const = 0;
+    /// The account that the bodies of requests count in; null for none.
+    virtual std::shared_ptr<BufferAccount> requestBodies() const { return nullptr; }
+    /// The answer to a request whose body takes more memory than there is; the connection closes after it.
+    virtual std::string refuseBody(const ReceivedRequest&) { return {}; }
     virtual void onRequest(const std::shared_ptr<HttpServerConnection>&, ReceivedRequest&&) = 0;
     /// The connection ended while a request was being served; `onConnectionClosed` follows. The error says how it ended.
     virtual void onCallerDisconnected(HttpServerConnection&, const boost::system::error_code&) = 0;
@@ -86,6 +90,8 @@
     void onRead(boost::system::error_code, std::size_t);
     void parse();
     void rejectRequest(boost::system::error_code);
+    /// Refuses the request that is being read if all bodies take too much memory.
+    void countBody();
     void startWrite();
     void close();
     void becomeIdle();
@@ -97,6 +103,8 @@
     std::vector<char> m_readBuffer; ///< Of the read in progress.
     std::string m_input; ///< Bytes not parsed yet.
     std::unique_ptr<RequestParser> m_parser;
+    CountedMemory m_bodyMemory; ///< Of the request that is being read.
+    bool m_isRefused { false }; ///< The request that is being read is answered already; the rest of it is ignored.
     std::string m_pending; ///< Queued for the next write.
     std::string m_writing; ///< Bytes of the write in progress.
     bool m_isReading { false };
--- a/test/BufferAccountTest.cpp
+++ b/test/BufferAccountTest.cpp
@@ -50,3 +50,33 @@
         buffer.append(piece);
     CHECK(buffer.memory() <= buffer.size() + megabyte);
 }
+
+TEST(BufferAccount, countedMemoryMovesAlongAndIsGivenBack)
+{
+    auto account = std::make_shared<BufferAccount>(BufferAccount { .limit = 100 });
+    CountedMemory kept;
+    {
+        CountedMemory first(account);
+        first.set(60);
+        CountedMemory second(account);
+        second.set(50);
+        LONGS_EQUAL(110, account->used);
+        second.set(30);
+        LONGS_EQUAL(90, account->used);
+        kept = std::move(first);
+    }
+    LONGS_EQUAL(60, account->used);
+    kept.set(0);
+    LONGS_EQUAL(0, account->used);
+}
+
+TEST(BufferAccount, onlyLargeBodiesAreRefused)
+{
+    BufferAccount account { .limit = requestBodyLimit(std::size_t { 6 } << 20) };
+    LONGS_EQUAL(1 << 20, account.limit);
+    account.used = account.limit;
+    CHECK_FALSE(mustRefuseBody(account, 500'000));
+    ++account.used;
+    CHECK_TRUE(mustRefuseBody(account, 500'000));
+    CHECK_FALSE(mustRefuseBody(account, 1000));
+}
--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -74,6 +74,13 @@
         return connection.readAnswer();
     }
 
+    double metricValue(const std::string& name)
+    {
+        std::string metrics = metricsText();
+        std::size_t at = metrics.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::atof(metrics.c_str() + metrics.find(' ', at));
+    }
+
     std::string statusOfCall(const std::string& path, int number)
     {
         RawConnection connection(gateway->callerPort());
@@ -118,6 +125,41 @@
     CHECK(written < maxBytes / 2);
 }
 
+// Bodies of many requests took all memory of an instance, as only each of them alone was limited.
+TEST(GatewayMemory, largeBodiesOfManyRequestsTakeBoundedMemoryTogether)
+{
+    constexpr int callerCount = 12;
+    constexpr std::size_t bodyBytes = megabyte;
+    start(1, { .memoryBytes = 16 * megabyte });
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    const std::string almostAll(bodyBytes - 1, 'x');
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
+        callers.back()->send("POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(i) + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: "
+            + std::to_string(bodyBytes) + "\r\n\r\n" + almostAll);
+        std::this_thread::sleep_for(30ms);
+        STRCMP_EQUAL("200", statusOfCall("/read/x", 100 + i).c_str());
+    }
+    std::this_thread::sleep_for(200ms);
+    CHECK(metricValue("limpetpond_request_body_bytes") <= 16 * megabyte / 6.0);
+    int served = 0;
+    for (const std::unique_ptr<RawConnection>& caller : callers) {
+        caller->send("x");
+        std::string answer = caller->readAnswer();
+        served += statusOf(answer) == "200";
+        if (statusOf(answer) != "200") {
+            STRCMP_EQUAL("503", statusOf(answer).c_str());
+            CHECK(answer.find("Retry-After: ") != std::string::npos);
+        }
+    }
+    CHECK(served >= 1);
+    CHECK(served < callerCount);
+    CHECK(eventually([&] { return metricValue("limpetpond_request_body_bytes") < megabyte; }));
+    RawConnection later(gateway->callerPort());
+    later.send("POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: later\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + almostAll + "x");
+    STRCMP_EQUAL("200", statusOf(later.readAnswer()).c_str());
+}
+
 // Idle connections of callers used up all descriptors; new callers then waited for seconds, and targets could not be reached.
 TEST(GatewayMemory, newCallersAreServedWhereOthersKeepIdleConnections)
 {
@@ -133,10 +175,7 @@
         CHECK(std::chrono::steady_clock::now() - sentAt < 1s);
     }
     std::this_thread::sleep_for(200ms);
-    std::string metrics = metricsText();
-    std::size_t at = metrics.find("\nlimpetpond_caller_connections ");
-    CHECK(at != std::string::npos);
-    int open = std::atoi(metrics.c_str() + metrics.find(' ', at));
+    double open = metricValue("limpetpond_caller_connections");
     CHECK(open > limit / 2 && open <= limit);
     // Those that were used last are kept.
     callers.back()->send(requestText("/read/x", callerCount));
