--- a/test/RunningGateway.h
+++ b/test/RunningGateway.h
@@ -40,11 +40,13 @@
     std::size_t memoryBytes { 256'000'000 };
     std::size_t maxDescriptors { 4000 };
     std::chrono::milliseconds shutdownGrace { 8000 };
+    const Clock* clock { nullptr }; ///< Outlives the instance; null for the real one.
 };
 
 class RunningGateway {
 public:
     explicit RunningGateway(int storePort, const RunningGatewayOptions& options = {})
+        : m_clock(options.clock ? *options.clock : m_realClock)
     {
         auto address = [&] { return options.ip + ":" + std::to_string(freePort()); };
         m_boot.instance = InstanceId(options.instance);
@@ -91,7 +93,8 @@
     static int portOf(const std::string& address) { return std::atoi(address.substr(address.rfind(':') + 1).c_str()); }
 
     platform::BootSettings m_boot;
-    BootTimeClock m_clock;
+    BootTimeClock m_realClock;
+    const Clock& m_clock;
     boost::asio::io_context m_context { 1 };
     std::unique_ptr<GatewayInstance> m_instance;
     std::string m_error;
