--- a/test/StoreReadersTest.cpp
+++ b/test/StoreReadersTest.cpp
@@ -135,58 +135,95 @@
 
 namespace {
 
-/// Instances that check the store and tell each other of it, in steps of a tick.
-///
-/// At `cutAt` those with the lowest hashes get no more answers of the store, as they are cut off from it.
-struct CheckReplay {
+struct CheckReplayOptions {
     int instances { 4 };
     Duration updateInterval { 100ms };
-    int cutOff { 2 };
+    int cutOff { 2 }; ///< How many instances, those with the lowest hashes, the store answers no more.
     Duration cutAt { 5s };
+};
+
+/// Instances that check the store and tell each other of it, in steps of a tick.
+class CheckReplay {
+public:
+    explicit CheckReplay(const CheckReplayOptions& options)
+        : m_options(options)
+        , m_instances(static_cast<std::size_t>(options.instances))
+    {
+    }
 
-    /// The longest time without an answered check at the instances that aren't cut off, from the second second on.
-    Duration longestGap() const
+    /// The longest time without a check by an instance that is never cut off, or before the cut by any.
+    Duration longestGap()
     {
-        constexpr Duration replayTime = 8s;
-        constexpr Duration step = 25ms;
-        constexpr Duration answerTime = 5ms;
-        auto count = static_cast<std::size_t>(instances);
-        std::vector<std::optional<SteadyTime>> checkedAt(count);
-        std::vector<std::optional<SteadyTime>> pollEndsAt(count);
-        std::vector<PeerReadState> told(count); ///< What each instance has told the others.
-        SteadyTime start { 1h };
-        SteadyTime lastCheck = start + 1s;
-        Duration gap {};
-        for (SteadyTime now = start; now < start + replayTime; now += step) {
-            bool isCut = now - start >= cutAt;
-            for (std::size_t i = 0; i < count; ++i) {
-                // Updates of the instances are spread over the interval.
-                auto offset = updateInterval * static_cast<int>(i) / instances;
-                if ((now - start + offset) % updateInterval < step)
-                    told[i] = { .hash = 10 * (i + 1), .updatedAt = now, .isReading = true, .checkedAt = checkedAt[i] };
-                std::vector<PeerReadState> peers = told;
-                peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
-                std::erase_if(peers, [](const PeerReadState& peer) { return !peer.hash; });
-                std::optional<CheckTurn> turn = checkTurn(10 * (i + 1), peers, now, updateInterval);
-                if (!turn) {
-                    pollEndsAt[i].reset();
-                    checkedAt[i].reset();
-                    continue;
-                }
-                if (!pollEndsAt[i])
-                    pollEndsAt[i] = now; // The first poll of a turn asks for an answer at once.
-                if (now < *pollEndsAt[i] || (isCut && i < static_cast<std::size_t>(cutOff)))
-                    continue;
-                checkedAt[i] = now;
-                pollEndsAt[i] = now + answerTime + timeUntilCheck(*turn, now.time_since_epoch());
-                if (now >= start + 1s && (!isCut || i >= static_cast<std::size_t>(cutOff))) {
-                    gap = std::max(gap, now - lastCheck);
-                    lastCheck = now;
-                }
+        while (m_time < replayTime) {
+            for (std::size_t i = 0; i < m_instances.size(); ++i) {
+                sendUpdate(i);
+                checkStore(i);
             }
+            m_time += step;
+        }
+        return std::max(m_longestGap, m_time - m_lastCheckAt);
+    }
+
+private:
+    static constexpr Duration step = 25ms;
+    static constexpr Duration answerTime = 5ms;
+    static constexpr Duration replayTime = 8s;
+    static constexpr Duration startTime = 1s; ///< In which the instances learn of each other.
+
+    struct Instance {
+        std::optional<SteadyTime> checkedAt;
+        std::optional<SteadyTime> pollEndsAt;
+        std::optional<PeerReadState> update; ///< The last one that it sent.
+    };
+
+    static std::uint64_t hashOf(std::size_t index) { return 10 * (index + 1); }
+
+    SteadyTime now() const { return SteadyTime(1h) + m_time; }
+    bool isCutOff(std::size_t index) const { return m_time >= m_options.cutAt && index < static_cast<std::size_t>(m_options.cutOff); }
+
+    /// The updates of all instances are spread over the interval.
+    void sendUpdate(std::size_t index)
+    {
+        Duration offset = m_options.updateInterval * static_cast<int>(index) / m_options.instances;
+        if ((m_time + offset) % m_options.updateInterval < step)
+            m_instances[index].update = PeerReadState { .hash = hashOf(index), .updatedAt = now(), .isReading = true, .checkedAt = m_instances[index].checkedAt };
+    }
+
+    std::optional<CheckTurn> turnOf(std::size_t index) const
+    {
+        std::vector<PeerReadState> peers;
+        peers.reserve(m_instances.size());
+        for (std::size_t i = 0; i < m_instances.size(); ++i) {
+            if (i != index && m_instances[i].update)
+                peers.push_back(*m_instances[i].update);
+        }
+        return checkTurn(hashOf(index), peers, now(), m_options.updateInterval);
+    }
+
+    void checkStore(std::size_t index)
+    {
+        Instance& instance = m_instances[index];
+        std::optional<CheckTurn> turn = turnOf(index);
+        if (!turn) {
+            instance.pollEndsAt.reset();
+            instance.checkedAt.reset();
+            return;
         }
-        return std::max(gap, start + replayTime - lastCheck);
+        // The first poll of a turn asks for an answer at once.
+        if (isCutOff(index) || now() < instance.pollEndsAt.value_or(now()))
+            return;
+        instance.checkedAt = now();
+        instance.pollEndsAt = now() + answerTime + timeUntilCheck(*turn, now().time_since_epoch());
+        if (m_time >= startTime)
+            m_longestGap = std::max(m_longestGap, m_time - m_lastCheckAt);
+        m_lastCheckAt = std::max(m_time, startTime);
     }
+
+    CheckReplayOptions m_options;
+    std::vector<Instance> m_instances;
+    Duration m_time {};
+    Duration m_lastCheckAt { startTime };
+    Duration m_longestGap {};
 };
 
 } // namespace
@@ -202,7 +239,7 @@
     for (const Fleet& fleet : { Fleet { 4, 50ms }, Fleet { 26, 100ms }, Fleet { 77, 300ms }, Fleet { 300, 500ms } }) {
         for (int cutOff : { 0, 2, 3 }) {
             for (Duration cutAt = 5s; cutAt < 6300ms; cutAt += 220ms) {
-                CheckReplay replay { .instances = fleet.instances, .updateInterval = fleet.updateInterval, .cutOff = cutOff, .cutAt = cutAt };
+                CheckReplay replay({ .instances = fleet.instances, .updateInterval = fleet.updateInterval, .cutOff = cutOff, .cutAt = cutAt });
                 // One interval between checks, the slack of an answer and two updates, of which one may be lost.
                 Duration bound = storeCheckInterval + 300ms + 3 * fleet.updateInterval + cutOff * stepPerLostInstance;
                 CHECK(replay.longestGap() <= bound);
