--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -176,7 +176,7 @@
     }
     std::this_thread::sleep_for(200ms);
     double open = metricValue("limpetpond_caller_connections");
-    CHECK(open > limit / 2 && open <= limit);
+    CHECK(2 * open > limit && open <= limit);
     // Those that were used last are kept.
     callers.back()->send(requestText("/read/x", callerCount));
     STRCMP_EQUAL("200", statusOf(callers.back()->readAnswer()).c_str());
