Let AccountedBuffer count by CountedMemory

Both counted a piece of memory in a BufferAccount and gave it back at their end. The buffer now holds the counter instead of its own copy of it. Same behaviour: groups BufferAccount, GatewayMemory and CutAnswer pass unchanged; the linter finds nothing.

--- a/src/core/BufferAccount.cpp
+++ b/src/core/BufferAccount.cpp
@@ -50,31 +50,23 @@
 }
 
 AccountedBuffer::AccountedBuffer(std::shared_ptr<BufferAccount> account)
-    : m_account(std::move(account))
+    : m_memory(std::move(account))
 {
 }
 
-AccountedBuffer::~AccountedBuffer() { release(); }
-
 void AccountedBuffer::append(std::string_view bytes)
 {
     std::size_t needed = m_bytes.size() + bytes.size();
     if (needed > m_bytes.capacity())
         m_bytes.reserve(std::max(needed, m_bytes.capacity() + std::min(m_bytes.capacity(), maxGrowth)));
     m_bytes.insert(m_bytes.end(), bytes.begin(), bytes.end());
-    count();
+    m_memory.set(m_bytes.capacity());
 }
 
 void AccountedBuffer::release()
 {
     m_bytes = std::vector<char>();
-    m_account->used -= std::exchange(m_counted, 0);
-}
-
-void AccountedBuffer::count()
-{
-    m_account->used += m_bytes.capacity() - m_counted;
-    m_counted = m_bytes.capacity();
+    m_memory.set(0);
 }
 
 } // namespace limpetpond
--- a/src/core/BufferAccount.h
+++ b/src/core/BufferAccount.h
@@ -59,10 +59,6 @@
 class AccountedBuffer {
 public:
     explicit AccountedBuffer(std::shared_ptr<BufferAccount>);
-    ~AccountedBuffer();
-
-    AccountedBuffer(const AccountedBuffer&) = delete;
-    AccountedBuffer& operator=(const AccountedBuffer&) = delete;
 
     void append(std::string_view);
 
@@ -72,14 +68,11 @@
     std::string_view bytes() const { return { m_bytes.data(), m_bytes.size() }; }
     std::size_t size() const { return m_bytes.size(); }
     /// What it counts with in the account.
-    std::size_t memory() const { return m_counted; }
+    std::size_t memory() const { return m_bytes.capacity(); }
 
 private:
-    void count();
-
-    std::shared_ptr<BufferAccount> m_account;
     std::vector<char> m_bytes; ///< Unlike a string, it reserves no more than it is told to.
-    std::size_t m_counted { 0 };
+    CountedMemory m_memory; ///< Of `m_bytes`.
 };
 
 } // namespace limpetpond
