--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -1,8 +1,7 @@
 /// Tests the bounds of the memory and of the descriptors that the gateway takes for others.
 
-#include "test/RunningGateway.h"
-#include "test/fakes/edge/StoreFake.h"
-#include "test/fakes/edge/TargetFake.h"
+#include "test/GatewayFixture.h"
+#include <atomic>
 
 #include <CppUTest/TestHarness.h>
 
@@ -11,25 +10,13 @@
 using fakes::TargetCall;
 using fakes::TargetFake;
 
-TEST_GROUP(GatewayMemory)
+TEST_GROUP_BASE(GatewayMemory, GatewayFixture)
 {
     static constexpr std::size_t megabyte = 1'000'000;
     static constexpr std::size_t endlessBytes = 16 * megabyte; ///< Of one answer, unless the gateway closes its connection before.
-    std::unique_ptr<fakes::StoreFake> store;
-    std::unique_ptr<RunningGateway> gateway;
-    std::vector<std::unique_ptr<TargetFake>> targets;
     std::atomic<std::size_t> written { 0 };
     std::atomic<int> ended { 0 };
 
-    void setup() override { store = std::make_unique<fakes::StoreFake>(); }
-
-    void teardown() override
-    {
-        gateway.reset();
-        targets.clear();
-        store.reset();
-    }
-
     /// Answers /read/ at once, and everything else without an end at a few megabytes a second.
     void serve(TargetCall & request)
     {
@@ -49,16 +36,11 @@
         request.closeConnection();
     }
 
-    void start(std::size_t targetCount, const RunningGatewayOptions& options)
+    Running startWith(std::size_t targetCount, const RunningGatewayOptions& options)
     {
-        for (std::size_t i = 0; i < targetCount; ++i) {
-            targets.push_back(std::make_unique<TargetFake>([this](TargetCall& request) { serve(request); }));
-            store->put("servers", "t" + std::to_string(i + 1),
-                R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(targets[i]->port()) + R"(","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1700000000000})");
-        }
-        store->put("op", "config", documentOfVersion(1));
-        gateway = std::make_unique<RunningGateway>(store->port(), options);
-        CHECK(eventually([&] { return gateway->readiness() == 200; }));
+        for (std::size_t i = 0; i < targetCount; ++i)
+            addTarget([this](TargetCall& request) { serve(request); }, { .slots = 8 });
+        return start(options);
     }
 
     std::string requestText(const std::string& path, int number)
@@ -67,13 +49,6 @@
             + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n";
     }
 
-    std::string metricsText()
-    {
-        RawConnection connection(gateway->metricsPort());
-        connection.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
-        return connection.readAnswer();
-    }
-
     double metricValue(const std::string& name)
     {
         std::string metrics = metricsText();
@@ -83,9 +58,7 @@
 
     std::string statusOfCall(const std::string& path, int number)
     {
-        RawConnection connection(gateway->callerPort());
-        connection.send(requestText(path, number));
-        return statusOf(connection.readAnswer());
+        return statusOf(answerTo(requestText(path, number)));
     }
 };
 
@@ -93,7 +66,7 @@
 TEST(GatewayMemory, answersWithoutEndOfManyTargetsTakeBoundedMemoryTogether)
 {
     constexpr int endlessCount = 12;
-    start(3, { .memoryBytes = 16 * megabyte });
+    auto running = startWith(3, { .memoryBytes = 16 * megabyte });
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (int i = 0; i < endlessCount; ++i) {
         callers.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
@@ -121,6 +94,7 @@
         request.closeConnection();
     }));
     gateway = std::make_unique<RunningGateway>(targets[0]->port());
+    auto running = endWithBody();
     CHECK(eventually([&] { return ended > 0; }));
     CHECK(written < maxBytes / 2);
 }
@@ -130,7 +104,7 @@
 {
     constexpr int callerCount = 12;
     constexpr std::size_t bodyBytes = megabyte;
-    start(1, { .memoryBytes = 16 * megabyte });
+    auto running = startWith(1, { .memoryBytes = 16 * megabyte });
     std::vector<std::unique_ptr<RawConnection>> callers;
     const std::string almostAll(bodyBytes - 1, 'x');
     for (int i = 0; i < callerCount; ++i) {
@@ -165,7 +139,7 @@
 {
     constexpr int callerCount = 150;
     constexpr int limit = 102; // Three quarters of what 400 descriptors leave.
-    start(1, { .maxDescriptors = 400 });
+    auto running = startWith(1, { .maxDescriptors = 400 });
     std::vector<std::unique_ptr<RawConnection>> callers;
     for (int i = 0; i < callerCount; ++i) {
         callers.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
