--- a/include/limpetpond/Ids.h
+++ b/include/limpetpond/Ids.h
@@ -66,6 +66,9 @@
 using LeaseId = StringId<struct LeaseIdTag>;
 using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
 
+/// The version of the software that a target runs.
+using TargetVersion = StringId<struct TargetVersionTag>;
+
 /// A request of a caller, whatever number of attempts it takes; unique across all instances.
 using RequestId = StringId<struct RequestIdTag>;
 
--- /dev/null
+++ b/src/core/Rollout.h
@@ -0,0 +1,86 @@
+#pragma once
+
+/// What all instances agree on about one rollout: the order, the phase that it is in, and who moves it on.
+///
+/// Load pattern: the targets of a pool are replaced by ones of a new version while full traffic goes on. The new version may
+/// fail or be slow, so that only a small share of the requests reaches it before it is known to be sound, and the old targets
+/// stop at once when it is.
+///
+/// One instance, the holder, moves the rollout on by conditional writes of one row. What it has written spreads by updates
+/// between instances. A position only ever advances: final phases win, then higher generations, then later phases. So lost,
+/// repeated and reordered updates do no harm, and a holder that was replaced is ignored.
+
+#include "core/TableVersion.h"
+#include "limpetpond/Clock.h"
+#include "limpetpond/Ids.h"
+#include <cstdint>
+#include <optional>
+
+namespace limpetpond {
+
+/// An operator's request to move a pool's traffic to targets of a version.
+struct RolloutOrder {
+    TableVersion id; ///< The store's version of the order's row; a higher one replaces the rollout in progress.
+    PoolId pool;
+    TargetVersion to;
+    Duration time { 0 }; ///< From the order to the time by which it has to be decided.
+};
+
+enum class RolloutPhase {
+    NotStarted, ///< Nobody has taken the order up; the old versions get all requests.
+    Sample, ///< A few requests go to a few targets of the new version.
+    Load, ///< As many as the limit allows, so that these targets work under load.
+    Switch, ///< All requests go to the new version; those at old targets end.
+    Succeeded, ///< Final: the old targets stop.
+    RolledBack, ///< Final: the new targets stop.
+};
+
+constexpr bool isFinal(RolloutPhase phase) { return phase >= RolloutPhase::Succeeded; }
+
+/// How far a rollout has got.
+struct RolloutPosition {
+    std::uint64_t generation { 0 }; ///< Raised by each instance that becomes the holder; 0 for none.
+    RolloutPhase phase { RolloutPhase::NotStarted };
+    bool isStopped { false }; ///< The new version has been found bad and gets no request; `RolledBack` follows when the store takes it.
+    bool operator==(const RolloutPosition&) const = default;
+};
+
+/// The later one of two positions of the same order.
+///
+///     position = laterPosition(position, update.position);
+RolloutPosition laterPosition(const RolloutPosition&, const RolloutPosition&);
+
+/// Limits on what a version that may be bad gets.
+struct RolloutLimits {
+    double exposedShare { 0.1 }; ///< Of the pool's requests between the order and its deadline, over all instances.
+    double exposedSlack { 50 }; ///< Requests beyond that share.
+    Duration stopTime { std::chrono::seconds(5) }; ///< In which the version gets no more requests after many bad answers.
+};
+
+/// One rollout as an instance knows it.
+struct Rollout {
+    RolloutOrder order;
+    SteadyTime orderedAt; ///< When this instance learned of the order.
+    RolloutPosition position;
+    SteadyTime heardAt; ///< When the holder was last known to hold the rollout; see `recordBeat()`.
+    int members { 1 }; ///< The most instances that were live at once since the order, with this one.
+
+    SteadyTime deadline() const { return orderedAt + order.time; }
+};
+
+/// Records that the holder of this generation held the rollout so long ago, by the update of any instance. A holder that
+/// was replaced since is ignored.
+void recordBeat(Rollout&, std::uint64_t generation, Duration age, SteadyTime now);
+
+/// Whether this instance may send requests to the pool's targets. Without a word of the holder for some seconds it may only
+/// while it hears most members: nobody else can then end the rollout, as this takes a majority too. Others may have ended it
+/// otherwise, and old targets stop without a notice.
+///
+///     if (!mayUsePool(rollout, peers + 1, now))
+///         refuse("rollout_unknown");
+bool mayUsePool(const Rollout&, int liveInstances, SteadyTime now);
+
+/// After this time without a word of the holder, an instance that doesn't hear most members sends nothing to the pool.
+inline constexpr Duration rolloutLease = std::chrono::seconds(3);
+
+} // namespace limpetpond
