--- a/src/core/ServingSettings.h
+++ b/src/core/ServingSettings.h
@@ -93,6 +93,7 @@
     Milliseconds warmUpLeft { 0 }; ///< Remaining time after its start in which it is slow.
     std::uint64_t sequence { 0 }; ///< Increases with each entry of one incarnation.
     std::int64_t startedAt { 0 }; ///< Start time in Unix milliseconds; identifies the incarnation.
+    TargetVersion version; ///< Of the software that it runs; empty where the entry names none.
 };
 
 } // namespace limpetpond
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -378,6 +378,934 @@
 }
 
 
+RolloutAnswers::~RolloutAnswers() noexcept {
+}
+
+
+void RolloutAnswers::__set_route(const int32_t val) {
+  this->route = val;
+}
+
+void RolloutAnswers::__set_target(const int32_t val) {
+  this->target = val;
+}
+
+void RolloutAnswers::__set_answers(const int32_t val) {
+  this->answers = val;
+}
+
+void RolloutAnswers::__set_failures(const int32_t val) {
+  this->failures = val;
+}
+
+void RolloutAnswers::__set_slow(const int32_t val) {
+  this->slow = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutAnswers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutAnswers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answers);
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->failures);
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slow);
+          this->__isset.slow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutAnswers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutAnswers");
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->answers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->slow);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutAnswers &a, RolloutAnswers &b) {
+  using ::std::swap;
+  swap(a.route, b.route);
+  swap(a.target, b.target);
+  swap(a.answers, b.answers);
+  swap(a.failures, b.failures);
+  swap(a.slow, b.slow);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutAnswers::RolloutAnswers(const RolloutAnswers& other16) noexcept {
+  route = other16.route;
+  target = other16.target;
+  answers = other16.answers;
+  failures = other16.failures;
+  slow = other16.slow;
+  __isset = other16.__isset;
+}
+RolloutAnswers& RolloutAnswers::operator=(const RolloutAnswers& other17) noexcept {
+  route = other17.route;
+  target = other17.target;
+  answers = other17.answers;
+  failures = other17.failures;
+  slow = other17.slow;
+  __isset = other17.__isset;
+  return *this;
+}
+void RolloutAnswers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutAnswers(";
+  out << "route=" << to_string(route);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "slow=" << to_string(slow);
+  out << ")";
+}
+
+
+RolloutNews::~RolloutNews() noexcept {
+}
+
+
+void RolloutNews::__set_pool(const int32_t val) {
+  this->pool = val;
+}
+
+void RolloutNews::__set_orderEpoch(const int64_t val) {
+  this->orderEpoch = val;
+}
+
+void RolloutNews::__set_orderNumber(const int64_t val) {
+  this->orderNumber = val;
+}
+
+void RolloutNews::__set_to(const std::string& val) {
+  this->to = val;
+}
+
+void RolloutNews::__set_orderTime(const int64_t val) {
+  this->orderTime = val;
+}
+
+void RolloutNews::__set_orderAge(const int64_t val) {
+  this->orderAge = val;
+}
+
+void RolloutNews::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void RolloutNews::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void RolloutNews::__set_stopped(const bool val) {
+  this->stopped = val;
+}
+
+void RolloutNews::__set_beatAge(const int64_t val) {
+  this->beatAge = val;
+}
+
+void RolloutNews::__set_oldInProgress(const int32_t val) {
+  this->oldInProgress = val;
+}
+
+void RolloutNews::__set_answers(const std::vector<RolloutAnswers> & val) {
+  this->answers = val;
+}
+std::ostream& operator<<(std::ostream& out, const RolloutNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RolloutNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderEpoch);
+          this->__isset.orderEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderNumber);
+          this->__isset.orderNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          this->__isset.to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderTime);
+          this->__isset.orderTime = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderAge);
+          this->__isset.orderAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->beatAge);
+          this->__isset.beatAge = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->oldInProgress);
+          this->__isset.oldInProgress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->answers.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->answers[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RolloutNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RolloutNews");
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderEpoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->orderEpoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderNumber", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->orderNumber);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderTime", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->orderTime);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderAge", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->orderAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("beatAge", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->beatAge);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("oldInProgress", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->oldInProgress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<RolloutAnswers> ::const_iterator _iter23;
+    for (_iter23 = this->answers.begin(); _iter23 != this->answers.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RolloutNews &a, RolloutNews &b) {
+  using ::std::swap;
+  swap(a.pool, b.pool);
+  swap(a.orderEpoch, b.orderEpoch);
+  swap(a.orderNumber, b.orderNumber);
+  swap(a.to, b.to);
+  swap(a.orderTime, b.orderTime);
+  swap(a.orderAge, b.orderAge);
+  swap(a.generation, b.generation);
+  swap(a.phase, b.phase);
+  swap(a.stopped, b.stopped);
+  swap(a.beatAge, b.beatAge);
+  swap(a.oldInProgress, b.oldInProgress);
+  swap(a.answers, b.answers);
+  swap(a.__isset, b.__isset);
+}
+
+RolloutNews::RolloutNews(const RolloutNews& other24) {
+  pool = other24.pool;
+  orderEpoch = other24.orderEpoch;
+  orderNumber = other24.orderNumber;
+  to = other24.to;
+  orderTime = other24.orderTime;
+  orderAge = other24.orderAge;
+  generation = other24.generation;
+  phase = other24.phase;
+  stopped = other24.stopped;
+  beatAge = other24.beatAge;
+  oldInProgress = other24.oldInProgress;
+  answers = other24.answers;
+  __isset = other24.__isset;
+}
+RolloutNews& RolloutNews::operator=(const RolloutNews& other25) {
+  pool = other25.pool;
+  orderEpoch = other25.orderEpoch;
+  orderNumber = other25.orderNumber;
+  to = other25.to;
+  orderTime = other25.orderTime;
+  orderAge = other25.orderAge;
+  generation = other25.generation;
+  phase = other25.phase;
+  stopped = other25.stopped;
+  beatAge = other25.beatAge;
+  oldInProgress = other25.oldInProgress;
+  answers = other25.answers;
+  __isset = other25.__isset;
+  return *this;
+}
+void RolloutNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RolloutNews(";
+  out << "pool=" << to_string(pool);
+  out << ", " << "orderEpoch=" << to_string(orderEpoch);
+  out << ", " << "orderNumber=" << to_string(orderNumber);
+  out << ", " << "to=" << to_string(to);
+  out << ", " << "orderTime=" << to_string(orderTime);
+  out << ", " << "orderAge=" << to_string(orderAge);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "beatAge=" << to_string(beatAge);
+  out << ", " << "oldInProgress=" << to_string(oldInProgress);
+  out << ", " << "answers=" << to_string(answers);
+  out << ")";
+}
+
+
+StoredRollout::~StoredRollout() noexcept {
+}
+
+
+void StoredRollout::__set_orderEpoch(const int64_t val) {
+  this->orderEpoch = val;
+}
+
+void StoredRollout::__set_orderNumber(const int64_t val) {
+  this->orderNumber = val;
+}
+
+void StoredRollout::__set_to(const std::string& val) {
+  this->to = val;
+}
+
+void StoredRollout::__set_orderTime(const int64_t val) {
+  this->orderTime = val;
+}
+
+void StoredRollout::__set_orderedAt(const int64_t val) {
+  this->orderedAt = val;
+}
+
+void StoredRollout::__set_generation(const int64_t val) {
+  this->generation = val;
+}
+
+void StoredRollout::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void StoredRollout::__set_stopped(const bool val) {
+  this->stopped = val;
+}
+
+void StoredRollout::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+
+void StoredRollout::__set_holderIncarnation(const int64_t val) {
+  this->holderIncarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoredRollout& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoredRollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderEpoch);
+          this->__isset.orderEpoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderNumber);
+          this->__isset.orderNumber = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          this->__isset.to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderTime);
+          this->__isset.orderTime = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->orderedAt);
+          this->__isset.orderedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->holderIncarnation);
+          this->__isset.holderIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoredRollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoredRollout");
+
+  xfer += oprot->writeFieldBegin("orderEpoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->orderEpoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderNumber", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->orderNumber);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderTime", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->orderTime);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orderedAt", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->orderedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holderIncarnation", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->holderIncarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoredRollout &a, StoredRollout &b) {
+  using ::std::swap;
+  swap(a.orderEpoch, b.orderEpoch);
+  swap(a.orderNumber, b.orderNumber);
+  swap(a.to, b.to);
+  swap(a.orderTime, b.orderTime);
+  swap(a.orderedAt, b.orderedAt);
+  swap(a.generation, b.generation);
+  swap(a.phase, b.phase);
+  swap(a.stopped, b.stopped);
+  swap(a.holder, b.holder);
+  swap(a.holderIncarnation, b.holderIncarnation);
+  swap(a.__isset, b.__isset);
+}
+
+StoredRollout::StoredRollout(const StoredRollout& other26) {
+  orderEpoch = other26.orderEpoch;
+  orderNumber = other26.orderNumber;
+  to = other26.to;
+  orderTime = other26.orderTime;
+  orderedAt = other26.orderedAt;
+  generation = other26.generation;
+  phase = other26.phase;
+  stopped = other26.stopped;
+  holder = other26.holder;
+  holderIncarnation = other26.holderIncarnation;
+  __isset = other26.__isset;
+}
+StoredRollout& StoredRollout::operator=(const StoredRollout& other27) {
+  orderEpoch = other27.orderEpoch;
+  orderNumber = other27.orderNumber;
+  to = other27.to;
+  orderTime = other27.orderTime;
+  orderedAt = other27.orderedAt;
+  generation = other27.generation;
+  phase = other27.phase;
+  stopped = other27.stopped;
+  holder = other27.holder;
+  holderIncarnation = other27.holderIncarnation;
+  __isset = other27.__isset;
+  return *this;
+}
+void StoredRollout::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoredRollout(";
+  out << "orderEpoch=" << to_string(orderEpoch);
+  out << ", " << "orderNumber=" << to_string(orderNumber);
+  out << ", " << "to=" << to_string(to);
+  out << ", " << "orderTime=" << to_string(orderTime);
+  out << ", " << "orderedAt=" << to_string(orderedAt);
+  out << ", " << "generation=" << to_string(generation);
+  out << ", " << "phase=" << to_string(phase);
+  out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "holder=" << to_string(holder);
+  out << ", " << "holderIncarnation=" << to_string(holderIncarnation);
+  out << ")";
+}
+
+
+StoredVersions::~StoredVersions() noexcept {
+}
+
+
+void StoredVersions::__set_established(const std::vector<std::string> & val) {
+  this->established = val;
+}
+
+void StoredVersions::__set_excluded(const std::vector<std::string> & val) {
+  this->excluded = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoredVersions& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoredVersions::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->established.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->established.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += iprot->readString(this->established[_i32]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.established = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->excluded.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->excluded.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += iprot->readString(this->excluded[_i37]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.excluded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoredVersions::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoredVersions");
+
+  xfer += oprot->writeFieldBegin("established", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->established.size()));
+    std::vector<std::string> ::const_iterator _iter38;
+    for (_iter38 = this->established.begin(); _iter38 != this->established.end(); ++_iter38)
+    {
+      xfer += oprot->writeString((*_iter38));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("excluded", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded.size()));
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->excluded.begin(); _iter39 != this->excluded.end(); ++_iter39)
+    {
+      xfer += oprot->writeString((*_iter39));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoredVersions &a, StoredVersions &b) {
+  using ::std::swap;
+  swap(a.established, b.established);
+  swap(a.excluded, b.excluded);
+  swap(a.__isset, b.__isset);
+}
+
+StoredVersions::StoredVersions(const StoredVersions& other40) {
+  established = other40.established;
+  excluded = other40.excluded;
+  __isset = other40.__isset;
+}
+StoredVersions& StoredVersions::operator=(const StoredVersions& other41) {
+  established = other41.established;
+  excluded = other41.excluded;
+  __isset = other41.__isset;
+  return *this;
+}
+void StoredVersions::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoredVersions(";
+  out << "established=" << to_string(established);
+  out << ", " << "excluded=" << to_string(excluded);
+  out << ")";
+}
+
+
 InstanceNews::~InstanceNews() noexcept {
 }
 
@@ -475,6 +1403,11 @@
   this->storeCheckAge = val;
 __isset.storeCheckAge = true;
 }
+
+void InstanceNews::__set_rollouts(const std::vector<RolloutNews> & val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceNews& obj)
 {
   obj.printTo(out);
@@ -539,14 +1472,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->targets.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->targets.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += iprot->readI32(this->targets[_i20]);
+              xfer += iprot->readI32(this->targets[_i46]);
             }
             xfer += iprot->readListEnd();
           }
@@ -559,14 +1492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->inProgress.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->inProgress.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->inProgress.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += iprot->readI16(this->inProgress[_i25]);
+              xfer += iprot->readI16(this->inProgress[_i51]);
             }
             xfer += iprot->readListEnd();
           }
@@ -579,14 +1512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->accounts.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->accounts.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += iprot->readI32(this->accounts[_i30]);
+              xfer += iprot->readI32(this->accounts[_i56]);
             }
             xfer += iprot->readListEnd();
           }
@@ -599,14 +1532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admitted.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->admitted.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->admitted.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readI64(this->admitted[_i35]);
+              xfer += iprot->readI64(this->admitted[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -635,14 +1568,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->closedTargets.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->closedTargets.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->closedTargets.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += iprot->readI32(this->closedTargets[_i40]);
+              xfer += iprot->readI32(this->closedTargets[_i66]);
             }
             xfer += iprot->readListEnd();
           }
@@ -655,14 +1588,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waitingPools.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->waitingPools.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->waitingPools.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += iprot->readI32(this->waitingPools[_i45]);
+              xfer += iprot->readI32(this->waitingPools[_i71]);
             }
             xfer += iprot->readListEnd();
           }
@@ -675,14 +1608,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->demands.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->demands.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += iprot->readI32(this->demands[_i50]);
+              xfer += iprot->readI32(this->demands[_i76]);
             }
             xfer += iprot->readListEnd();
           }
@@ -711,14 +1644,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->activePools.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->activePools.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->activePools.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readI32(this->activePools[_i55]);
+              xfer += iprot->readI32(this->activePools[_i81]);
             }
             xfer += iprot->readListEnd();
           }
@@ -731,14 +1664,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->arrivals.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->arrivals.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->arrivals.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readI32(this->arrivals[_i60]);
+              xfer += iprot->readI32(this->arrivals[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -751,14 +1684,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspectParts.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->suspectParts.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->suspectParts.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->suspectParts[_i65].read(iprot);
+              xfer += this->suspectParts[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -771,14 +1704,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limitedTargets.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->limitedTargets.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->limitedTargets.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readI32(this->limitedTargets[_i70]);
+              xfer += iprot->readI32(this->limitedTargets[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -791,14 +1724,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rateLimits.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->rateLimits.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->rateLimits.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readI32(this->rateLimits[_i75]);
+              xfer += iprot->readI32(this->rateLimits[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -811,14 +1744,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limitAges.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->limitAges.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->limitAges.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += iprot->readI32(this->limitAges[_i80]);
+              xfer += iprot->readI32(this->limitAges[_i106]);
             }
             xfer += iprot->readListEnd();
           }
@@ -843,6 +1776,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rollouts.clear();
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->rollouts.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
+            {
+              xfer += this->rollouts[_i111].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -879,10 +1832,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->targets.size()));
-    std::vector<int32_t> ::const_iterator _iter81;
-    for (_iter81 = this->targets.begin(); _iter81 != this->targets.end(); ++_iter81)
+    std::vector<int32_t> ::const_iterator _iter112;
+    for (_iter112 = this->targets.begin(); _iter112 != this->targets.end(); ++_iter112)
     {
-      xfer += oprot->writeI32((*_iter81));
+      xfer += oprot->writeI32((*_iter112));
     }
     xfer += oprot->writeListEnd();
   }
@@ -891,10 +1844,10 @@
   xfer += oprot->writeFieldBegin("inProgress", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I16, static_cast<uint32_t>(this->inProgress.size()));
-    std::vector<int16_t> ::const_iterator _iter82;
-    for (_iter82 = this->inProgress.begin(); _iter82 != this->inProgress.end(); ++_iter82)
+    std::vector<int16_t> ::const_iterator _iter113;
+    for (_iter113 = this->inProgress.begin(); _iter113 != this->inProgress.end(); ++_iter113)
     {
-      xfer += oprot->writeI16((*_iter82));
+      xfer += oprot->writeI16((*_iter113));
     }
     xfer += oprot->writeListEnd();
   }
@@ -903,10 +1856,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int32_t> ::const_iterator _iter83;
-    for (_iter83 = this->accounts.begin(); _iter83 != this->accounts.end(); ++_iter83)
+    std::vector<int32_t> ::const_iterator _iter114;
+    for (_iter114 = this->accounts.begin(); _iter114 != this->accounts.end(); ++_iter114)
     {
-      xfer += oprot->writeI32((*_iter83));
+      xfer += oprot->writeI32((*_iter114));
     }
     xfer += oprot->writeListEnd();
   }
@@ -915,10 +1868,10 @@
   xfer += oprot->writeFieldBegin("admitted", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->admitted.size()));
-    std::vector<int64_t> ::const_iterator _iter84;
-    for (_iter84 = this->admitted.begin(); _iter84 != this->admitted.end(); ++_iter84)
+    std::vector<int64_t> ::const_iterator _iter115;
+    for (_iter115 = this->admitted.begin(); _iter115 != this->admitted.end(); ++_iter115)
     {
-      xfer += oprot->writeI64((*_iter84));
+      xfer += oprot->writeI64((*_iter115));
     }
     xfer += oprot->writeListEnd();
   }
@@ -935,10 +1888,10 @@
   xfer += oprot->writeFieldBegin("closedTargets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->closedTargets.size()));
-    std::vector<int32_t> ::const_iterator _iter85;
-    for (_iter85 = this->closedTargets.begin(); _iter85 != this->closedTargets.end(); ++_iter85)
+    std::vector<int32_t> ::const_iterator _iter116;
+    for (_iter116 = this->closedTargets.begin(); _iter116 != this->closedTargets.end(); ++_iter116)
     {
-      xfer += oprot->writeI32((*_iter85));
+      xfer += oprot->writeI32((*_iter116));
     }
     xfer += oprot->writeListEnd();
   }
@@ -947,10 +1900,10 @@
   xfer += oprot->writeFieldBegin("waitingPools", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->waitingPools.size()));
-    std::vector<int32_t> ::const_iterator _iter86;
-    for (_iter86 = this->waitingPools.begin(); _iter86 != this->waitingPools.end(); ++_iter86)
+    std::vector<int32_t> ::const_iterator _iter117;
+    for (_iter117 = this->waitingPools.begin(); _iter117 != this->waitingPools.end(); ++_iter117)
     {
-      xfer += oprot->writeI32((*_iter86));
+      xfer += oprot->writeI32((*_iter117));
     }
     xfer += oprot->writeListEnd();
   }
@@ -959,10 +1912,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->demands.size()));
-    std::vector<int32_t> ::const_iterator _iter87;
-    for (_iter87 = this->demands.begin(); _iter87 != this->demands.end(); ++_iter87)
+    std::vector<int32_t> ::const_iterator _iter118;
+    for (_iter118 = this->demands.begin(); _iter118 != this->demands.end(); ++_iter118)
     {
-      xfer += oprot->writeI32((*_iter87));
+      xfer += oprot->writeI32((*_iter118));
     }
     xfer += oprot->writeListEnd();
   }
@@ -979,10 +1932,10 @@
   xfer += oprot->writeFieldBegin("activePools", ::apache::thrift::protocol::T_LIST, 16);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->activePools.size()));
-    std::vector<int32_t> ::const_iterator _iter88;
-    for (_iter88 = this->activePools.begin(); _iter88 != this->activePools.end(); ++_iter88)
+    std::vector<int32_t> ::const_iterator _iter119;
+    for (_iter119 = this->activePools.begin(); _iter119 != this->activePools.end(); ++_iter119)
     {
-      xfer += oprot->writeI32((*_iter88));
+      xfer += oprot->writeI32((*_iter119));
     }
     xfer += oprot->writeListEnd();
   }
@@ -991,10 +1944,10 @@
   xfer += oprot->writeFieldBegin("arrivals", ::apache::thrift::protocol::T_LIST, 17);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->arrivals.size()));
-    std::vector<int32_t> ::const_iterator _iter89;
-    for (_iter89 = this->arrivals.begin(); _iter89 != this->arrivals.end(); ++_iter89)
+    std::vector<int32_t> ::const_iterator _iter120;
+    for (_iter120 = this->arrivals.begin(); _iter120 != this->arrivals.end(); ++_iter120)
     {
-      xfer += oprot->writeI32((*_iter89));
+      xfer += oprot->writeI32((*_iter120));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1003,10 +1956,10 @@
   xfer += oprot->writeFieldBegin("suspectParts", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspectParts.size()));
-    std::vector<SuspectPart> ::const_iterator _iter90;
-    for (_iter90 = this->suspectParts.begin(); _iter90 != this->suspectParts.end(); ++_iter90)
+    std::vector<SuspectPart> ::const_iterator _iter121;
+    for (_iter121 = this->suspectParts.begin(); _iter121 != this->suspectParts.end(); ++_iter121)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1015,10 +1968,10 @@
   xfer += oprot->writeFieldBegin("limitedTargets", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitedTargets.size()));
-    std::vector<int32_t> ::const_iterator _iter91;
-    for (_iter91 = this->limitedTargets.begin(); _iter91 != this->limitedTargets.end(); ++_iter91)
+    std::vector<int32_t> ::const_iterator _iter122;
+    for (_iter122 = this->limitedTargets.begin(); _iter122 != this->limitedTargets.end(); ++_iter122)
     {
-      xfer += oprot->writeI32((*_iter91));
+      xfer += oprot->writeI32((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1027,10 +1980,10 @@
   xfer += oprot->writeFieldBegin("rateLimits", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->rateLimits.size()));
-    std::vector<int32_t> ::const_iterator _iter92;
-    for (_iter92 = this->rateLimits.begin(); _iter92 != this->rateLimits.end(); ++_iter92)
+    std::vector<int32_t> ::const_iterator _iter123;
+    for (_iter123 = this->rateLimits.begin(); _iter123 != this->rateLimits.end(); ++_iter123)
     {
-      xfer += oprot->writeI32((*_iter92));
+      xfer += oprot->writeI32((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1039,10 +1992,10 @@
   xfer += oprot->writeFieldBegin("limitAges", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->limitAges.size()));
-    std::vector<int32_t> ::const_iterator _iter93;
-    for (_iter93 = this->limitAges.begin(); _iter93 != this->limitAges.end(); ++_iter93)
+    std::vector<int32_t> ::const_iterator _iter124;
+    for (_iter124 = this->limitAges.begin(); _iter124 != this->limitAges.end(); ++_iter124)
     {
-      xfer += oprot->writeI32((*_iter93));
+      xfer += oprot->writeI32((*_iter124));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1058,6 +2011,19 @@
     xfer += oprot->writeI32(this->storeCheckAge);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 24);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+      std::vector<RolloutNews> ::const_iterator _iter125;
+      for (_iter125 = this->rollouts.begin(); _iter125 != this->rollouts.end(); ++_iter125)
+      {
+        xfer += (*_iter125).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1088,60 +2054,63 @@
   swap(a.limitAges, b.limitAges);
   swap(a.targetsEpoch, b.targetsEpoch);
   swap(a.storeCheckAge, b.storeCheckAge);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
-InstanceNews::InstanceNews(const InstanceNews& other94) {
-  instance = other94.instance;
-  incarnation = other94.incarnation;
-  sequence = other94.sequence;
-  settingsVersion = other94.settingsVersion;
-  targets = other94.targets;
-  inProgress = other94.inProgress;
-  accounts = other94.accounts;
-  admitted = other94.admitted;
-  leaving = other94.leaving;
-  failureDomain = other94.failureDomain;
-  closedTargets = other94.closedTargets;
-  waitingPools = other94.waitingPools;
-  demands = other94.demands;
-  targetsVersion = other94.targetsVersion;
-  readsTargets = other94.readsTargets;
-  activePools = other94.activePools;
-  arrivals = other94.arrivals;
-  suspectParts = other94.suspectParts;
-  limitedTargets = other94.limitedTargets;
-  rateLimits = other94.rateLimits;
-  limitAges = other94.limitAges;
-  targetsEpoch = other94.targetsEpoch;
-  storeCheckAge = other94.storeCheckAge;
-  __isset = other94.__isset;
-}
-InstanceNews& InstanceNews::operator=(const InstanceNews& other95) {
-  instance = other95.instance;
-  incarnation = other95.incarnation;
-  sequence = other95.sequence;
-  settingsVersion = other95.settingsVersion;
-  targets = other95.targets;
-  inProgress = other95.inProgress;
-  accounts = other95.accounts;
-  admitted = other95.admitted;
-  leaving = other95.leaving;
-  failureDomain = other95.failureDomain;
-  closedTargets = other95.closedTargets;
-  waitingPools = other95.waitingPools;
-  demands = other95.demands;
-  targetsVersion = other95.targetsVersion;
-  readsTargets = other95.readsTargets;
-  activePools = other95.activePools;
-  arrivals = other95.arrivals;
-  suspectParts = other95.suspectParts;
-  limitedTargets = other95.limitedTargets;
-  rateLimits = other95.rateLimits;
-  limitAges = other95.limitAges;
-  targetsEpoch = other95.targetsEpoch;
-  storeCheckAge = other95.storeCheckAge;
-  __isset = other95.__isset;
+InstanceNews::InstanceNews(const InstanceNews& other126) {
+  instance = other126.instance;
+  incarnation = other126.incarnation;
+  sequence = other126.sequence;
+  settingsVersion = other126.settingsVersion;
+  targets = other126.targets;
+  inProgress = other126.inProgress;
+  accounts = other126.accounts;
+  admitted = other126.admitted;
+  leaving = other126.leaving;
+  failureDomain = other126.failureDomain;
+  closedTargets = other126.closedTargets;
+  waitingPools = other126.waitingPools;
+  demands = other126.demands;
+  targetsVersion = other126.targetsVersion;
+  readsTargets = other126.readsTargets;
+  activePools = other126.activePools;
+  arrivals = other126.arrivals;
+  suspectParts = other126.suspectParts;
+  limitedTargets = other126.limitedTargets;
+  rateLimits = other126.rateLimits;
+  limitAges = other126.limitAges;
+  targetsEpoch = other126.targetsEpoch;
+  storeCheckAge = other126.storeCheckAge;
+  rollouts = other126.rollouts;
+  __isset = other126.__isset;
+}
+InstanceNews& InstanceNews::operator=(const InstanceNews& other127) {
+  instance = other127.instance;
+  incarnation = other127.incarnation;
+  sequence = other127.sequence;
+  settingsVersion = other127.settingsVersion;
+  targets = other127.targets;
+  inProgress = other127.inProgress;
+  accounts = other127.accounts;
+  admitted = other127.admitted;
+  leaving = other127.leaving;
+  failureDomain = other127.failureDomain;
+  closedTargets = other127.closedTargets;
+  waitingPools = other127.waitingPools;
+  demands = other127.demands;
+  targetsVersion = other127.targetsVersion;
+  readsTargets = other127.readsTargets;
+  activePools = other127.activePools;
+  arrivals = other127.arrivals;
+  suspectParts = other127.suspectParts;
+  limitedTargets = other127.limitedTargets;
+  rateLimits = other127.rateLimits;
+  limitAges = other127.limitAges;
+  targetsEpoch = other127.targetsEpoch;
+  storeCheckAge = other127.storeCheckAge;
+  rollouts = other127.rollouts;
+  __isset = other127.__isset;
   return *this;
 }
 void InstanceNews::printTo(std::ostream& out) const {
@@ -1170,6 +2139,7 @@
   out << ", " << "limitAges=" << to_string(limitAges);
   out << ", " << "targetsEpoch="; (__isset.targetsEpoch ? (out << to_string(targetsEpoch)) : (out << "<null>"));
   out << ", " << "storeCheckAge="; (__isset.storeCheckAge ? (out << to_string(storeCheckAge)) : (out << "<null>"));
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -25,6 +25,14 @@
 
 class StoredSuspectPart;
 
+class RolloutAnswers;
+
+class RolloutNews;
+
+class StoredRollout;
+
+class StoredVersions;
+
 class InstanceNews;
 
 typedef struct _SuspectPart__isset {
@@ -159,8 +167,352 @@
 
 std::ostream& operator<<(std::ostream& out, const StoredSuspectPart& obj);
 
+typedef struct _RolloutAnswers__isset {
+  _RolloutAnswers__isset() : route(false), target(false), answers(false), failures(false), slow(false) {}
+  bool route :1;
+  bool target :1;
+  bool answers :1;
+  bool failures :1;
+  bool slow :1;
+} _RolloutAnswers__isset;
+
+class RolloutAnswers : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutAnswers(const RolloutAnswers&) noexcept;
+  RolloutAnswers& operator=(const RolloutAnswers&) noexcept;
+  RolloutAnswers() noexcept
+                 : route(0),
+                   target(0),
+                   answers(0),
+                   failures(0),
+                   slow(0) {
+  }
+
+  virtual ~RolloutAnswers() noexcept;
+  int32_t route;
+  int32_t target;
+  int32_t answers;
+  int32_t failures;
+  int32_t slow;
+
+  _RolloutAnswers__isset __isset;
+
+  void __set_route(const int32_t val);
+
+  void __set_target(const int32_t val);
+
+  void __set_answers(const int32_t val);
+
+  void __set_failures(const int32_t val);
+
+  void __set_slow(const int32_t val);
+
+  bool operator == (const RolloutAnswers & rhs) const
+  {
+    if (!(route == rhs.route))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(slow == rhs.slow))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutAnswers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutAnswers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutAnswers &a, RolloutAnswers &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutAnswers& obj);
+
+typedef struct _RolloutNews__isset {
+  _RolloutNews__isset() : pool(false), orderEpoch(false), orderNumber(false), to(false), orderTime(false), orderAge(false), generation(false), phase(false), stopped(false), beatAge(false), oldInProgress(false), answers(false) {}
+  bool pool :1;
+  bool orderEpoch :1;
+  bool orderNumber :1;
+  bool to :1;
+  bool orderTime :1;
+  bool orderAge :1;
+  bool generation :1;
+  bool phase :1;
+  bool stopped :1;
+  bool beatAge :1;
+  bool oldInProgress :1;
+  bool answers :1;
+} _RolloutNews__isset;
+
+class RolloutNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  RolloutNews(const RolloutNews&);
+  RolloutNews& operator=(const RolloutNews&);
+  RolloutNews() noexcept
+              : pool(0),
+                orderEpoch(0),
+                orderNumber(0),
+                to(),
+                orderTime(0),
+                orderAge(0),
+                generation(0),
+                phase(0),
+                stopped(0),
+                beatAge(0),
+                oldInProgress(0) {
+  }
+
+  virtual ~RolloutNews() noexcept;
+  int32_t pool;
+  int64_t orderEpoch;
+  int64_t orderNumber;
+  std::string to;
+  int64_t orderTime;
+  int64_t orderAge;
+  int64_t generation;
+  int32_t phase;
+  bool stopped;
+  int64_t beatAge;
+  int32_t oldInProgress;
+  std::vector<RolloutAnswers>  answers;
+
+  _RolloutNews__isset __isset;
+
+  void __set_pool(const int32_t val);
+
+  void __set_orderEpoch(const int64_t val);
+
+  void __set_orderNumber(const int64_t val);
+
+  void __set_to(const std::string& val);
+
+  void __set_orderTime(const int64_t val);
+
+  void __set_orderAge(const int64_t val);
+
+  void __set_generation(const int64_t val);
+
+  void __set_phase(const int32_t val);
+
+  void __set_stopped(const bool val);
+
+  void __set_beatAge(const int64_t val);
+
+  void __set_oldInProgress(const int32_t val);
+
+  void __set_answers(const std::vector<RolloutAnswers> & val);
+
+  bool operator == (const RolloutNews & rhs) const
+  {
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(orderEpoch == rhs.orderEpoch))
+      return false;
+    if (!(orderNumber == rhs.orderNumber))
+      return false;
+    if (!(to == rhs.to))
+      return false;
+    if (!(orderTime == rhs.orderTime))
+      return false;
+    if (!(orderAge == rhs.orderAge))
+      return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(stopped == rhs.stopped))
+      return false;
+    if (!(beatAge == rhs.beatAge))
+      return false;
+    if (!(oldInProgress == rhs.oldInProgress))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    return true;
+  }
+  bool operator != (const RolloutNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RolloutNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RolloutNews &a, RolloutNews &b);
+
+std::ostream& operator<<(std::ostream& out, const RolloutNews& obj);
+
+typedef struct _StoredRollout__isset {
+  _StoredRollout__isset() : orderEpoch(false), orderNumber(false), to(false), orderTime(false), orderedAt(false), generation(false), phase(false), stopped(false), holder(false), holderIncarnation(false) {}
+  bool orderEpoch :1;
+  bool orderNumber :1;
+  bool to :1;
+  bool orderTime :1;
+  bool orderedAt :1;
+  bool generation :1;
+  bool phase :1;
+  bool stopped :1;
+  bool holder :1;
+  bool holderIncarnation :1;
+} _StoredRollout__isset;
+
+class StoredRollout : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoredRollout(const StoredRollout&);
+  StoredRollout& operator=(const StoredRollout&);
+  StoredRollout() noexcept
+                : orderEpoch(0),
+                  orderNumber(0),
+                  to(),
+                  orderTime(0),
+                  orderedAt(0),
+                  generation(0),
+                  phase(0),
+                  stopped(0),
+                  holder(),
+                  holderIncarnation(0) {
+  }
+
+  virtual ~StoredRollout() noexcept;
+  int64_t orderEpoch;
+  int64_t orderNumber;
+  std::string to;
+  int64_t orderTime;
+  int64_t orderedAt;
+  int64_t generation;
+  int32_t phase;
+  bool stopped;
+  std::string holder;
+  int64_t holderIncarnation;
+
+  _StoredRollout__isset __isset;
+
+  void __set_orderEpoch(const int64_t val);
+
+  void __set_orderNumber(const int64_t val);
+
+  void __set_to(const std::string& val);
+
+  void __set_orderTime(const int64_t val);
+
+  void __set_orderedAt(const int64_t val);
+
+  void __set_generation(const int64_t val);
+
+  void __set_phase(const int32_t val);
+
+  void __set_stopped(const bool val);
+
+  void __set_holder(const std::string& val);
+
+  void __set_holderIncarnation(const int64_t val);
+
+  bool operator == (const StoredRollout & rhs) const
+  {
+    if (!(orderEpoch == rhs.orderEpoch))
+      return false;
+    if (!(orderNumber == rhs.orderNumber))
+      return false;
+    if (!(to == rhs.to))
+      return false;
+    if (!(orderTime == rhs.orderTime))
+      return false;
+    if (!(orderedAt == rhs.orderedAt))
+      return false;
+    if (!(generation == rhs.generation))
+      return false;
+    if (!(phase == rhs.phase))
+      return false;
+    if (!(stopped == rhs.stopped))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    if (!(holderIncarnation == rhs.holderIncarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const StoredRollout &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoredRollout & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoredRollout &a, StoredRollout &b);
+
+std::ostream& operator<<(std::ostream& out, const StoredRollout& obj);
+
+typedef struct _StoredVersions__isset {
+  _StoredVersions__isset() : established(false), excluded(false) {}
+  bool established :1;
+  bool excluded :1;
+} _StoredVersions__isset;
+
+class StoredVersions : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoredVersions(const StoredVersions&);
+  StoredVersions& operator=(const StoredVersions&);
+  StoredVersions() noexcept {
+  }
+
+  virtual ~StoredVersions() noexcept;
+  std::vector<std::string>  established;
+  std::vector<std::string>  excluded;
+
+  _StoredVersions__isset __isset;
+
+  void __set_established(const std::vector<std::string> & val);
+
+  void __set_excluded(const std::vector<std::string> & val);
+
+  bool operator == (const StoredVersions & rhs) const
+  {
+    if (!(established == rhs.established))
+      return false;
+    if (!(excluded == rhs.excluded))
+      return false;
+    return true;
+  }
+  bool operator != (const StoredVersions &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoredVersions & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoredVersions &a, StoredVersions &b);
+
+std::ostream& operator<<(std::ostream& out, const StoredVersions& obj);
+
 typedef struct _InstanceNews__isset {
-  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false), activePools(false), arrivals(false), suspectParts(false), limitedTargets(false), rateLimits(false), limitAges(false), targetsEpoch(false), storeCheckAge(false) {}
+  _InstanceNews__isset() : instance(false), incarnation(false), sequence(false), settingsVersion(false), targets(false), inProgress(false), accounts(false), admitted(false), leaving(false), failureDomain(false), closedTargets(false), waitingPools(false), demands(false), targetsVersion(false), readsTargets(false), activePools(false), arrivals(false), suspectParts(false), limitedTargets(false), rateLimits(false), limitAges(false), targetsEpoch(false), storeCheckAge(false), rollouts(false) {}
   bool instance :1;
   bool incarnation :1;
   bool sequence :1;
@@ -184,6 +536,7 @@
   bool limitAges :1;
   bool targetsEpoch :1;
   bool storeCheckAge :1;
+  bool rollouts :1;
 } _InstanceNews__isset;
 
 class InstanceNews : public virtual ::apache::thrift::TBase {
@@ -228,6 +581,7 @@
   std::vector<int32_t>  limitAges;
   int64_t targetsEpoch;
   int32_t storeCheckAge;
+  std::vector<RolloutNews>  rollouts;
 
   _InstanceNews__isset __isset;
 
@@ -277,6 +631,8 @@
 
   void __set_storeCheckAge(const int32_t val);
 
+  void __set_rollouts(const std::vector<RolloutNews> & val);
+
   bool operator == (const InstanceNews & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -329,6 +685,10 @@
       return false;
     else if (__isset.storeCheckAge && !(storeCheckAge == rhs.storeCheckAge))
       return false;
+    if (__isset.rollouts != rhs.__isset.rollouts)
+      return false;
+    else if (__isset.rollouts && !(rollouts == rhs.rollouts))
+      return false;
     return true;
   }
   bool operator != (const InstanceNews &rhs) const {
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -20,6 +20,51 @@
   2: i64 writtenAt             // unix milliseconds
 }
 
+// Answers of one route that the sender has seen from one target of the new version, or from all of the old ones.
+struct RolloutAnswers {
+  1: i32 route                 // hash of the route's name
+  2: i32 target                // hash of the id of a target of the new version; 0 for all targets of old versions
+  3: i32 answers
+  4: i32 failures
+  5: i32 slow
+}
+
+// A rollout as the sender knows it.
+struct RolloutNews {
+  1: i32 pool                  // hash of the pool's id
+  2: i64 orderEpoch            // counts the restores of the store; of orderNumber
+  3: i64 orderNumber           // the store's version of the order's row
+  4: string to                 // the version that the order names
+  5: i64 orderTime             // milliseconds from the order to its deadline
+  6: i64 orderAge              // milliseconds since the sender learned of the order
+  7: i64 generation            // rises with each instance that becomes the holder; 0 for none
+  8: i32 phase                 // 0 not started, 1 sample, 2 load, 3 switch, 4 succeeded, 5 rolled back
+  9: bool stopped              // the new version gets no more requests
+  10: i64 beatAge              // milliseconds since the holder was last known to hold the rollout
+  11: i32 oldInProgress        // requests of the sender at targets of old versions
+  12: list<RolloutAnswers> answers // since the order
+}
+
+// A rollout's row in the platform's table.
+struct StoredRollout {
+  1: i64 orderEpoch
+  2: i64 orderNumber
+  3: string to
+  4: i64 orderTime             // milliseconds
+  5: i64 orderedAt             // unix milliseconds
+  6: i64 generation
+  7: i32 phase                 // as in RolloutNews
+  8: bool stopped
+  9: string holder             // the instance that wrote the row
+  10: i64 holderIncarnation    // unix milliseconds of its start
+}
+
+// The row with the versions of a pool's targets.
+struct StoredVersions {
+  1: list<string> established  // get requests
+  2: list<string> excluded     // were rolled back
+}
+
 struct InstanceNews {
   1: string instance
   2: i64 incarnation           // unix milliseconds of the sender's start
@@ -44,4 +89,5 @@
   21: list<i32> limitAges      // of each of them: milliseconds since the answer
   22: optional i64 targetsEpoch // counts the restores of the store from a copy, after which it gives out versions again; of targetsVersion
   23: optional i32 storeCheckAge // milliseconds since the store last answered a check of its newest version by the sender
+  24: optional list<RolloutNews> rollouts // only where the operator orders rollouts
 }
