Gateway: follow the operator's rollouts

A pool's targets are replaced by ones of a new version while requests go on, and the new version may be bad. Until now every target with an entry got requests, whatever its version.

Updates between instances carry the order itself, so that an instance without the store learns of it too. Which targets may be used is set when entries, orders or positions change, and not for each request.

Without the contract every call returns at once.

--- a/src/core/TargetSelection.cpp
+++ b/src/core/TargetSelection.cpp
@@ -111,6 +111,8 @@
         double slots = 0;
         int own = 0;
         for (const TargetState& target : targets) {
+            if (!target.isVersionAllowed)
+                continue; // The slots of a version that gets nothing would make the others look idle.
             peers += target.peersInProgress;
             slots += slotsOf(target);
             own += target.ownInProgress;
@@ -268,7 +270,7 @@
         return std::nullopt;
     std::array<Candidates, static_cast<std::size_t>(SpeedClass::Count)> candidates;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        if (!isSelectable(targets[i], now) || isAvoided(targets[i], input))
+        if (targets[i].isSample != input.usesSamples || !isSelectable(targets[i], now) || isAvoided(targets[i], input))
             continue;
         double promptTokens = tokensToRead(input, i);
         Candidates& speedClass = candidates[static_cast<std::size_t>(speedClassOf(targets[i], input, input.promptTokens, pool.meanMillisecondsPerUnit))];
@@ -317,13 +319,15 @@
     return std::clamp(toSeconds(serviceTime) / (fullWeightIntervals * toSeconds(updateInterval)), 0.0, 1.0);
 }
 
-bool isUsable(const TargetState& target)
+bool isLeaving(const TargetState& target)
 {
     if (target.entry.isDraining && !isGuardDisabled(GuardId::LeavingMarkRespected))
-        return false;
-    return !target.notice.isLeaving || isGuardDisabled(GuardId::LeavingAnswerRespected);
+        return true;
+    return target.notice.isLeaving && !isGuardDisabled(GuardId::LeavingAnswerRespected);
 }
 
+bool isUsable(const TargetState& target) { return target.isVersionAllowed && !isLeaving(target); }
+
 bool hasUsableTarget(const std::vector<TargetState>& targets) { return std::any_of(targets.begin(), targets.end(), isUsable); }
 
 } // namespace limpetpond
--- a/src/core/TargetSelection.h
+++ b/src/core/TargetSelection.h
@@ -43,6 +43,8 @@
     int ejectedByPeers { 0 }; ///< Number of peers that have ejected the target.
     TargetNotice notice; ///< What its answers to this instance have said.
     TargetRateLimit rateLimit; ///< Requests a second over all instances that the target states in its answers.
+    bool isVersionAllowed { true }; ///< False where targets of its version get no requests.
+    bool isSample { false }; ///< It gets only those requests that may reach a new version of which little is known.
     double ownConcurrencyLimit { 0 }; ///< Requests that this instance may have in progress at the target, adapted to its rejections; 0 for no limit.
 };
 
@@ -86,6 +88,7 @@
     std::optional<int> ownRequestsAllowed; ///< Requests of this instance that may be in progress in the pool; none for no limit.
     double peerUpdateWeight { 1 }; ///< Weight of peers' counts for single targets against the pool's mean, 0 to 1.
     std::vector<double> cachedTokens; ///< Tokens of the prompt that each target has in its cache, in the order of the targets; empty for unknown.
+    bool usesSamples { false }; ///< The request may reach sample targets only; otherwise it may reach all others.
     const std::vector<TargetId>* avoid { nullptr }; ///< Targets that were tried already; null for none.
 };
 
@@ -113,7 +116,10 @@
 ///     if (std::optional<SteadyTime> until = poolPausedUntil(targets, now)) refuseUntil(*until);
 std::optional<SteadyTime> poolPausedUntil(const std::vector<TargetState>&, SteadyTime now);
 
-/// Whether the target takes further requests at all: neither its entry nor one of its answers says that it leaves.
+/// Whether the target's entry or one of its answers says that it leaves.
+bool isLeaving(const TargetState&);
+
+/// Whether the target takes further requests at all: its version is allowed, and it doesn't leave.
 bool isUsable(const TargetState&);
 
 /// Whether the pool has at least one usable target.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -52,6 +52,12 @@
     , m_requestBodies(std::make_shared<BufferAccount>(BufferAccount { .limit = requestBodyLimit(boot.memoryBytes) }))
     , m_random(std::hash<std::string> {}(boot.instance.value()))
     , m_incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(clock.systemNow().time_since_epoch()).count()))
+    , m_rollouts(context, clock, m_pools, m_metrics, log,
+          { .self = boot.instance,
+              .incarnation = m_incarnation,
+              .store = parseEndpoint(boot.storeAddress).value_or(boost::asio::ip::tcp::endpoint()),
+              .isEnabled = boot.followsRollouts,
+              .limits = { .exposedShare = boot.exposedShare, .exposedSlack = boot.exposedSlack, .stopTime = boot.rollbackTime } })
     , m_idleCheckedAt(clock.steadyNow())
 {
 }
@@ -76,6 +82,7 @@
 void Gateway::onTargetsChanged()
 {
     m_metrics.targets.set(static_cast<std::int64_t>(m_pools.targets()));
+    m_rollouts.onTargetsChanged();
     for (auto& [id, pool] : m_pools.all())
         dispatchWaiting(pool);
 }
@@ -83,6 +90,7 @@
 void Gateway::applyPeerUpdate(const InstanceUpdate& update)
 {
     m_pools.setPeer(update.instance, loadReportOf(update));
+    m_rollouts.applyPeerUpdate(update);
     m_metrics.peers.set(m_pools.peers());
     SteadyTime now = m_clock.steadyNow();
     PeerNumber peer = m_peerNumbers.numberOf(update.instance, now);
@@ -136,6 +144,7 @@
                 update.closedTargets.push_back(pool.connections[i].hash);
         }
     }
+    m_rollouts.addReports(update, scope);
     for (auto& [account, quota] : m_quotas) {
         if (scope == ReportScope::Changes && quota.admittedHere == quota.reportedHere)
             continue;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/PeerUpdates.h"
 #include "gateway/Pools.h"
 #include "gateway/RateLimitedLog.h"
+#include "gateway/Rollouts.h"
 #include "platform/BootSettings.h"
 #include "traffic/HttpServerConnection.h"
 #include <boost/asio/io_context.hpp>
@@ -42,6 +43,8 @@
     const std::shared_ptr<const IndexedSettings>& settings() const { return m_settings; }
 
     Pools& pools() { return m_pools; }
+    Rollouts& rollouts() { return m_rollouts; }
+    const Rollouts& rollouts() const { return m_rollouts; }
     GatewayMetrics& metrics() { return m_metrics; }
     std::string metricsText() const { return m_metrics.registry.prometheusText(); }
 
@@ -119,6 +122,8 @@
     void admitOrRefuse(const std::shared_ptr<Exchange>&);
     /// Refuses the requests that wait for a pool whose targets all leave, or are paused for longer than they may wait.
     void refuseUnsendable(PoolState&, SteadyTime now);
+    /// Refuses the waiting requests of a pool that this instance may not use, but for those with a part of an answer.
+    void refuseHeld(PoolState&);
     RankedRequest waitingRequest(const Exchange&) const;
     TargetSelectionInput targetSelectionInput(const PoolState&, const Exchange&, const std::vector<TargetId>* avoid, SteadyTime now) const;
     std::optional<std::size_t> chooseTarget(const PoolState&, Exchange&, SteadyTime now) const;
@@ -188,6 +193,7 @@
     std::mt19937_64 m_random;
     WaitTicket m_lastTicket { 0 };
     std::uint64_t m_incarnation { 0 };
+    Rollouts m_rollouts;
     Duration m_updateInterval { std::chrono::milliseconds(100) };
     bool m_isShuttingDown { false };
     bool m_acceptsRequests { true };
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -166,6 +166,8 @@
     // The same target may have started again since.
     TargetState* target = m_pools.findTarget(attempt.target);
     bool isSameIncarnation = target && target->entry.startedAt == attempt.targetStartedAt;
+    bool asksForPause = target && exchange.answerStatus() == platform::unavailableStatus && isPaused(*target, now);
+    m_rollouts.recordEnd(exchange, end, asksForPause);
     if (isSameIncarnation) {
         if (end)
             recordAttemptEnd(*target, exchange, attempt, *end, now);
--- a/src/gateway/GatewayDispatch.cpp
+++ b/src/gateway/GatewayDispatch.cpp
@@ -49,7 +49,16 @@
 
 std::optional<std::size_t> Gateway::chooseTarget(const PoolState& pool, Exchange& exchange, SteadyTime now) const
 {
-    auto choose = [&](const std::vector<TargetId>* avoid) { return limpetpond::chooseTarget(pool.targets, targetSelectionInput(pool, exchange, avoid, now), now); };
+    bool triesSamplesFirst = m_rollouts.triesSamplesFirst(pool);
+    auto choose = [&](const std::vector<TargetId>* avoid) {
+        TargetSelectionInput input = targetSelectionInput(pool, exchange, avoid, now);
+        input.usesSamples = triesSamplesFirst;
+        std::optional<std::size_t> index = limpetpond::chooseTarget(pool.targets, input, now);
+        if (index || !triesSamplesFirst)
+            return index;
+        input.usesSamples = false;
+        return limpetpond::chooseTarget(pool.targets, input, now);
+    };
     const std::vector<TargetId>& tried = exchange.triedTargets();
     if (exchange.isReturning()) {
         std::vector<TargetId> avoid = targetsExcept(pool, tried);
@@ -68,6 +77,10 @@
 void Gateway::dispatchWaiting(PoolState& pool)
 {
     SteadyTime now = m_clock.steadyNow();
+    if (!m_rollouts.mayUsePool(pool)) {
+        refuseHeld(pool);
+        return;
+    }
     // A target that was just added would otherwise receive requests of all instances at once.
     m_pools.assignFreeSlots(pool, m_updateInterval);
     // The time of a pause doesn't count in the rate of sends.
@@ -143,6 +156,7 @@
             { "peers_in_progress", std::int64_t { target.peersInProgress } }, { "settings", static_cast<std::int64_t>(facts.settings->settings.version.value()) } });
     TargetId id = target.entry.id;
     std::int64_t startedAt = target.entry.startedAt;
+    m_rollouts.recordSend(exchange, pool, target);
     exchange.send(m_pools.takeConnection(pool, index, exchange.usedConnections(), now), id, std::move(bytes));
     if (!exchange.attempt())
         return;
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -195,9 +195,19 @@
             recordRow(m_settingsRows, row.key, { .value = row.value, .version = { .number = m_gateway.settings()->settings.version.value() } });
         m_log.line("info", isInForce ? "settings_in_force" : "settings_ignored", { { "version", version }, { "idle_limit_ms", idleLimit } });
     }
+    applyOrderRows(update);
     m_gateway.onTargetsChanged();
 }
 
+/// Orders name pools of the settings, which may be among the same rows.
+void GatewayInstance::applyOrderRows(const TableUpdate& update)
+{
+    for (const platform::Row& row : update.rows) {
+        if (row.key.starts_with(platform::rolloutKeyPrefix) && m_gateway.settings())
+            m_gateway.rollouts().applyOrderRow(row, update.version.epoch, !update.isWholeTable, m_gateway.settings()->settings);
+    }
+}
+
 void GatewayInstance::applyTargetRows(const TableUpdate& update)
 {
     StoreEpoch epoch = update.version.epoch;
@@ -267,7 +277,7 @@
     if (!m_gateway.pools().putTarget(*entry))
         return RowEffect::Unchanged;
     m_log.line("info", "target_changed",
-        { { "target", row.key }, { "pool", entry->pool.value() }, { "address", entry->address }, { "draining", entry->isDraining },
+        { { "target", row.key }, { "pool", entry->pool.value() }, { "address", entry->address }, { "version", entry->version.value() }, { "draining", entry->isDraining },
             { "sequence", static_cast<std::int64_t>(entry->sequence) } });
     return RowEffect::Changed;
 }
@@ -291,6 +301,7 @@
     if (isFirst)
         return;
     m_log.line("warning", "store_restored", { { "epoch", static_cast<std::int64_t>(epoch.value()) }, { "source", source } });
+    m_gateway.rollouts().onStoreRestored();
     Duration delay = spreadDelay(readDelayPerInstance);
     m_settingsReader.readAgain(epoch, delay);
     m_targetReader.readAgain(epoch, delay);
@@ -339,7 +350,7 @@
     bool isOwnRowStored = false;
     std::set<std::string> suspectKeys;
     for (const platform::Row& row : update.rows) {
-        if (row.isDeleted)
+        if (row.isDeleted || Rollouts::isOwnRow(row.key))
             continue;
         if (row.key.starts_with(suspectKeyPrefix)) {
             suspectKeys.insert(row.key.substr(suspectKeyPrefix.size()));
@@ -354,6 +365,7 @@
     if (!isOwnRowStored)
         m_writer.write(m_boot.instance.value(), m_boot.ip);
     m_gateway.recordStoredSuspects(suspectKeys);
+    m_gateway.rollouts().applyStoredRows(update.rows);
 }
 
 void GatewayInstance::applySuspectRow(const platform::Row& row)
@@ -525,6 +537,7 @@
         m_log.line("info", "missing_targets_removed", { { "count", std::int64_t { removed } } });
     m_peers.tick(now);
     m_gateway.setUpdateInterval(updateInterval());
+    m_gateway.rollouts().tick(m_settingsReader.isReading());
     m_gateway.tick();
     if (m_isAcceptPaused && !m_listenerClosedAt && makeRoomForCaller())
         acceptCallers();
@@ -570,7 +583,7 @@
 {
     // The store may show older settings than it did before it was restored.
     bool isBehindPeers = isStarting() && m_settingsFetcher.isBehind();
-    return !m_shutdownStartedAt && m_gateway.settings() && targetsVersion().number > 0 && !isBehindPeers;
+    return !m_shutdownStartedAt && m_gateway.settings() && targetsVersion().number > 0 && !isBehindPeers && m_gateway.rollouts().isReady();
 }
 
 ShortAnswer GatewayInstance::answerReadiness(const ReceivedRequest& request) const
--- a/src/gateway/GatewayInstance.h
+++ b/src/gateway/GatewayInstance.h
@@ -38,6 +38,7 @@
     bool makeRoomForCaller();
     void logWholeRead(std::string_view table, const TableUpdate&);
     void applySettingsRows(const TableUpdate&);
+    void applyOrderRows(const TableUpdate&);
     void applyTargetRows(const TableUpdate&);
     void applyStoreCheck(const StoreCheck&);
     void applyInstanceRows(const TableUpdate&);
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -39,6 +39,10 @@
     Counter& targetPauses;
     Gauge& quarantinedParts;
     Counter& targetCrashes;
+    Gauge& rolloutsRunning;
+    Counter& rolloutsSucceeded;
+    Counter& rolloutsRolledBack;
+    Counter& rolloutSends;
     SecondsHistogram& waitSeconds;
     SecondsHistogram& firstByteSeconds;
     SecondsHistogram& wholeSeconds;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -13,6 +13,7 @@
     constexpr Duration defaultTimeout = std::chrono::seconds(30); ///< Used where the caller states none.
     constexpr Duration retryAfterNoSettings = std::chrono::milliseconds(500);
     constexpr Duration retryAfterNoTarget = std::chrono::milliseconds(800);
+    constexpr Duration retryAfterHeld = std::chrono::milliseconds(500);
     constexpr Duration minQuotaRetryAfter = std::chrono::milliseconds(200);
     constexpr std::chrono::milliseconds bodyRetryAfter { 1000 }; ///< Bodies are held for as long as their requests run.
     constexpr Duration firstTokenOverhead = std::chrono::milliseconds(40); ///< Time to the first token besides reading the prompt: sending, admission and one step.
@@ -22,6 +23,7 @@
     constexpr int waitTimeInObjectives = 4;
     constexpr int waitTimeInPauses = 8;
     constexpr std::size_t maxComparedParts = 64; ///< With what targets have in their caches, which takes time for each part and target.
+    constexpr std::string_view rolloutUnknown = "rollout_unknown";
     constexpr int mostUrgentRank = -1; ///< Rank of streams that have begun and wait for a retry.
 
     std::string lowerCaseHost(std::string_view host)
@@ -202,6 +204,10 @@
         refuseQuarantined(*exchange, *wait);
         return;
     }
+    if (!m_rollouts.mayUsePool(pool)) {
+        finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterHeld });
+        return;
+    }
     recordArrival(pool.arrivals, demandOf(facts.route->rank), now);
     if (!hasUsableTarget(pool.targets)) {
         finishWithFailure(*exchange, { .reason = "no_target", .retryAfter = retryAfterNoTarget });
@@ -239,6 +245,15 @@
     }
 }
 
+void Gateway::refuseHeld(PoolState& pool)
+{
+    for (WaitTicket ticket : expiredRequests(pool.queue, SteadyTime::max())) {
+        std::shared_ptr<Exchange> exchange = m_exchanges.at(ticket);
+        if (!exchange->hasBegunAnswer())
+            finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterHeld });
+    }
+}
+
 /// The time until the pool has room for a request of the rank.
 Duration Gateway::timeToReturn(const PoolState& pool, int rank, SteadyTime now)
 {
--- a/src/gateway/PeerUpdates.cpp
+++ b/src/gateway/PeerUpdates.cpp
@@ -74,6 +74,9 @@
         }
         for (const PoolSuspect& suspect : update.suspects)
             wire.suspectParts.push_back(limpetpond::toWire(suspect));
+        for (const RolloutReport& report : update.rollouts)
+            wire.rollouts.push_back(limpetpond::toWire(report));
+        wire.__isset.rollouts = !update.rollouts.empty();
         return wire;
     }
 
@@ -108,6 +111,10 @@
         }
         for (const rpc::SuspectPart& suspect : wire.suspectParts)
             update.suspects.push_back(limpetpond::fromWire(suspect));
+        for (const rpc::RolloutNews& rollout : wire.rollouts) {
+            if (std::optional<RolloutReport> report = limpetpond::fromWire(rollout))
+                update.rollouts.push_back(std::move(*report));
+        }
         return update;
     }
 
--- a/src/gateway/PeerUpdates.h
+++ b/src/gateway/PeerUpdates.h
@@ -6,6 +6,7 @@
 /// takes several datagrams. Counters run from the sender's start.
 
 #include "core/TableVersion.h"
+#include "gateway/RolloutWire.h"
 #include "gateway/SuspectWire.h"
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
@@ -58,6 +59,7 @@
     };
     std::vector<TargetLimit> rateLimits; ///< That targets stated in answers to the sender.
     std::vector<PoolSuspect> suspects; ///< Prompt parts that may crash targets.
+    std::vector<RolloutReport> rollouts; ///< Empty where the operator orders none.
 };
 
 /// Encodes an update as the bytes of a datagram, and decodes it; nothing for malformed bytes.
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -17,7 +17,7 @@
     bool isSameEntry(const TargetEntry& a, const TargetEntry& b)
     {
         return a.pool == b.pool && a.address == b.address && a.isDraining == b.isDraining && a.slots == b.slots
-            && a.startedAt == b.startedAt && a.failureDomain == b.failureDomain;
+            && a.startedAt == b.startedAt && a.failureDomain == b.failureDomain && a.version == b.version;
     }
 
     /// True for an earlier entry of the same incarnation, and for an entry of an earlier incarnation.
