--- a/src/core/Rollout.cpp
+++ b/src/core/Rollout.cpp
@@ -9,7 +9,9 @@
 {
     auto order = [](const RolloutPosition& position) { return std::tuple(isFinal(position.phase), position.generation, position.phase); };
     RolloutPosition later = order(a) < order(b) ? b : a;
-    later.isStopped = a.isStopped || b.isStopped;
+    // In `Switch`, only the holder of that generation stops the rollout: it also decides on the old targets' end, to which nobody may return.
+    if (later.phase < RolloutPhase::Switch || order(a) == order(b))
+        later.isStopped = a.isStopped || b.isStopped;
     return later;
 }
 
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -45,7 +45,8 @@
     bool operator==(const RolloutPosition&) const = default;
 };
 
-/// The later one of two positions of the same order.
+/// The later one of two positions of the same order. A stop by anybody counts before `Switch`; in it, only one in the same
+/// generation does.
 ///
 ///     position = laterPosition(position, update.position);
 RolloutPosition laterPosition(const RolloutPosition&, const RolloutPosition&);
--- a/src/core/RolloutEvidence.h
+++ b/src/core/RolloutEvidence.h
@@ -36,7 +36,8 @@
     std::uint32_t target { 0 }; ///< Of the new version; 0 for all targets of old versions.
     std::uint32_t answers { 0 };
     std::uint32_t failures { 0 };
-    std::uint32_t slow { 0 }; ///< Far slower than most answers of the old versions.
+    std::uint32_t slow { 0 }; ///< Took several times the median of the old versions.
+    std::uint32_t verySlow { 0 }; ///< Of these, took far longer than nearly all answers of the old versions.
     bool operator==(const RolloutCount&) const = default;
 };
 
@@ -51,7 +52,8 @@
     std::vector<RolloutCount> counts; ///< In ascending order of route and target; bounded.
 };
 
-/// Records an answer. Answers from new targets on a route count only once enough old ones are known, with which they are compared.
+/// Records an answer. It counts as slow only once enough answers from old targets are known, with which its time is compared: of
+/// its route, or else of all routes. A failure counts at once, and never as slow.
 void recordAnswer(RolloutCounts&, const RolloutAnswer&);
 
 /// The counts of all instances, as far as this one has heard of them.
@@ -62,9 +64,12 @@
         std::vector<RolloutCount> counts;
     };
     std::map<std::uint32_t, Instance> instances; ///< By `shortHash` of the id.
+    std::vector<RolloutCount> totals; ///< Of all instances and their earlier incarnations, in ascending order of route and target.
+    std::vector<std::vector<RolloutCount>> snapshots; ///< Earlier totals, from which a version that turns bad later is told; bounded.
+    std::uint64_t snapshotInterval { 0 }; ///< Answers of the new version between two snapshots; 0 before the first.
 };
 
-/// Takes over an instance's counts, unless they are older than what is known. The counts of an earlier incarnation are replaced.
+/// Takes over an instance's counts, unless they are older than what is known. Those of an earlier incarnation stay in the totals.
 void mergeCounts(RolloutEvidence&, std::uint32_t instance, std::uint64_t incarnation, const std::vector<RolloutCount>&);
 
 enum class RolloutVerdict {
@@ -76,7 +81,7 @@
 /// What the verdict rests on, for the log.
 struct RolloutJudgement {
     RolloutVerdict verdict { RolloutVerdict::Undecided };
-    std::uint32_t route { 0 }; ///< With the strongest evidence against the version.
+    std::uint32_t route { 0 }; ///< With the strongest evidence against the version; 0 if that is of all routes together.
     std::uint32_t newAnswers { 0 }; ///< Of all routes, without the targets that were left out.
     std::uint32_t newFailures { 0 };
     std::uint32_t newSlow { 0 };
