--- a/test/BootSettingsTest.cpp
+++ b/test/BootSettingsTest.cpp
@@ -149,3 +149,24 @@
     LONGS_EQUAL(520'000'000, platform::parseBootSettings(valid + "limits:\n  ramMb: 520\n").memoryBytes);
     STRCMP_CONTAINS("limits.ramMb", errorOf(valid + "limits:\n  ramMb: much\n").c_str());
 }
+
+TEST(BootSettings, rolloutsAreFollowedWhereTheContractsSaySo)
+{
+    CHECK_FALSE(platform::parseBootSettings(valid).followsRollouts);
+    CHECK_FALSE(platform::parseBootSettings(valid + "contracts: [\"other\"]\n").followsRollouts);
+    CHECK_FALSE(platform::parseBootSettings(valid + "contracts: rollout\n").followsRollouts);
+    platform::BootSettings boot = platform::parseBootSettings(
+        withReplaced("graceS: 9", "graceS: 9\n  exposeShare: 0.2\n  exposeSlack: 30\n  rollbackMs: 4000") + "contracts: [\"other\", \"rollout\"]\n");
+    CHECK(boot.followsRollouts);
+    DOUBLES_EQUAL(0.2, boot.exposedShare, 1e-9);
+    DOUBLES_EQUAL(30, boot.exposedSlack, 1e-9);
+    CHECK(boot.rollbackTime == std::chrono::milliseconds(4000));
+}
+
+// Files of before may hold anything there.
+TEST(BootSettings, boundsOfRolloutsAreIgnoredWithoutTheContract)
+{
+    std::string withOddBound = withReplaced("graceS: 9", "graceS: 9\n  exposeShare: odd");
+    CHECK_FALSE(platform::parseBootSettings(withOddBound).followsRollouts);
+    STRCMP_CONTAINS("bounds.exposeShare", errorOf(withOddBound + "contracts: [\"rollout\"]\n").c_str());
+}
--- a/test/OperatorDocumentTest.cpp
+++ b/test/OperatorDocumentTest.cpp
@@ -152,3 +152,46 @@
         CHECK(number > 0 && number <= maxNumber);
     LONGS_EQUAL(0, *settings->accounts.at(0).rank);
 }
+
+TEST(OperatorDocument, theVersionOfATargetIsReadAndMayBeMissing)
+{
+    auto versionIn = [&](const std::string& field) {
+        return platform::decodeTargetEntry(TargetId("i-1"), R"({"service":"s","addr":"10.1.0.9:8080","zone":"z","slots":6,"state":"ready","seq":4)" + field + "}", reason)->version;
+    };
+    STRCMP_EQUAL("v2", versionIn(R"(,"version":"v2")").value().c_str());
+    STRCMP_EQUAL("", versionIn("").value().c_str());
+    STRCMP_EQUAL("", versionIn(R"(,"version":2)").value().c_str());
+}
+
+TEST(OperatorDocument, aRolloutOrderIsRead)
+{
+    std::optional<platform::RolloutRequest> request = platform::decodeRolloutRequest("rollout/huvo11a", R"({"service":"huvo11a","to":"v2","durationS":12.5})", reason);
+    CHECK(request.has_value());
+    STRCMP_EQUAL("huvo11a", request->pool.value().c_str());
+    STRCMP_EQUAL("v2", request->to.value().c_str());
+    CHECK(request->time == std::chrono::milliseconds(12500));
+    STRCMP_EQUAL("rollout/huvo11a", platform::rolloutKey(request->pool).c_str());
+}
+
+// An order that can't be followed as it is must not move any traffic.
+TEST(OperatorDocument, rolloutOrdersThatCantBeFollowedAreRejected)
+{
+    for (const char* text : { "", "[]", R"({"service":"s","durationS":5})", R"({"service":"s","to":"","durationS":5})", R"({"service":"s","to":2,"durationS":5})",
+             R"({"service":"s","to":"v2"})", R"({"service":"s","to":"v2","durationS":"5"})", R"({"service":"s","to":"v2","durationS":0})",
+             R"({"service":"s","to":"v2","durationS":-1})", R"({"service":"s","to":"v2","durationS":1e300})", R"({"service":"s","to":"v2","durationS":1e999})",
+             R"({"service":"s","to":"v2","durationS":NaN})", R"({"service":"other","to":"v2","durationS":5})", R"({"to":"v2","durationS":5})" }) {
+        reason.clear();
+        CHECK_FALSE_TEXT(platform::decodeRolloutRequest("rollout/s", text, reason).has_value(), text);
+        CHECK(!reason.empty());
+    }
+}
+
+TEST(OperatorDocument, theStateOfARolloutIsWrittenAsTheOperatorReadsIt)
+{
+    STRCMP_EQUAL(R"({"state":"running","to":"v2"})", platform::encodeRolloutStatus({ .phase = RolloutPhase::Load, .to = TargetVersion("v2") }).c_str());
+    for (RolloutPhase phase : { RolloutPhase::Sample, RolloutPhase::Succeeded, RolloutPhase::RolledBack }) {
+        platform::RolloutStatus status { .phase = phase, .to = TargetVersion("v2") };
+        CHECK(platform::decodeRolloutStatus(platform::encodeRolloutStatus(status), reason) == status);
+    }
+    CHECK_FALSE(platform::decodeRolloutStatus(R"({"state":"odd","to":"v2"})", reason).has_value());
+}
--- a/test/RunningGateway.h
+++ b/test/RunningGateway.h
@@ -40,6 +40,7 @@
     std::size_t memoryBytes { 256'000'000 };
     std::size_t maxDescriptors { 4000 };
     std::chrono::milliseconds shutdownGrace { 8000 };
+    bool followsRollouts { false };
     const Clock* clock { nullptr }; ///< Outlives the instance; null for the real one.
 };
 
@@ -62,6 +63,7 @@
         m_boot.memoryBytes = options.memoryBytes;
         m_boot.maxDescriptors = options.maxDescriptors;
         m_boot.shutdownGrace = options.shutdownGrace;
+        m_boot.followsRollouts = options.followsRollouts;
         m_instance = std::make_unique<GatewayInstance>(m_context, m_clock, m_boot, GatewayInstanceOptions { .logDescriptor = options.logDescriptor });
         m_error = m_instance->start().value_or("");
         m_thread = std::thread([this] { m_context.run(); });
--- a/test/StoreCallsTest.cpp
+++ b/test/StoreCallsTest.cpp
@@ -107,3 +107,36 @@
     STRCMP_CONTAINS(R"("delete":[{"table":"t","part":"","key":"k"}])", platform::deleteBody("t", "k").c_str());
     STRCMP_CONTAINS(R"("writes":[])", platform::deleteBody("t", "k").c_str());
 }
+
+TEST(StoreCalls, aTransactionStatesItsConditions)
+{
+    STRCMP_EQUAL(R"({"ifRev":[{"table":"a","part":"","key":"k","objVer":7}],"writes":[{"table":"b","part":"","key":"l","value":"dg=="}],"delete":[]})",
+        platform::transactionBody({ { .table = "a", .key = "k", .version = 7 } }, { { .table = "b", .key = "l", .value = "v" } }).c_str());
+    STRCMP_CONTAINS(R"("ifRev":[])", platform::writeBody("a", "k", "v").c_str());
+    STRCMP_EQUAL("/v1/rows-get?table=a&part=&pageSize=1&from=b%2Fc", platform::rowPath("a", "b/c").c_str());
+    CHECK(platform::decodeWriteVersion(R"({"objVer":8,"serverTimeMs":1})") == 8U);
+    CHECK_FALSE(platform::decodeWriteVersion("odd").has_value());
+}
+
+TEST(StoreCalls, theRowOfAConditionIsReadFromARefusal)
+{
+    const char* body = R"({"rows":[{"table":"b","part":"","key":"k","value":"eA==","objVer":3},{"table":"a","part":"","key":"k","value":"dg==","objVer":9}]})";
+    std::optional<platform::Row> row = platform::decodeConditionRow(body, "a", "k");
+    CHECK(row.has_value());
+    LONGS_EQUAL(9, row->version);
+    STRCMP_EQUAL("v", row->value.c_str());
+}
+
+// A further write under the condition of a row that isn't there would fail again and again.
+TEST(StoreCalls, aRowOfAConditionThatIsGoneHasNoVersion)
+{
+    for (const char* body : { R"({"rows":[],"objVer":5})", R"({"rows":[{"table":"a","key":"k","deleted":true,"objVer":9}]})", R"({"rows":[{"table":"a","key":"k","objVer":0}]})",
+             R"({"rows":[{"table":"a","key":"other","value":"dg==","objVer":9}]})" }) {
+        std::optional<platform::Row> row = platform::decodeConditionRow(body, "a", "k");
+        CHECK_TEXT(row.has_value(), body);
+        LONGS_EQUAL(0, row->version);
+        CHECK(row->isDeleted);
+    }
+    CHECK_FALSE(platform::decodeConditionRow("odd", "a", "k").has_value());
+    CHECK_FALSE(platform::decodeConditionRow("{}", "a", "k").has_value());
+}
--- a/test/TargetSelectionTest.cpp
+++ b/test/TargetSelectionTest.cpp
@@ -327,3 +327,26 @@
     input.promptTokens = 20000;
     STRCMP_EQUAL("idle", chosen().c_str());
 }
+
+// A version that may be bad gets no request beyond its share, also where only its targets have free slots.
+TEST(TargetSelection, sampleTargetsGetOnlyTheRequestsOfTheirShare)
+{
+    add("old", "there", 50);
+    add("sample", "here", 10);
+    add("unknown", "here", 10);
+    targets[1].isSample = true;
+    targets[2].isVersionAllowed = false;
+    STRCMP_EQUAL("old", chosen().c_str());
+    targets[0].ownInProgress = 6;
+    STRCMP_EQUAL("", chosen().c_str());
+    input.usesSamples = true;
+    STRCMP_EQUAL("sample", chosen().c_str());
+}
+
+TEST(TargetSelection, targetsOfAVersionThatIsNotAllowedAreNotUsable)
+{
+    add("unknown", "here", 10);
+    targets[0].isVersionAllowed = false;
+    CHECK_FALSE(hasUsableTarget(targets));
+    CHECK_FALSE(isLeaving(targets[0]));
+}
--- a/test/fakes/edge/StoreFake.h
+++ b/test/fakes/edge/StoreFake.h
@@ -141,6 +141,34 @@
         return values;
     }
 
+    /// While set, transactions with a condition are performed and never answered.
+    void setLosingAnswers(bool isLosingAnswers)
+    {
+        std::lock_guard lock(m_mutex);
+        m_isLosingAnswers = isLosingAnswers;
+    }
+
+    /// A row that a transaction has written.
+    struct WrittenRow {
+        std::string table;
+        std::string key;
+        std::string value;
+    };
+
+    /// All rows that transactions have written, in their order.
+    std::vector<WrittenRow> history()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_history;
+    }
+
+    /// The transactions that were answered with 412.
+    int refusedWrites()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_refusedWrites;
+    }
+
     int calls()
     {
         std::lock_guard lock(m_mutex);
@@ -221,20 +249,56 @@
             answerRows(response, table, after, true);
     }
 
+    /// The row's version, or 0 for a row that doesn't exist.
+    std::uint64_t rowVersion(const std::string& table, const std::string& key)
+    {
+        auto row = m_tables[table].find(key);
+        return row == m_tables[table].end() || row->second.isDeleted ? 0 : row->second.version;
+    }
+
+    /// Answers 412 with the rows of the conditions if one of them doesn't hold; true if it did.
+    bool refusesCondition(const json::object& body, httplib::Response& response)
+    {
+        bool holds = true;
+        json::array rows;
+        for (const json::value& condition : body.at("ifRev").as_array()) {
+            std::string table(condition.at("table").as_string());
+            std::string key(condition.at("key").as_string());
+            std::uint64_t version = rowVersion(table, key);
+            holds = holds && version == condition.at("objVer").to_number<std::uint64_t>();
+            if (version)
+                rows.push_back(rowJson(table, key, m_tables[table][key]));
+        }
+        if (holds)
+            return false;
+        ++m_refusedWrites;
+        answerJson(response, json::object { { "rows", std::move(rows) } }, 412);
+        return true;
+    }
+
     void write(const httplib::Request& request, httplib::Response& response)
     {
-        std::lock_guard lock(m_mutex);
+        std::unique_lock lock(m_mutex);
+        const json::object body = parseBody(request.body);
+        bool isConditional = !body.at("ifRev").as_array().empty();
+        if (isConditional && blocked(lock, m_isLosingCalls))
+            return;
         if (answersFailure(response))
             return;
-        const json::object body = parseBody(request.body);
+        if (refusesCondition(body, response))
+            return;
+        ++m_version;
         for (const json::value& row : body.at("writes").as_array()) {
             std::string value;
             absl::Base64Unescape(std::string(row.at("value").as_string()), &value);
-            m_tables[std::string(row.at("table").as_string())][std::string(row.at("key").as_string())] = { value, false, ++m_version };
+            m_tables[std::string(row.at("table").as_string())][std::string(row.at("key").as_string())] = { value, false, m_version };
+            m_history.push_back({ std::string(row.at("table").as_string()), std::string(row.at("key").as_string()), value });
         }
         for (const json::value& row : body.at("delete").as_array())
-            m_tables[std::string(row.at("table").as_string())][std::string(row.at("key").as_string())] = { "", true, ++m_version };
+            m_tables[std::string(row.at("table").as_string())][std::string(row.at("key").as_string())] = { "", true, m_version };
         m_changed.notify_all();
+        if (isConditional && m_isLosingAnswers && blocked(lock, true))
+            return;
         answerJson(response, json::object { { "objVer", m_version }, { "serverTimeMs", 1 } });
     }
 
@@ -249,6 +313,9 @@
     int m_failStatus { 0 };
     bool m_isSilent { false };
     bool m_isLosingCalls { false };
+    bool m_isLosingAnswers { false };
+    std::vector<WrittenRow> m_history;
+    int m_refusedWrites { 0 };
     int m_calls { 0 };
     int m_wholeReads { 0 };
     bool m_isStopping { false };
