Rollouts: counts of very slow answers, the initial share, and final states in each update for some seconds

The decisions in core/ have got a count of very slow answers, a share that begins with a part of the slack, and turns of the sample targets in the load phase. A final state reached the other instances only with the updates that hold everything, after up to 500 ms.

Evidence: RolloutGateway, each test on its own: the end reaches the peers after 50 ms where it took 525 ms.

--- a/src/gateway/GatewayDispatch.cpp
+++ b/src/gateway/GatewayDispatch.cpp
@@ -49,7 +49,7 @@
 
 std::optional<std::size_t> Gateway::chooseTarget(const PoolState& pool, Exchange& exchange, SteadyTime now) const
 {
-    bool triesSamplesFirst = m_rollouts.triesSamplesFirst(pool);
+    bool triesSamplesFirst = m_rollouts.triesSamplesFirst(pool, exchange);
     auto choose = [&](const std::vector<TargetId>* avoid) {
         TargetSelectionInput input = targetSelectionInput(pool, exchange, avoid, now);
         input.usesSamples = triesSamplesFirst;
--- a/src/gateway/RolloutWire.cpp
+++ b/src/gateway/RolloutWire.cpp
@@ -69,6 +69,7 @@
         answers.answers = static_cast<std::int32_t>(count.answers);
         answers.failures = static_cast<std::int32_t>(count.failures);
         answers.slow = static_cast<std::int32_t>(count.slow);
+        answers.verySlow = static_cast<std::int32_t>(count.verySlow);
     }
     return wire;
 }
@@ -95,6 +96,7 @@
             .answers = static_cast<std::uint32_t>(std::max(answers.answers, 0)),
             .failures = static_cast<std::uint32_t>(std::max(answers.failures, 0)),
             .slow = static_cast<std::uint32_t>(std::max(answers.slow, 0)),
+            .verySlow = static_cast<std::uint32_t>(std::max(answers.verySlow, 0)),
         });
     }
     return report;
--- a/src/gateway/Rollouts.cpp
+++ b/src/gateway/Rollouts.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Rollouts.h"
 
+#include "core/Hash.h"
 #include <algorithm>
 #include <utility>
 
@@ -13,12 +14,16 @@
     constexpr Duration versionCheckInterval = std::chrono::milliseconds(200);
     /// An instance that can't read the rows goes by its targets' entries after this time.
     constexpr Duration rowsTimeout = std::chrono::seconds(3);
+    /// An instance that has started so recently has no part in the slack: it may have been given out before, to its earlier incarnation.
+    constexpr Duration startTime = std::chrono::seconds(2);
     constexpr Duration writeRetryInterval = std::chrono::milliseconds(500);
     /// Several instances would write the same row: the first ones do, one after the other, until the row is found written.
     constexpr int maxWriters = 3;
     constexpr Duration writerInterval = std::chrono::seconds(1);
     /// Instances that aren't among the first writers assume by then that these have written.
     constexpr Duration maxWriteWait = std::chrono::seconds(10);
+    /// So long each update holds a final state, and later only those that hold everything.
+    constexpr Duration finalReportTime = std::chrono::seconds(3);
     constexpr Duration silentAge = std::chrono::milliseconds(1500); ///< Three updates of an instance of the largest fleet.
     constexpr std::size_t maxEndedOrders = 16; ///< Remembered for each pool.
 
@@ -130,6 +135,7 @@
     , m_options(std::move(options))
     , m_selfHash(shortHash(m_options.self.value()))
     , m_writer(context, clock, m_options.store)
+    , m_startedAt(clock.steadyNow())
 {
 }
 
@@ -210,6 +216,9 @@
     Current current;
     current.rollout = { .order = order, .orderedAt = now - source.age, .heardAt = now, .members = m_pools.peers() + 1 };
     current.isTimeKnown = source.isTimeKnown;
+    bool wasRunning = current.rollout.orderedAt - m_startedAt > startTime;
+    std::uint64_t hash = mixBits(mixBits(m_options.incarnation ^ m_selfHash) ^ order.id.number);
+    current.share = initialShare(hash, wasRunning ? current.rollout.members : 0, m_options.limits);
     for (const auto& [hash, heard] : m_heard) {
         if (now - heard.heardAt < silentAge)
             current.members[hash] = { .heardAt = heard.heardAt, .isLeaving = heard.isLeaving };
@@ -257,6 +266,7 @@
     if (current.isFinalApplied)
         return;
     current.isFinalApplied = true;
+    current.endedAt = m_clock.steadyNow();
     const Rollout& rollout = current.rollout;
     if (rollout.position.phase == RolloutPhase::Succeeded)
         establishCandidate(state.versions.known, rollout.order.to);
@@ -426,11 +436,11 @@
             continue;
         const Rollout& rollout = state.current->rollout;
         // Instances that were cut off learn of the final state however late they hear again.
-        if (isFinal(rollout.position.phase) && scope == ReportScope::Changes)
+        bool hasEndedLately = now - state.current->endedAt < finalReportTime;
+        if (isFinal(rollout.position.phase) && !hasEndedLately && scope == ReportScope::Changes)
             continue;
         RolloutReport& report = update.rollouts.emplace_back();
-        report = { .pool = hash, .order = rollout.order.id, .to = rollout.order.to, .time = rollout.order.time, .orderAge = now - rollout.orderedAt, .position = rollout.position,
-            .beatAge = now - rollout.heardAt, .oldInProgress = oldInProgress(state) };
+        report = { .pool = hash, .order = rollout.order.id, .to = rollout.order.to, .time = rollout.order.time, .orderAge = now - rollout.orderedAt, .position = rollout.position, .beatAge = now - rollout.heardAt, .oldInProgress = oldInProgress(state) };
         if (scope == ReportScope::All && !isFinal(rollout.position.phase))
             report.counts = state.current->counts.counts;
     }
@@ -504,7 +514,11 @@
     }
     if (candidates.empty())
         return;
-    for (std::size_t position : sampleTargets(candidates, m_options.limits)) {
+    const Rollout& rollout = state.current->rollout;
+    std::vector<std::size_t> samples = rollout.position.phase == RolloutPhase::Load
+        ? loadTargets(candidates, m_options.limits, m_clock.steadyNow() - rollout.orderedAt)
+        : sampleTargets(candidates, m_options.limits);
+    for (std::size_t position : samples) {
         if (position >= indices.size() || !candidates[position].isNew)
             continue;
         TargetState& target = targets[indices[position]];
@@ -519,7 +533,7 @@
     return !state || !state->current || limpetpond::mayUsePool(state->current->rollout, m_pools.peers() + 1, m_clock.steadyNow());
 }
 
-bool Rollouts::triesSamplesFirst(const PoolState& pool) const
+bool Rollouts::triesSamplesFirst(const PoolState& pool, const Exchange& exchange) const
 {
     const PoolRollouts* state = findState(pool.hash);
     if (!state || !state->current)
@@ -527,7 +541,7 @@
     const Current& current = *state->current;
     const RolloutPosition& position = current.rollout.position;
     bool hasSamples = !position.isStopped && (position.phase == RolloutPhase::Sample || position.phase == RolloutPhase::Load);
-    return hasSamples && chooseVersions(position, current.share, m_options.limits) == RolloutChoice::NewFirst;
+    return hasSamples && chooseVersions(position, current.share, m_options.limits, shortHash(exchange.facts().route->name)) == RolloutChoice::NewFirst;
 }
 
 void Rollouts::recordSend(const Exchange& exchange, const PoolState& pool, const TargetState& target)
@@ -544,7 +558,7 @@
     if (!state.current || isFinal(state.current->rollout.position.phase))
         return;
     bool isToNew = version == state.current->rollout.order.to;
-    limpetpond::recordSend(state.current->share, isToNew);
+    limpetpond::recordSend(state.current->share, isToNew, shortHash(exchange.facts().route->name));
     if (isToNew)
         m_metrics.rolloutSends.add();
 }
@@ -746,8 +760,7 @@
         return;
     }
     const Rollout& rollout = state.current->rollout;
-    RolloutRow row { .order = rollout.order.id, .to = rollout.order.to, .time = rollout.order.time, .orderAge = now - rollout.orderedAt, .position = position, .holder = m_options.self,
-        .holderIncarnation = m_options.incarnation };
+    RolloutRow row { .order = rollout.order.id, .to = rollout.order.to, .time = rollout.order.time, .orderAge = now - rollout.orderedAt, .position = position, .holder = m_options.self, .holderIncarnation = m_options.incarnation };
     std::string table(platform::instanceTable);
     std::string key = platform::rolloutKey(state.pool->id);
     ConditionalWrite write { .condition = { .table = table, .key = key, .version = state.rowVersion } };
--- a/src/gateway/Rollouts.h
+++ b/src/gateway/Rollouts.h
@@ -64,7 +64,7 @@
     bool mayUsePool(const PoolState&) const;
 
     /// Whether the pool's next request goes to a sample target of the new version where one has a free slot.
-    bool triesSamplesFirst(const PoolState&) const;
+    bool triesSamplesFirst(const PoolState&, const Exchange&) const;
 
     /// Records an attempt that is about to be sent.
     void recordSend(const Exchange&, const PoolState&, const TargetState&);
@@ -97,6 +97,7 @@
         std::uint64_t ownGeneration { 0 }; ///< Of the last row that this instance wrote.
         bool isTimeKnown { false }; ///< This instance learned of the order when it was given.
         bool isFinalApplied { false };
+        SteadyTime endedAt;
         std::optional<SteadyTime> rewriteAt; ///< When the final state is written again.
         RolloutStep loggedStep;
     };
@@ -183,6 +184,7 @@
     bool m_hasReadRows { false };
     std::optional<SteadyTime> m_targetsKnownAt;
     std::optional<SteadyTime> m_writeFailedAt;
+    SteadyTime m_startedAt;
     SteadyTime m_checkedAt;
 };
 
--- a/src/gen/instance_news_types.cpp
+++ b/src/gen/instance_news_types.cpp
@@ -401,6 +401,10 @@
 void RolloutAnswers::__set_slow(const int32_t val) {
   this->slow = val;
 }
+
+void RolloutAnswers::__set_verySlow(const int32_t val) {
+  this->verySlow = val;
+}
 std::ostream& operator<<(std::ostream& out, const RolloutAnswers& obj)
 {
   obj.printTo(out);
@@ -469,6 +473,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verySlow);
+          this->__isset.verySlow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -506,6 +518,10 @@
   xfer += oprot->writeI32(this->slow);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("verySlow", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->verySlow);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -518,6 +534,7 @@
   swap(a.answers, b.answers);
   swap(a.failures, b.failures);
   swap(a.slow, b.slow);
+  swap(a.verySlow, b.verySlow);
   swap(a.__isset, b.__isset);
 }
 
@@ -527,6 +544,7 @@
   answers = other16.answers;
   failures = other16.failures;
   slow = other16.slow;
+  verySlow = other16.verySlow;
   __isset = other16.__isset;
 }
 RolloutAnswers& RolloutAnswers::operator=(const RolloutAnswers& other17) noexcept {
@@ -535,6 +553,7 @@
   answers = other17.answers;
   failures = other17.failures;
   slow = other17.slow;
+  verySlow = other17.verySlow;
   __isset = other17.__isset;
   return *this;
 }
@@ -546,6 +565,7 @@
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "slow=" << to_string(slow);
+  out << ", " << "verySlow=" << to_string(verySlow);
   out << ")";
 }
 
--- a/src/gen/instance_news_types.h
+++ b/src/gen/instance_news_types.h
@@ -168,12 +168,13 @@
 std::ostream& operator<<(std::ostream& out, const StoredSuspectPart& obj);
 
 typedef struct _RolloutAnswers__isset {
-  _RolloutAnswers__isset() : route(false), target(false), answers(false), failures(false), slow(false) {}
+  _RolloutAnswers__isset() : route(false), target(false), answers(false), failures(false), slow(false), verySlow(false) {}
   bool route :1;
   bool target :1;
   bool answers :1;
   bool failures :1;
   bool slow :1;
+  bool verySlow :1;
 } _RolloutAnswers__isset;
 
 class RolloutAnswers : public virtual ::apache::thrift::TBase {
@@ -186,7 +187,8 @@
                    target(0),
                    answers(0),
                    failures(0),
-                   slow(0) {
+                   slow(0),
+                   verySlow(0) {
   }
 
   virtual ~RolloutAnswers() noexcept;
@@ -195,6 +197,7 @@
   int32_t answers;
   int32_t failures;
   int32_t slow;
+  int32_t verySlow;
 
   _RolloutAnswers__isset __isset;
 
@@ -208,6 +211,8 @@
 
   void __set_slow(const int32_t val);
 
+  void __set_verySlow(const int32_t val);
+
   bool operator == (const RolloutAnswers & rhs) const
   {
     if (!(route == rhs.route))
@@ -220,6 +225,8 @@
       return false;
     if (!(slow == rhs.slow))
       return false;
+    if (!(verySlow == rhs.verySlow))
+      return false;
     return true;
   }
   bool operator != (const RolloutAnswers &rhs) const {
--- a/thrift/instance_news.thrift
+++ b/thrift/instance_news.thrift
@@ -26,7 +26,8 @@
   2: i32 target                // hash of the id of a target of the new version; 0 for all targets of old versions
   3: i32 answers
   4: i32 failures
-  5: i32 slow
+  5: i32 slow                  // several times the median of the old versions
+  6: i32 verySlow              // of these, far longer than nearly all answers of the old versions
 }
 
 // A rollout as the sender knows it.
