--- a/test/RolloutGatewayTest.cpp
+++ b/test/RolloutGatewayTest.cpp
@@ -65,24 +65,24 @@
         otherStore.reset();
     }
 
-    void addTarget(const std::string& version, std::int64_t startedAt)
+    void addTarget(const std::string& version, std::int64_t startedAt, const std::string& service = "lm", int failures = 0)
     {
         bool isNew = version != "v1";
-        targets.push_back({ version, std::make_unique<TargetFake>([this, isNew](TargetCall& request) {
+        targets.push_back({ version, std::make_unique<TargetFake>([this, isNew, failures](TargetCall& request) {
                                int number = isNew ? ++newCalls : ++oldCalls;
                                oldRunning += !isNew;
                                std::this_thread::sleep_for(isNew ? newServiceFactor.load() * serviceTime : serviceTime);
                                oldRunning -= !isNew;
-                               bool fails = isNew && number % 100 * 37 % 100 < failurePercent;
+                               bool fails = isNew && number % 100 * 37 % 100 < failurePercent + failures;
                                request.answer(fails ? 500 : 200, "done");
                            }) });
-        putTarget(targets.size() - 1, startedAt);
+        putTarget(targets.size() - 1, startedAt, service);
     }
 
-    void putTarget(std::size_t index, std::int64_t startedAt)
+    void putTarget(std::size_t index, std::int64_t startedAt, const std::string& service)
     {
         store->put("servers", "t" + std::to_string(index + 1),
-            R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(targets[index].fake->port()) + R"(","zone":"a","version":")" + targets[index].version
+            R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(targets[index].fake->port()) + R"(","zone":"a","version":")" + targets[index].version
                 + R"(","slots":4,"state":"ready","coldLeftMs":0,"seq":1,"born":)" + std::to_string(startedAt) + "}");
     }
 
@@ -111,6 +111,10 @@
     {
         std::string text = documentOfVersion(1);
         text.replace(text.find(R"("perS":1000,"burst":1000)"), 24, R"("perS":0,"burst":0)");
+        // A further route and its service.
+        std::string route = R"({"name":"readx","host":"h.example","prefix":"/readx/","kind":"idempotent","timeoutMs":2000,"goalMs":200,"priority":2,"service":"lx","attempts":2},)";
+        text.insert(text.find(R"({"name":"draft")"), route);
+        text.insert(text.find(R"({"name":"lm")"), R"({"name":"lx","healthPath":"/healthz","maxConns":100},)");
         store->put("op", "config", text);
         const char* log = std::getenv("LIMPETPOND_TEST_LOG");
         for (int i = 0; i < instances; ++i)
@@ -121,11 +125,20 @@
     void order(const std::string& to, double seconds) { store->put("op", "rollout/lm", R"({"service":"lm","to":")" + to + R"(","durationS":)" + std::to_string(seconds) + "}"); }
 
     /// Callers at the gateway send one request after the other until the calls are stopped or the gateway ends.
-    void callAt(const RunningGateway& gateway, int count = 3)
+    void callAt(const RunningGateway& gateway, int count = 3, const std::string& path = "/read/")
     {
         isCalling = true;
         for (int i = 0; i < count; ++i)
-            callers.emplace_back([this, port = gateway.callerPort(), ip = gateway.ip()] { callUntilStopped(port, ip); });
+            callers.emplace_back([this, port = gateway.callerPort(), ip = gateway.ip(), path] { callUntilStopped(port, ip, path); });
+    }
+
+    /// A second service, with targets whose new version fails.
+    void addOtherService()
+    {
+        addTarget("v1", 1'700'000'000'000, "lx");
+        addTarget("v1", 1'700'000'000'000, "lx");
+        addTarget("v2", 1'700'000'900'000, "lx", 40);
+        addTarget("v2", 1'700'000'900'000, "lx", 40);
     }
 
     void callAtAll()
@@ -134,13 +147,13 @@
             callAt(*gateway);
     }
 
-    void callUntilStopped(int port, const std::string& ip)
+    void callUntilStopped(int port, const std::string& ip, const std::string& path)
     {
         while (isCalling) {
             RawConnection connection(port, ip);
             std::string status = "200";
             while (isCalling && status != "none") {
-                connection.send("GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(++lastRequest)
+                connection.send("GET " + path + "x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(++lastRequest)
                     + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\n\r\n");
                 status = statusOf(connection.readAnswer());
                 answered += status == "200";
@@ -160,11 +173,11 @@
     }
 
     /// The state that the operator reads; empty for none.
-    std::string status() const
+    std::string status(const std::string& service = "lm") const
     {
         std::map<std::string, std::string> rows = store->rows("status");
         std::string reason;
-        std::optional<platform::RolloutStatus> read = rows.contains("rollout/lm") ? platform::decodeRolloutStatus(rows["rollout/lm"], reason) : std::nullopt;
+        std::optional<platform::RolloutStatus> read = rows.contains("rollout/" + service) ? platform::decodeRolloutStatus(rows["rollout/" + service], reason) : std::nullopt;
         if (!read)
             return "";
         return (read->phase == RolloutPhase::Succeeded ? "succeeded " : read->phase == RolloutPhase::RolledBack ? "rolled_back "
@@ -534,6 +547,22 @@
     CHECK(answered > 50);
 }
 
+TEST(RolloutGateway, ordersForSeveralServicesAreIndependent)
+{
+    addTargets(3, 3);
+    addOtherService();
+    start(3);
+    callAtAll();
+    for (const auto& gateway : gateways)
+        callAt(*gateway, 3, "/readx/");
+    std::this_thread::sleep_for(500ms);
+    store->put("op", "rollout/lx", R"({"service":"lx","to":"v2","durationS":6})");
+    order("v2", 6);
+    CHECK(becomes("succeeded v2", 6s));
+    STRCMP_EQUAL("rolled_back v2", status("lx").c_str());
+    stopCalls();
+}
+
 TEST(RolloutGateway, aFinalStateThatARestoredStoreHasLostIsWrittenAgain)
 {
     addTargets(3, 3);
