--- a/test/RolloutGatewayTest.cpp
+++ b/test/RolloutGatewayTest.cpp
@@ -1,9 +1,11 @@
 /// Tests whole gateways with rollouts: several instances in front of fakes of the store and of targets of two versions.
 
+#include "gateway/RolloutWire.h"
+#include "platform/OperatorDocument.h"
+#include "test/DatagramCut.h"
 #include "test/RunningGateway.h"
 #include "test/fakes/edge/StoreFake.h"
 #include "test/fakes/edge/TargetFake.h"
-#include "platform/OperatorDocument.h"
 #include <atomic>
 #include <functional>
 #include <mutex>
@@ -21,7 +23,7 @@
 
 using TestClock = std::chrono::steady_clock;
 
-constexpr auto oldServiceTime = 10ms;
+constexpr auto serviceTime = 10ms;
 constexpr double exposedShare = 0.1;
 constexpr int exposedSlack = 50;
 
@@ -46,6 +48,7 @@
     std::atomic<int> refused { 0 };
     std::atomic<int> failed { 0 }; ///< Answers other than 200 and 503.
     std::atomic<int> failurePercent { 0 }; ///< Of the answers of new targets.
+    std::atomic<int> newServiceFactor { 1 };
     std::atomic<int> newCalls { 0 };
     std::atomic<int> oldCalls { 0 };
     std::atomic<int> oldRunning { 0 };
@@ -62,24 +65,24 @@
         otherStore.reset();
     }
 
-    void addTarget(const std::string& version, std::int64_t startedAt)
+    void addTarget(const std::string& version, std::int64_t startedAt, const std::string& service = "lm", int failures = 0)
     {
         bool isNew = version != "v1";
-        targets.push_back({ version, std::make_unique<TargetFake>([this, isNew](TargetCall& request) {
-            int number = isNew ? ++newCalls : ++oldCalls;
-            oldRunning += !isNew;
-            std::this_thread::sleep_for(oldServiceTime);
-            oldRunning -= !isNew;
-            bool fails = isNew && number % 100 * 37 % 100 < failurePercent;
-            request.answer(fails ? 500 : 200, "done");
-        }) });
-        putTarget(targets.size() - 1, startedAt);
+        targets.push_back({ version, std::make_unique<TargetFake>([this, isNew, failures](TargetCall& request) {
+                               int number = isNew ? ++newCalls : ++oldCalls;
+                               oldRunning += !isNew;
+                               std::this_thread::sleep_for(isNew ? newServiceFactor.load() * serviceTime : serviceTime);
+                               oldRunning -= !isNew;
+                               bool fails = isNew && number % 100 * 37 % 100 < failurePercent + failures;
+                               request.answer(fails ? 500 : 200, "done");
+                           }) });
+        putTarget(targets.size() - 1, startedAt, service);
     }
 
-    void putTarget(std::size_t index, std::int64_t startedAt)
+    void putTarget(std::size_t index, std::int64_t startedAt, const std::string& service)
     {
         store->put("servers", "t" + std::to_string(index + 1),
-            R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(targets[index].fake->port()) + R"(","zone":"a","version":")" + targets[index].version
+            R"({"service":")" + service + R"(","addr":"127.0.0.1:)" + std::to_string(targets[index].fake->port()) + R"(","zone":"a","version":")" + targets[index].version
                 + R"(","slots":4,"state":"ready","coldLeftMs":0,"seq":1,"born":)" + std::to_string(startedAt) + "}");
     }
 
@@ -91,13 +94,13 @@
             addTarget("v2", 1'700'000'900'000 + i);
     }
 
-    RunningGateway& startOne(bool followsRollouts = true, int logDescriptor = -1)
+    RunningGateway& startOne(bool followsRollouts = true, int logDescriptor = -1, int storePort = 0)
     {
         int number = 1;
         while (std::any_of(gateways.begin(), gateways.end(), [&](const auto& gateway) { return gateway && gateway->ip() == "127.0.0." + std::to_string(number); }))
             ++number;
         std::string suffix = std::to_string(number);
-        gateways.push_back(std::make_unique<RunningGateway>(store->port(),
+        gateways.push_back(std::make_unique<RunningGateway>(storePort ? storePort : store->port(),
             RunningGatewayOptions { .instance = "front-a-" + suffix, .ip = "127.0.0." + suffix, .peerPort = peerPort, .seedIps = { "127.0.0.1", "127.0.0.2" }, .logDescriptor = logDescriptor, .followsRollouts = followsRollouts }));
         STRCMP_EQUAL("", gateways.back()->error().c_str());
         CHECK(eventually([&] { return gateways.back()->readiness() == 200; }));
@@ -108,6 +111,10 @@
     {
         std::string text = documentOfVersion(1);
         text.replace(text.find(R"("perS":1000,"burst":1000)"), 24, R"("perS":0,"burst":0)");
+        // A further route and its service.
+        std::string route = R"({"name":"readx","host":"h.example","prefix":"/readx/","kind":"idempotent","timeoutMs":2000,"goalMs":200,"priority":2,"service":"lx","attempts":2},)";
+        text.insert(text.find(R"({"name":"draft")"), route);
+        text.insert(text.find(R"({"name":"lm")"), R"({"name":"lx","healthPath":"/healthz","maxConns":100},)");
         store->put("op", "config", text);
         const char* log = std::getenv("LIMPETPOND_TEST_LOG");
         for (int i = 0; i < instances; ++i)
@@ -118,11 +125,20 @@
     void order(const std::string& to, double seconds) { store->put("op", "rollout/lm", R"({"service":"lm","to":")" + to + R"(","durationS":)" + std::to_string(seconds) + "}"); }
 
     /// Callers at the gateway send one request after the other until the calls are stopped or the gateway ends.
-    void callAt(const RunningGateway& gateway, int count = 3)
+    void callAt(const RunningGateway& gateway, int count = 3, const std::string& path = "/read/")
     {
         isCalling = true;
         for (int i = 0; i < count; ++i)
-            callers.emplace_back([this, port = gateway.callerPort(), ip = gateway.ip()] { callUntilStopped(port, ip); });
+            callers.emplace_back([this, port = gateway.callerPort(), ip = gateway.ip(), path] { callUntilStopped(port, ip, path); });
+    }
+
+    /// A second service, with targets whose new version fails.
+    void addOtherService()
+    {
+        addTarget("v1", 1'700'000'000'000, "lx");
+        addTarget("v1", 1'700'000'000'000, "lx");
+        addTarget("v2", 1'700'000'900'000, "lx", 40);
+        addTarget("v2", 1'700'000'900'000, "lx", 40);
     }
 
     void callAtAll()
@@ -131,13 +147,13 @@
             callAt(*gateway);
     }
 
-    void callUntilStopped(int port, const std::string& ip)
+    void callUntilStopped(int port, const std::string& ip, const std::string& path)
     {
         while (isCalling) {
             RawConnection connection(port, ip);
             std::string status = "200";
             while (isCalling && status != "none") {
-                connection.send("GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(++lastRequest)
+                connection.send("GET " + path + "x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(++lastRequest)
                     + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\n\r\n");
                 status = statusOf(connection.readAnswer());
                 answered += status == "200";
@@ -157,14 +173,16 @@
     }
 
     /// The state that the operator reads; empty for none.
-    std::string status() const
+    std::string status(const std::string& service = "lm") const
     {
         std::map<std::string, std::string> rows = store->rows("status");
         std::string reason;
-        std::optional<platform::RolloutStatus> read = rows.contains("rollout/lm") ? platform::decodeRolloutStatus(rows["rollout/lm"], reason) : std::nullopt;
+        std::optional<platform::RolloutStatus> read = rows.contains("rollout/" + service) ? platform::decodeRolloutStatus(rows["rollout/" + service], reason) : std::nullopt;
         if (!read)
             return "";
-        return (read->phase == RolloutPhase::Succeeded ? "succeeded " : read->phase == RolloutPhase::RolledBack ? "rolled_back " : "running ") + read->to.value();
+        return (read->phase == RolloutPhase::Succeeded ? "succeeded " : read->phase == RolloutPhase::RolledBack ? "rolled_back "
+                                                                                                                : "running ")
+            + read->to.value();
     }
 
     bool becomes(const std::string& expected, std::chrono::milliseconds time) const
@@ -189,6 +207,55 @@
         return states;
     }
 
+    std::optional<RolloutRow> row() const { return decodeRolloutRow(store->rows("limpetpond-instances")["rollout/lm"], SystemClock().systemNow()); }
+
+    bool reaches(RolloutPhase phase, std::chrono::milliseconds time) const
+    {
+        auto end = TestClock::now() + time;
+        while (TestClock::now() < end) {
+            if (std::optional<RolloutRow> stored = row(); stored && stored->position.phase == phase)
+                return true;
+            std::this_thread::sleep_for(2ms);
+        }
+        return false;
+    }
+
+    /// The instance that has last written the rollout's row.
+    std::size_t holder() const
+    {
+        std::optional<RolloutRow> stored = row();
+        CHECK(stored.has_value());
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            if (stored->holder == InstanceId("front-a-" + gateways[i]->ip().substr(8)))
+                return i;
+        }
+        FAIL("the holder doesn't run");
+        return 0;
+    }
+
+    /// Cuts the instance from all others, or ends the cut.
+    void setCutFromPeers(std::size_t index, bool isCut)
+    {
+        std::vector<std::string> others;
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            if (i == index)
+                continue;
+            others.push_back(gateways[i]->ip());
+            setReceives(*gateways[i], { gateways[index]->ip() }, isCut);
+        }
+        setReceives(*gateways[index], others, isCut);
+    }
+
+    void setReceives(const RunningGateway& gateway, const std::vector<std::string>& dropped, bool isCut) const
+    {
+        int socket = findDatagramSocket(gateway.ip(), peerPort);
+        CHECK(socket >= 0);
+        if (isCut)
+            CHECK(dropDatagramsFrom(socket, dropped));
+        else
+            receiveAllDatagrams(socket);
+    }
+
     /// Ends the old targets as the users do at `succeeded`: at once, without a notice.
     void stopOldTargets()
     {
@@ -241,6 +308,22 @@
     LONGS_EQUAL(1, finalStates().size());
 }
 
+TEST(RolloutGateway, aVersionThatIsFarSlowerIsRolledBackWithinItsExposure)
+{
+    addTargets(4, 4);
+    newServiceFactor = 5;
+    start(3);
+    callAtAll();
+    std::this_thread::sleep_for(1s);
+    int before = oldCalls;
+    order("v2", 6);
+    CHECK(becomes("rolled_back v2", 6s));
+    int sentToNew = newCalls;
+    CHECK(sentToNew <= exposedShare * (oldCalls - before + sentToNew) + exposedSlack);
+    stopCalls();
+    LONGS_EQUAL(0, failed);
+}
+
 TEST(RolloutGateway, targetsOfANewVersionGetNothingBeforeTheOrder)
 {
     addTargets(2, 0);
@@ -260,7 +343,7 @@
 
 TEST(RolloutGateway, anotherInstanceTakesOverFromOneThatEndsInAnyPhase)
 {
-    for (auto time : { 100ms, 700ms, 1400ms, 2100ms }) {
+    for (RolloutPhase phase : { RolloutPhase::Sample, RolloutPhase::Load, RolloutPhase::Switch }) {
         teardown();
         setup();
         oldCalls = newCalls = failed = refused = 0;
@@ -269,17 +352,89 @@
         callAtAll();
         std::this_thread::sleep_for(300ms);
         order("v2", 6);
-        CHECK(becomes("running v2", 2s));
-        std::this_thread::sleep_for(time);
-        // The holder is the one that wrote the row; whichever it is, one of the first two ends.
-        gateways.erase(gateways.begin());
-        CHECK(becomes("succeeded v2", 6s) || becomes("rolled_back v2", 2s));
+        CHECK(reaches(phase, 6s));
+        gateways.erase(gateways.begin() + static_cast<std::ptrdiff_t>(holder()));
+        CHECK(becomes("succeeded v2", 10s));
+        LONGS_EQUAL(0, oldRunning);
+        stopOldTargets();
+        std::this_thread::sleep_for(300ms);
+        stopCalls();
+        LONGS_EQUAL(0, failed);
         LONGS_EQUAL(1, finalStates().size());
+    }
+}
+
+TEST(RolloutGateway, aHolderThatFreezesIsReplacedAndDecidesNothingAfterwards)
+{
+    addTargets(3, 3);
+    start(4);
+    callAtAll();
+    std::this_thread::sleep_for(300ms);
+    order("v2", 6);
+    CHECK(becomes("running v2", 2s));
+    std::this_thread::sleep_for(500ms);
+    gateways[holder()]->freeze(3s);
+    CHECK(becomes("succeeded v2", 8s));
+    LONGS_EQUAL(0, oldRunning);
+    stopOldTargets();
+    std::this_thread::sleep_for(1s);
+    stopCalls();
+    LONGS_EQUAL(0, failed);
+    LONGS_EQUAL(1, finalStates().size());
+}
+
+// An instance that is cut off doesn't learn that the old targets stop, so that it must not use them then.
+TEST(RolloutGateway, anInstanceThatIsCutFromItsPeersSendsNothingAfterItsLease)
+{
+    for (bool isHolder : { false, true }) {
+        teardown();
+        setup();
+        oldCalls = newCalls = failed = refused = 0;
+        addTargets(3, 3);
+        start(4);
+        callAtAll();
+        std::this_thread::sleep_for(300ms);
+        order("v2", 6);
+        CHECK(becomes("running v2", 2s));
+        std::this_thread::sleep_for(300ms);
+        std::size_t cut = (holder() + (isHolder ? 0 : 1)) % gateways.size();
+        setCutFromPeers(cut, true);
+        CHECK(becomes("succeeded v2", 9s) || becomes("rolled_back v2", 1s));
+        if (status() == "succeeded v2") {
+            LONGS_EQUAL(0, oldRunning);
+            stopOldTargets();
+        }
+        std::this_thread::sleep_for(500ms);
+        setCutFromPeers(cut, false);
+        std::this_thread::sleep_for(1500ms);
         stopCalls();
         LONGS_EQUAL(0, failed);
+        LONGS_EQUAL(1, finalStates().size());
     }
 }
 
+TEST(RolloutGateway, anInstanceWithoutTheStoreLearnsOfTheOrderFromItsPeers)
+{
+    addTargets(3, 3);
+    start(3);
+    otherStore = std::make_unique<fakes::StoreFake>();
+    otherStore->restore(store->copy());
+    RunningGateway& cutOff = startOne(true, -1, otherStore->port());
+    otherStore->setFailStatus(503);
+    callAtAll();
+    std::this_thread::sleep_for(500ms);
+    order("v2", 6);
+    CHECK(becomes("succeeded v2", 7s));
+    LONGS_EQUAL(0, oldRunning);
+    stopOldTargets();
+    int callsAtOld = oldCalls;
+    std::this_thread::sleep_for(500ms);
+    stopCalls();
+    LONGS_EQUAL(200, cutOff.readiness());
+    LONGS_EQUAL(callsAtOld, oldCalls);
+    LONGS_EQUAL(0, failed);
+}
+
 TEST(RolloutGateway, noDecisionIsMadeWhileTheStoreIsAway)
 {
     addTargets(3, 3);
@@ -392,6 +547,22 @@
     CHECK(answered > 50);
 }
 
+TEST(RolloutGateway, ordersForSeveralServicesAreIndependent)
+{
+    addTargets(3, 3);
+    addOtherService();
+    start(3);
+    callAtAll();
+    for (const auto& gateway : gateways)
+        callAt(*gateway, 3, "/readx/");
+    std::this_thread::sleep_for(500ms);
+    store->put("op", "rollout/lx", R"({"service":"lx","to":"v2","durationS":6})");
+    order("v2", 6);
+    CHECK(becomes("succeeded v2", 6s));
+    STRCMP_EQUAL("rolled_back v2", status("lx").c_str());
+    stopCalls();
+}
+
 TEST(RolloutGateway, aFinalStateThatARestoredStoreHasLostIsWrittenAgain)
 {
     addTargets(3, 3);
