--- a/test/process/Processes.h
+++ b/test/process/Processes.h
@@ -34,6 +34,9 @@
 
     bool isRunning();
 
+    /// Its process id, for the kernel's figures about it.
+    pid_t id() const { return m_pid; }
+
 private:
     pid_t m_pid { -1 };
     int m_output { -1 };
