--- a/test/BufferAccountTest.cpp
+++ b/test/BufferAccountTest.cpp
@@ -1,4 +1,5 @@
 #include "core/BufferAccount.h"
+#include <algorithm>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -80,3 +81,41 @@
     CHECK_TRUE(mustRefuseBody(account, 500'000));
     CHECK_FALSE(mustRefuseBody(account, 1000));
 }
+
+// A refused body kept its buffer, as assigning an empty string frees nothing.
+TEST(BufferAccount, spareMemoryOfAStringIsFreed)
+{
+    std::string text(100'000, 'x');
+    CHECK(heapMemory(text) >= 100'000);
+    text = std::string();
+    CHECK(heapMemory(text) >= 100'000);
+    releaseSpareMemory(text);
+    LONGS_EQUAL(0, heapMemory(text));
+    text.assign(100'000, 'y');
+    text.erase(0, 99'000);
+    releaseSpareMemory(text);
+    CHECK(heapMemory(text) < 2000);
+    LONGS_EQUAL(1000, text.size());
+}
+
+// A body that grew by doubling held up to three times its bytes for a moment.
+TEST(BufferAccount, aBlockBufferHoldsLittleMoreThanItsBytes)
+{
+    constexpr std::size_t blockBytes = 16384;
+    for (std::size_t pieceBytes : { 1U, 700U, 16384U, 300'000U }) {
+        BlockBuffer buffer(account);
+        std::string expected;
+        while (buffer.size() < 600'000) {
+            std::string piece(pieceBytes, static_cast<char>('a' + expected.size() % 26));
+            buffer.append(piece);
+            expected += piece;
+            CHECK(buffer.memory() <= std::max<std::size_t>(2 * buffer.size(), 1024));
+            CHECK(buffer.memory() < buffer.size() + blockBytes + 1);
+            LONGS_EQUAL(account->used, buffer.memory());
+        }
+        CHECK(buffer.text() == expected);
+        buffer.release();
+        LONGS_EQUAL(0, account->used);
+        LONGS_EQUAL(0, buffer.size());
+    }
+}
--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -134,6 +134,54 @@
     STRCMP_EQUAL("200", statusOf(later.readAnswer()).c_str());
 }
 
+// Bodies that never end held the memory of all bodies until the idle timeout, so that every other large request was refused.
+TEST(GatewayMemory, aStalledBodyGivesWayToAnother)
+{
+    constexpr int stalledCount = 4;
+    auto running = startWith(1, { .memoryBytes = 16 * megabyte });
+    auto head = [](int number) {
+        return "POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r" + std::to_string(number) + "\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nContent-Length: "
+            + std::to_string(megabyte) + "\r\n\r\n";
+    };
+    std::vector<std::unique_ptr<RawConnection>> stalled;
+    for (int i = 0; i < stalledCount; ++i) {
+        stalled.push_back(std::make_unique<RawConnection>(gateway->callerPort()));
+        stalled.back()->send(head(i) + std::string(megabyte - 1, 'x'));
+    }
+    CHECK(eventually([&] { return metricValue("limpetpond_request_body_bytes") > 2 * megabyte; }));
+    std::this_thread::sleep_for(2100ms);
+    for (int i = 0; i < 2; ++i)
+        STRCMP_EQUAL("200", statusOf(answerTo(head(100 + i) + std::string(megabyte, 'x'))).c_str());
+    STRCMP_EQUAL("200", statusOfCall("/read/x", 200).c_str());
+}
+
+// Pausing for lack of memory must not stop streams for ever, nor cut those whose callers read.
+TEST(GatewayMemory, streamsOfLargeEventsAreWholeWhereMemoryIsShort)
+{
+    constexpr int streamCount = 12;
+    constexpr int eventCount = 8;
+    const std::string text(250'000, 'x');
+    addTarget([&](TargetCall& request) {
+        request.beginEvents();
+        for (int i = 1; i <= eventCount; ++i)
+            request.chunk("id: " + std::to_string(i) + "\ndata: " + text + "\n\n");
+        request.endEvents();
+    }, { .slots = 16 });
+    auto running = start({ .memoryBytes = 16 * megabyte });
+    std::atomic<int> whole { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < streamCount; ++i) {
+        callers.emplace_back([this, &whole, i] {
+            std::string answer = answerTo(requestText("/sum/x", i));
+            whole += answer.size() > eventCount * std::size_t { 250'000 } && answer.ends_with("0\r\n\r\n");
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    LONGS_EQUAL(streamCount, whole);
+    CHECK(eventually([&] { return metricValue("limpetpond_unwritten_answer_bytes") == 0; }));
+}
+
 // Idle connections of callers used up all descriptors; new callers then waited for seconds, and targets could not be reached.
 TEST(GatewayMemory, newCallersAreServedWhereOthersKeepIdleConnections)
 {
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -174,3 +174,39 @@
     reader.join();
     LONGS_EQUAL(1, handler.closed);
 }
+
+// A body that has stopped arriving holds its memory until the idle timeout, though others may need it before.
+TEST(HttpServerConnection, aBodyThatFillsNoBlockForSomeTimeIsStalled)
+{
+    const std::string block(16384, 'x');
+    sendUnread("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + block);
+    poll();
+    LONGS_EQUAL(0, connection->stalledBodyMemory(clock.steadyNow()));
+    clock.advance(3s);
+    CHECK(connection->stalledBodyMemory(clock.steadyNow()) >= block.size());
+    sendUnread(block + block);
+    LONGS_EQUAL(0, connection->stalledBodyMemory(clock.steadyNow())); // Bytes that nothing has read yet.
+    poll();
+    LONGS_EQUAL(0, connection->stalledBodyMemory(clock.steadyNow()));
+    LONGS_EQUAL(0, handler.requests);
+    clock.advance(3s);
+    connection->refuseBody();
+    LONGS_EQUAL(0, connection->stalledBodyMemory(clock.steadyNow()));
+    LONGS_EQUAL(0, handler.requests);
+}
+
+// Callers that take nothing of large answers took all memory.
+TEST(HttpServerConnection, anAnswerOfWhichNothingIsTakenIsStalled)
+{
+    handler.answer = "HTTP/1.1 200 OK\r\nContent-Length: 64000000\r\n\r\n" + std::string(64'000'000, 'x');
+    sendUnread();
+    for (int i = 0; i < 100; ++i)
+        poll();
+    CHECK(connection->unwrittenBytes() > 0);
+    LONGS_EQUAL(0, connection->stalledAnswerMemory(clock.steadyNow()));
+    clock.advance(2s);
+    CHECK(connection->stalledAnswerMemory(clock.steadyNow()) > 0);
+    connection->closeStalled();
+    LONGS_EQUAL(0, connection->stalledAnswerMemory(clock.steadyNow()));
+    LONGS_EQUAL(1, handler.closed);
+}
