--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -120,7 +120,7 @@
         for (const std::vector<char>& block : m_outputBody->blocks())
             buffers.push_back(asio::buffer(block));
     }
-    asio::async_write(m_socket, std::move(buffers), [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
         self->m_isWriting = false;
         // An idle connection holds no memory of its last request. Assigning an empty string would keep it.
         std::string().swap(self->m_outputHead);
--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -166,7 +166,8 @@
         for (int i = 1; i <= eventCount; ++i)
             request.chunk("id: " + std::to_string(i) + "\ndata: " + text + "\n\n");
         request.endEvents();
-    }, { .slots = 16 });
+    },
+        { .slots = 16 });
     auto running = start({ .memoryBytes = 16 * megabyte });
     std::atomic<int> whole { 0 };
     std::vector<std::thread> callers;
