--- a/src/gateway/GatewayDispatch.cpp
+++ b/src/gateway/GatewayDispatch.cpp
@@ -144,7 +144,7 @@
     std::optional<std::uint64_t> resumeAfter;
     if (exchange.hasBegunAnswer())
         resumeAfter = exchange.resumePoint();
-    std::string bytes = targetRequestText(exchange.request(),
+    std::string head = targetRequestHead(exchange.request(),
         { .target = target.entry.id.value(), .account = facts.account, .millisecondsLeft = left, .resumeAfter = resumeAfter });
     m_metrics.sends.add();
     if (exchange.sendCount() == 0)
@@ -157,7 +157,7 @@
     TargetId id = target.entry.id;
     std::int64_t startedAt = target.entry.startedAt;
     m_rollouts.recordSend(exchange, pool, target);
-    exchange.send(m_pools.takeConnection(pool, index, exchange.usedConnections(), now), id, std::move(bytes));
+    exchange.send(m_pools.takeConnection(pool, index, exchange.usedConnections(), now), id, std::move(head));
     if (!exchange.attempt())
         return;
     exchange.attempt()->targetStartedAt = startedAt;
