Compare routes without the penalty of a choice, and load the sample more evenly over routes

Targets are now left out of a route's test by what they do on other routes, and the share goes to routes by the square root of their requests.

--- a/src/core/RolloutEvidence.cpp
+++ b/src/core/RolloutEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 
 namespace limpetpond {
@@ -30,8 +31,12 @@
     constexpr double falseBadLevel = 0.01;
     constexpr double falseSoundLevel = 0.01;
 
-    /// Answers of the new version in all, and in the last window, without which it isn't called sound.
+    /// For the latest window and for single routes, which are held to it beside the whole.
+    constexpr double falseSoundPartLevel = 0.05;
+
+    /// Answers of the new version without which it isn't called sound: in all, and in the latest window.
     constexpr double minAnswers = 50;
+    constexpr double minWindowAnswers = 80;
     constexpr double minBadAnswers = 4;
 
     // A route with less of the old answers, or with fewer, isn't compared on its own.
@@ -45,6 +50,7 @@
     constexpr double troubleFactor = 1.5;
     constexpr double toleratedMargin = 0.03;
     constexpr double rejectedMargin = 0.13;
+    constexpr double rejectedSlowMargin = 0.25; ///< A version that is three times slower has at least so many more slow answers.
     constexpr double rejectedRouteMargin = 0.3;
     constexpr double expectedMargin = 0.02;
     constexpr double maxRate = 0.97;
@@ -189,11 +195,22 @@
         std::vector<RolloutCount> counts;
         RolloutCount old;
         std::vector<std::uint32_t> notableRoutes;
+        std::size_t leftOut { 0 }; ///< Targets: a quarter of all that have answered, rounded up, but never all.
     };
 
+    std::size_t leftOut(const std::vector<RolloutCount>& totals)
+    {
+        std::set<std::uint32_t> targets;
+        for (const RolloutCount& count : totals) {
+            if (count.target)
+                targets.insert(count.target);
+        }
+        return targets.size() > 1 ? (targets.size() + 3) / 4 : 0;
+    }
+
     Window windowSince(const std::vector<RolloutCount>& totals, const std::vector<RolloutCount>& snapshot)
     {
-        Window window { .counts = totals };
+        Window window { .counts = totals, .leftOut = leftOut(totals) };
         subtractCounts(window.counts, snapshot);
         for (const RolloutCount& count : window.counts) {
             if (count.target)
@@ -221,11 +238,17 @@
         return all;
     }
 
-    std::vector<TargetAnswers> answersByTarget(const Window& window, std::optional<std::uint32_t> route, Measure measure)
+    /// Which answers of a window belong to a test.
+    using CountFilter = bool (*)(const RolloutCount&, std::optional<std::uint32_t> route);
+    bool isOnRoute(const RolloutCount& count, std::optional<std::uint32_t> route) { return !route || count.route == *route; }
+    bool isOnOtherRoute(const RolloutCount& count, std::optional<std::uint32_t> route) { return count.route != *route; }
+
+    /// The new targets' answers, the target with the most bad ones beyond the expected first.
+    std::vector<TargetAnswers> answersByTarget(const Window& window, std::optional<std::uint32_t> route, Measure measure, CountFilter filter = isOnRoute)
     {
         std::vector<TargetAnswers> targets;
         for (const RolloutCount& count : window.counts) {
-            if (!count.target || !count.answers || (route && count.route != *route))
+            if (!count.target || !count.answers || !filter(count, route))
                 continue;
             auto found = std::find_if(targets.begin(), targets.end(), [&](const TargetAnswers& target) { return target.target == count.target; });
             if (found == targets.end())
@@ -239,8 +262,18 @@
         return targets;
     }
 
-    /// A quarter, rounded up, but never all.
-    std::size_t leftOut(std::size_t targets) { return targets > 1 ? (targets + 3) / 4 : 0; }
+    /// The targets' answers on the route, in the order of what they do on the other routes: the route's own answers then don't decide
+    /// which of them are left out.
+    std::vector<TargetAnswers> answersInOrderOfOtherRoutes(const Window& window, std::uint32_t route, Measure measure)
+    {
+        std::vector<TargetAnswers> others = answersByTarget(window, route, measure, isOnOtherRoute);
+        std::vector<TargetAnswers> targets = answersByTarget(window, route, measure);
+        auto rank = [&](const TargetAnswers& target) {
+            return std::find_if(others.begin(), others.end(), [&](const TargetAnswers& other) { return other.target == target.target; }) - others.begin();
+        };
+        std::sort(targets.begin(), targets.end(), [&](const TargetAnswers& a, const TargetAnswers& b) { return std::pair(rank(a), a.target) < std::pair(rank(b), b.target); });
+        return targets;
+    }
 
     Sample sampleWithout(const std::vector<TargetAnswers>& targets, std::size_t left)
     {
@@ -270,7 +303,7 @@
 
     double toleratedRate(double rate) { return std::min(troubleFactor * rate + toleratedMargin, maxRate); }
 
-    double rejectedRate(double rate, bool isMain) { return std::min(troubleFactor * rate + (isMain ? rejectedMargin : rejectedRouteMargin), maxRate); }
+    double rejectedRate(double rate, double margin) { return std::min(troubleFactor * rate + margin, maxRate); }
 
     /// The logarithm of the evidence that bad answers are more frequent than tolerated: a mean of likelihood ratios.
     double evidenceAgainst(const Sample& sample)
@@ -285,41 +318,52 @@
     }
 
     /// The logarithm of the evidence that bad answers are less frequent than what is rejected.
-    double evidenceFor(const Sample& sample, bool isMain)
+    double evidenceFor(const Sample& sample, double margin)
     {
-        return logRatio(sample, std::min(sample.oldRate + expectedMargin, maxRate - expectedMargin), rejectedRate(sample.oldRate, isMain));
+        return logRatio(sample, std::min(sample.oldRate + expectedMargin, maxRate - expectedMargin), rejectedRate(sample.oldRate, margin));
     }
 
-    bool isSound(const std::vector<TargetAnswers>& targets, bool isMain)
+    double rejectedMarginOf(Measure measure, bool isMain)
     {
-        auto isEnough = [&](std::size_t left) {
-            return evidenceFor(sampleWithout(targets, left), isMain) >= logChoices(targets.size(), left) - std::log(falseSoundLevel);
-        };
-        return isEnough(0) || isEnough(leftOut(targets.size()));
+        if (!isMain)
+            return rejectedRouteMargin;
+        return measure == Measure::Slow ? rejectedSlowMargin : rejectedMargin;
     }
 
-    bool isSoundIn(const Window& window)
+    bool isSound(const std::vector<TargetAnswers>& targets, std::size_t left, double margin, double logLimit)
     {
-        if (static_cast<double>(newAnswersOf(window.counts)) < minAnswers)
-            return false;
-        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) { return isSound(answersByTarget(window, std::nullopt, measure), true); });
+        return left < targets.size() && evidenceFor(sampleWithout(targets, left), margin) >= logLimit;
     }
 
-    bool isSoundOnRoutes(const Window& window)
+    /// Whether the version is sound on all routes together. Each choice of the targets that are left out counts as a test of its own.
+    bool isSound(const Window& window, double level)
     {
-        for (std::uint32_t route : window.notableRoutes) {
-            double answers = 0;
-            for (const RolloutCount& count : window.counts)
-                answers += !count.target && count.route == route ? count.answers : 0;
-            bool isMain = answers >= mainRoutePart * window.old.answers;
-            for (Measure measure : measures) {
-                if (!isSound(answersByTarget(window, route, measure), isMain))
-                    return false;
-            }
-        }
-        return true;
+        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
+            std::vector<TargetAnswers> targets = answersByTarget(window, std::nullopt, measure);
+            bool isAnySound = false;
+            for (std::size_t left = 0; left <= std::min(window.leftOut, targets.size()); ++left)
+                isAnySound |= isSound(targets, left, rejectedMarginOf(measure, true), logChoices(targets.size(), left) - std::log(level));
+            return isAnySound;
+        });
     }
 
+    bool isSoundOnRoute(const Window& window, std::uint32_t route)
+    {
+        double answers = 0;
+        for (const RolloutCount& count : window.counts)
+            answers += !count.target && count.route == route ? count.answers : 0;
+        bool isMain = answers >= mainRoutePart * window.old.answers;
+        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
+            std::vector<TargetAnswers> targets = answersInOrderOfOtherRoutes(window, route, measure);
+            bool isAnySound = false;
+            for (std::size_t left = 0; left <= window.leftOut; ++left)
+                isAnySound |= isSound(targets, left, rejectedMarginOf(measure, isMain), -std::log(falseSoundPartLevel));
+            return isAnySound;
+        });
+    }
+
+    bool hasAnswers(const Window& window, double answers) { return static_cast<double>(newAnswersOf(window.counts)) >= answers; }
+
     /// The strongest evidence against the version in the window.
     struct Strongest {
         double evidence { 0 };
@@ -330,7 +374,7 @@
     {
         for (Measure measure : measures) {
             std::vector<TargetAnswers> targets = answersByTarget(window, route, measure);
-            double evidence = evidenceAgainst(sampleWithout(targets, leftOut(targets.size())));
+            double evidence = evidenceAgainst(sampleWithout(targets, window.leftOut));
             if (evidence > strongest.evidence)
                 strongest = { .evidence = evidence, .route = route.value_or(0) };
         }
@@ -341,7 +385,7 @@
         std::array<Sample, measures.size()> samples;
         for (std::size_t i = 0; i < measures.size(); ++i) {
             std::vector<TargetAnswers> targets = answersByTarget(window, std::nullopt, measures[i]);
-            samples[i] = sampleWithout(targets, leftOut(targets.size()));
+            samples[i] = sampleWithout(targets, window.leftOut);
         }
         judgement.newAnswers = static_cast<std::uint32_t>(samples[0].answers);
         judgement.newFailures = static_cast<std::uint32_t>(samples[0].bad);
@@ -419,8 +463,10 @@
         return judgement;
     }
     // The latest window with enough answers tells whether the version has stayed sound, also under load.
-    auto latest = std::find_if(windows.rbegin(), windows.rend(), [](const Window& window) { return static_cast<double>(newAnswersOf(window.counts)) >= minAnswers; });
-    if (latest != windows.rend() && isSoundIn(*latest) && isSoundIn(all) && isSoundOnRoutes(all))
+    auto latest = std::find_if(windows.rbegin(), windows.rend(), [](const Window& window) { return hasAnswers(window, minWindowAnswers); });
+    bool isLatestSound = latest == windows.rend() || isSound(*latest, falseSoundPartLevel);
+    bool areRoutesSound = std::all_of(all.notableRoutes.begin(), all.notableRoutes.end(), [&](std::uint32_t route) { return isSoundOnRoute(all, route); });
+    if (hasAnswers(all, minAnswers) && isLatestSound && isSound(all, falseSoundLevel) && areRoutesSound)
         judgement.verdict = RolloutVerdict::Sound;
     return judgement;
 }
--- a/src/core/RolloutShare.cpp
+++ b/src/core/RolloutShare.cpp
@@ -10,7 +10,7 @@
 
     /// Of the exposed share. The rest covers retries, by which more attempts than requests are sent, and instances that start again.
     constexpr double sampleStage = 0.4;
-    constexpr double loadStage = 0.8;
+    constexpr double loadStage = 0.9;
 
     /// Of the exposed slack, given out at the order. The rest covers the random rounding and instances that start again.
     constexpr double slackStage = 0.4;
@@ -23,43 +23,28 @@
 
     constexpr std::size_t maxRoutes = 16;
 
-    /// A route with a smaller part of the requests gets more of them sent to the new version, up to `rareFactor` times the share.
-    constexpr double rareRoutePart = 0.15;
-    constexpr double rareFactor = 4;
-
-    /// Most that is kept free of the share for rare routes.
-    constexpr double maxReserve = 0.3;
+    /// Most by which a rare route's part of the share exceeds its part of the requests.
+    constexpr double maxRouteFactor = 4;
 
     double stageShare(RolloutPhase phase, const RolloutLimits& limits)
     {
         return limits.exposedShare * (phase == RolloutPhase::Sample ? sampleStage : loadStage);
     }
 
-    bool isRare(const RolloutShare& share, const RolloutShare::Route& route)
-    {
-        return static_cast<double>(route.sent) < rareRoutePart * static_cast<double>(share.sent);
-    }
-
-    /// Whether the route is within its own part of the share: less than the whole for frequent routes, more than it for rare ones.
+    /// Whether the route is within its own part of the share, which goes by the square root of its requests: the answers needed to compare
+    /// a route don't depend on how many it has. One request more is for the rounding.
     bool isRoutesTurn(RolloutPhase phase, const RolloutShare& share, const RolloutLimits& limits, std::uint32_t route)
     {
-        double part = stageShare(phase, limits);
         auto found = share.routes.find(route);
-        if (found != share.routes.end() && isRare(share, found->second)) {
-            double allowed = rareFactor * part * static_cast<double>(found->second.sent + 1) + share.allowance;
-            return static_cast<double>(found->second.sentToNew + 1) <= allowed;
-        }
-        RolloutShare::Route rare;
-        for (const auto& [name, sends] : share.routes) {
-            if (isRare(share, sends)) {
-                rare.sent += sends.sent;
-                rare.sentToNew += sends.sentToNew;
-            }
-        }
-        double wanted = (rareFactor - 1) * part * static_cast<double>(rare.sent);
-        double all = part * static_cast<double>(share.sent + 1);
-        double reserve = std::min(wanted, maxReserve * all);
-        return static_cast<double>(share.sentToNew - rare.sentToNew + 1) <= all - reserve + share.allowance;
+        if (found == share.routes.end())
+            return true;
+        double roots = 0;
+        for (const auto& [name, sends] : share.routes)
+            roots += std::sqrt(static_cast<double>(sends.sent));
+        auto sent = static_cast<double>(found->second.sent);
+        double part = std::min(std::sqrt(sent) / roots, maxRouteFactor * sent / static_cast<double>(share.sent));
+        double allowed = part * (stageShare(phase, limits) * static_cast<double>(share.sent + 1) + share.allowance);
+        return static_cast<double>(found->second.sentToNew) <= allowed;
     }
 
     /// So many targets get about twice the load of an old target from the share of `Load`.
