--- a/src/core/RolloutEvidence.cpp
+++ b/src/core/RolloutEvidence.cpp
@@ -27,7 +27,7 @@
     constexpr std::uint64_t firstSnapshotInterval = 25;
 
     // Probability that a version is called bad though it is no worse than `toleratedRate()`, or sound though it is no better than
-    // `rejectedRate()`, in all looks together: by Ville's inequality for likelihood ratios.
+    // the rejected rate, in all looks together: by Ville's inequality for likelihood ratios.
     constexpr double falseBadLevel = 0.01;
     constexpr double falseSoundLevel = 0.01;
 
@@ -52,7 +52,9 @@
     constexpr double rejectedMargin = 0.13;
     constexpr double rejectedSlowMargin = 0.25; ///< A version that is three times slower has at least so many more slow answers.
     constexpr double rejectedRouteMargin = 0.3;
-    constexpr double expectedMargin = 0.02;
+    constexpr double rejectedSlowRouteMargin = 0.4;
+    constexpr double expectedMargin = 0.03;
+    constexpr double expectedRouteMargin = 0.06;
     constexpr double maxRate = 0.97;
 
     constexpr std::array<double, 5> alternatives { 0.1, 0.2, 0.4, 0.7, 0.95 }; ///< Between the tolerated rate and 1.
@@ -303,7 +305,18 @@
 
     double toleratedRate(double rate) { return std::min(troubleFactor * rate + toleratedMargin, maxRate); }
 
-    double rejectedRate(double rate, double margin) { return std::min(troubleFactor * rate + margin, maxRate); }
+    /// Distances from the old targets' rate.
+    struct SoundMargins {
+        double expected { 0 }; ///< Of a sound version.
+        double rejected { 0 }; ///< Of one that is not to be called sound.
+    };
+
+    SoundMargins marginsOf(Measure measure, bool isMain)
+    {
+        if (measure == Measure::Slow)
+            return isMain ? SoundMargins { expectedMargin, rejectedSlowMargin } : SoundMargins { expectedRouteMargin, rejectedSlowRouteMargin };
+        return isMain ? SoundMargins { expectedMargin, rejectedMargin } : SoundMargins { expectedRouteMargin, rejectedRouteMargin };
+    }
 
     /// The logarithm of the evidence that bad answers are more frequent than tolerated: a mean of likelihood ratios.
     double evidenceAgainst(const Sample& sample)
@@ -318,33 +331,28 @@
     }
 
     /// The logarithm of the evidence that bad answers are less frequent than what is rejected.
-    double evidenceFor(const Sample& sample, double margin)
-    {
-        return logRatio(sample, std::min(sample.oldRate + expectedMargin, maxRate - expectedMargin), rejectedRate(sample.oldRate, margin));
-    }
-
-    double rejectedMarginOf(Measure measure, bool isMain)
+    double evidenceFor(const Sample& sample, const SoundMargins& margins)
     {
-        if (!isMain)
-            return rejectedRouteMargin;
-        return measure == Measure::Slow ? rejectedSlowMargin : rejectedMargin;
+        double rejected = std::min(troubleFactor * sample.oldRate + margins.rejected, maxRate);
+        return logRatio(sample, std::min(sample.oldRate + margins.expected, rejected), rejected);
     }
 
-    bool isSound(const std::vector<TargetAnswers>& targets, std::size_t left, double margin, double logLimit)
+    /// Whether the targets are sound without the first few, with as many left out as need be. Where they are in the order of the same
+    /// answers, each choice of the targets that are left out counts as a test of its own.
+    bool isSound(const std::vector<TargetAnswers>& targets, std::size_t leftOut, const SoundMargins& margins, double level, bool isInOwnOrder)
     {
-        return left < targets.size() && evidenceFor(sampleWithout(targets, left), margin) >= logLimit;
+        for (std::size_t left = 0; left <= leftOut && left < targets.size(); ++left) {
+            double limit = (isInOwnOrder ? logChoices(targets.size(), left) : 0) - std::log(level);
+            if (evidenceFor(sampleWithout(targets, left), margins) >= limit)
+                return true;
+        }
+        return false;
     }
 
-    /// Whether the version is sound on all routes together. Each choice of the targets that are left out counts as a test of its own.
     bool isSound(const Window& window, double level)
     {
-        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
-            std::vector<TargetAnswers> targets = answersByTarget(window, std::nullopt, measure);
-            bool isAnySound = false;
-            for (std::size_t left = 0; left <= std::min(window.leftOut, targets.size()); ++left)
-                isAnySound |= isSound(targets, left, rejectedMarginOf(measure, true), logChoices(targets.size(), left) - std::log(level));
-            return isAnySound;
-        });
+        return std::all_of(measures.begin(), measures.end(),
+            [&](Measure measure) { return isSound(answersByTarget(window, std::nullopt, measure), window.leftOut, marginsOf(measure, true), level, true); });
     }
 
     bool isSoundOnRoute(const Window& window, std::uint32_t route)
@@ -354,11 +362,9 @@
             answers += !count.target && count.route == route ? count.answers : 0;
         bool isMain = answers >= mainRoutePart * window.old.answers;
         return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
-            std::vector<TargetAnswers> targets = answersInOrderOfOtherRoutes(window, route, measure);
-            bool isAnySound = false;
-            for (std::size_t left = 0; left <= window.leftOut; ++left)
-                isAnySound |= isSound(targets, left, rejectedMarginOf(measure, isMain), -std::log(falseSoundPartLevel));
-            return isAnySound;
+            SoundMargins margins = marginsOf(measure, isMain);
+            return isSound(answersInOrderOfOtherRoutes(window, route, measure), window.leftOut, margins, falseSoundPartLevel, false)
+                || isSound(answersByTarget(window, route, measure), window.leftOut, margins, falseSoundPartLevel, true);
         });
     }
 
