--- a/src/core/RolloutEvidence.cpp
+++ b/src/core/RolloutEvidence.cpp
@@ -31,8 +31,9 @@
     constexpr double falseBadLevel = 0.01;
     constexpr double falseSoundLevel = 0.01;
 
-    /// For the latest window and for single routes, which are held to it beside the whole.
-    constexpr double falseSoundPartLevel = 0.05;
+    // For the latest window and for single routes, which are compared beside the whole.
+    constexpr double falseSoundWindowLevel = 0.05;
+    constexpr double falseSoundRouteLevel = 0.06;
 
     /// Answers of the new version without which it isn't called sound: in all, and in the latest window.
     constexpr double minAnswers = 50;
@@ -362,9 +363,12 @@
             answers += !count.target && count.route == route ? count.answers : 0;
         bool isMain = answers >= mainRoutePart * window.old.answers;
         return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
+            // What is very slow is slow too, and the limits for the few answers of a rare route are wide.
+            if (!isMain && measure == Measure::VerySlow)
+                return true;
             SoundMargins margins = marginsOf(measure, isMain);
-            return isSound(answersInOrderOfOtherRoutes(window, route, measure), window.leftOut, margins, falseSoundPartLevel, false)
-                || isSound(answersByTarget(window, route, measure), window.leftOut, margins, falseSoundPartLevel, true);
+            return isSound(answersInOrderOfOtherRoutes(window, route, measure), window.leftOut, margins, falseSoundRouteLevel, false)
+                || isSound(answersByTarget(window, route, measure), window.leftOut, margins, falseSoundRouteLevel, true);
         });
     }
 
@@ -470,7 +474,7 @@
     }
     // The latest window with enough answers tells whether the version has stayed sound, also under load.
     auto latest = std::find_if(windows.rbegin(), windows.rend(), [](const Window& window) { return hasAnswers(window, minWindowAnswers); });
-    bool isLatestSound = latest == windows.rend() || isSound(*latest, falseSoundPartLevel);
+    bool isLatestSound = latest == windows.rend() || isSound(*latest, falseSoundWindowLevel);
     bool areRoutesSound = std::all_of(all.notableRoutes.begin(), all.notableRoutes.end(), [&](std::uint32_t route) { return isSoundOnRoute(all, route); });
     if (hasAnswers(all, minAnswers) && isLatestSound && isSound(all, falseSoundLevel) && areRoutesSound)
         judgement.verdict = RolloutVerdict::Sound;
--- a/src/core/RolloutShare.cpp
+++ b/src/core/RolloutShare.cpp
@@ -31,7 +31,7 @@
         return limits.exposedShare * (phase == RolloutPhase::Sample ? sampleStage : loadStage);
     }
 
-    /// Whether the route is within its own part of the share, which goes by the square root of its requests: the answers needed to compare
+    /// Whether the route is within its own part of the share, which goes by the cube root of its requests: the answers needed to compare
     /// a route don't depend on how many it has. One request more is for the rounding.
     bool isRoutesTurn(RolloutPhase phase, const RolloutShare& share, const RolloutLimits& limits, std::uint32_t route)
     {
@@ -40,9 +40,9 @@
             return true;
         double roots = 0;
         for (const auto& [name, sends] : share.routes)
-            roots += std::sqrt(static_cast<double>(sends.sent));
+            roots += std::cbrt(static_cast<double>(sends.sent));
         auto sent = static_cast<double>(found->second.sent);
-        double part = std::min(std::sqrt(sent) / roots, maxRouteFactor * sent / static_cast<double>(share.sent));
+        double part = std::min(std::cbrt(sent) / roots, maxRouteFactor * sent / static_cast<double>(share.sent));
         double allowed = part * (stageShare(phase, limits) * static_cast<double>(share.sent + 1) + share.allowance);
         return static_cast<double>(found->second.sentToNew) <= allowed;
     }
