--- a/src/core/Rollout.cpp
+++ b/src/core/Rollout.cpp
@@ -15,6 +15,25 @@
     return later;
 }
 
+bool isMajority(const Rollout& rollout, int liveInstances) { return 2 * liveInstances > rollout.members; }
+
+void holdRollout(Rollout& rollout, int liveInstances, SteadyTime now)
+{
+    if (!isMajority(rollout, liveInstances))
+        return;
+    std::uint64_t last = rollout.beatGeneration == rollout.position.generation ? rollout.beat : 0;
+    recordBeat(rollout, rollout.position.generation, last + 1, now);
+}
+
+void recordBeat(Rollout& rollout, std::uint64_t generation, std::uint64_t beat, SteadyTime now)
+{
+    if (generation < rollout.position.generation || std::tuple(generation, beat) <= std::tuple(rollout.beatGeneration, rollout.beat))
+        return;
+    rollout.beatGeneration = generation;
+    rollout.beat = beat;
+    rollout.heardAt = std::max(rollout.heardAt, now);
+}
+
 void recordBeat(Rollout& rollout, std::uint64_t generation, Duration age, SteadyTime now)
 {
     if (generation >= rollout.position.generation)
@@ -26,7 +45,7 @@
     bool isRunning = rollout.position.generation > 0 && !isFinal(rollout.position.phase) && now < rollout.deadline();
     if (!isRunning || now - rollout.heardAt < rolloutLease)
         return true;
-    return 2 * liveInstances > rollout.members;
+    return isMajority(rollout, liveInstances);
 }
 
 } // namespace limpetpond
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -64,13 +64,26 @@
     SteadyTime orderedAt; ///< When this instance learned of the order.
     RolloutPosition position;
     SteadyTime heardAt; ///< When the holder was last known to hold the rollout; see `recordBeat()`.
+    std::uint64_t beatGeneration { 0 }; ///< Of the holder that was heard last.
+    std::uint64_t beat { 0 }; ///< The number of its last update; each update of any instance carries both.
     int members { 1 }; ///< The most instances that were live at once since the order, with this one.
 
     SteadyTime deadline() const { return orderedAt + order.time; }
 };
 
-/// Records that the holder of this generation held the rollout so long ago, by the update of any instance. A holder that
-/// was replaced since is ignored.
+/// Whether this instance hears most members, with itself.
+bool isMajority(const Rollout&, int liveInstances);
+
+/// Records that this instance holds the rollout. The holder calls it before each of its updates. Without a majority it records nothing:
+/// others may have replaced this holder, and its own lease ends too.
+void holdRollout(Rollout&, int liveInstances, SteadyTime now);
+
+/// Records the number of the holder's last update, as any instance's update tells it. A holder that was replaced since is ignored.
+/// Only the holder raises the number, so that passing it on doesn't prolong what is known of a holder that has ended.
+void recordBeat(Rollout&, std::uint64_t generation, std::uint64_t beat, SteadyTime now);
+
+/// The same by an update of the holder itself. Ages that other instances pass on must not be given to it: each delay on the way makes
+/// them younger, so that a holder that has ended would never be missed.
 void recordBeat(Rollout&, std::uint64_t generation, Duration age, SteadyTime now);
 
 /// Whether this instance may send requests to the pool's targets. Without a word of the holder for some seconds it may only
--- a/src/core/RolloutHolder.cpp
+++ b/src/core/RolloutHolder.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-    // Of the order's time. A version that turns bad halfway is seen in `Load`, and requests at old targets can end before the deadline.
+    // Of the order's time. A version that turns bad halfway is seen in `Load`. Requests at old targets can end before the deadline, and
+    // so can the lease of an instance that is lost as `Switch` begins, if the order has 12 seconds or more.
     constexpr double sampleEnd = 0.35;
-    constexpr double loadEnd = 0.7;
+    constexpr double loadEnd = 0.65;
     constexpr double decisionEnd = 0.85;
 
     /// Between the turns of two instances, so that the first one's write is usually known before the second one's turn.
@@ -17,8 +18,9 @@
     /// An instance without updates for this time has usually ended or is frozen or cut off.
     constexpr Duration holderSilence = std::chrono::milliseconds(1500);
 
-    /// The lease of a silent instance begins with its last word of the holder, which may have come by way of another instance.
-    constexpr Duration leaseMargin = std::chrono::seconds(1);
+    /// The lease of a silent instance begins with its last word of the holder, up to an interval of updates and their delay after its own
+    /// last update.
+    constexpr Duration leaseMargin = std::chrono::milliseconds(500);
 
     SteadyTime atPart(const Rollout& rollout, double part) { return rollout.orderedAt + fromSeconds(part * toSeconds(rollout.order.time)); }
 
@@ -30,46 +32,34 @@
         return now - rollout.heardAt > holderSilence + input.turn * turnTime;
     }
 
-    /// What the members allow with regard to the end of the old targets.
-    struct SwitchState {
-        bool isMajorityHeard { false };
-        std::string waitsFor; ///< Empty if all have left the old targets.
-    };
+    /// Without a majority for this time, a holder ends the rollout before the leases of those that it still hears are over.
+    constexpr Duration minorityTime = std::chrono::seconds(2);
 
-    SwitchState switchState(const RolloutHolderInput& input, SteadyTime now)
+    int heardInstances(const RolloutHolderInput& input, SteadyTime now)
+    {
+        return 1 + static_cast<int>(std::count_if(input.members.begin(), input.members.end(), [&](const RolloutMember& member) { return now - member.heardAt <= rolloutLease; }));
+    }
+
+    /// Whether no request is in progress at old targets, nor can begin there: each member has acknowledged the phase, or is silent for
+    /// so long that its lease is over.
+    bool areOldTargetsLeft(const RolloutHolderInput& input, SteadyTime now)
     {
-        const Rollout& rollout = *input.rollout;
-        SwitchState state;
-        int heard = 1;
         if (input.ownOldInProgress > 0)
-            state.waitsFor = "own requests at old targets";
-        for (const RolloutMember& member : input.members) {
+            return false;
+        return std::all_of(input.members.begin(), input.members.end(), [&](const RolloutMember& member) {
             Duration silence = now - member.heardAt;
-            if (silence > rolloutLease + leaseMargin)
-                continue;
-            if (silence > rolloutLease) {
-                state.waitsFor = "the lease of a silent instance";
-                continue;
-            }
-            ++heard;
-            if (member.position != rollout.position)
-                state.waitsFor = "an instance's acknowledgement";
-            else if (member.oldInProgress > 0)
-                state.waitsFor = "requests at old targets";
-        }
-        state.isMajorityHeard = 2 * heard > rollout.members;
-        return state;
+            if (silence > rolloutLease)
+                return silence > rolloutLease + leaseMargin;
+            return member.position == input.rollout->position && !member.oldInProgress;
+        });
     }
 
     RolloutStep stepInSwitch(const RolloutHolderInput& input, SteadyTime now)
     {
-        SwitchState state = switchState(input, now);
-        if (state.isMajorityHeard && state.waitsFor.empty())
+        if (isMajority(*input.rollout, heardInstances(input, now)) && areOldTargetsLeft(input, now))
             return { .action = RolloutAction::Succeed, .reason = "all requests have left the old targets" };
         if (!input.newSlots)
             return { .action = RolloutAction::RollBack, .reason = "no usable target of the new version" };
-        if (!state.isMajorityHeard && now >= input.rollout->deadline())
-            return { .action = RolloutAction::RollBack, .reason = "no majority of the instances is heard at the deadline" };
         return {};
     }
 
@@ -79,7 +69,11 @@
         bool areSlotsEnough = input.newSlots > 0 && 2 * input.newSlots >= input.oldSlots;
         if (input.isOnlyEstablished)
             return { .action = RolloutAction::Succeed, .reason = "the version is the only one established" };
+        if (now >= rollout.deadline())
+            return { .action = RolloutAction::RollBack, .reason = "the deadline has passed" };
         if (now >= decisionTime(rollout)) {
+            if (rollout.position.phase < RolloutPhase::Load)
+                return { .action = RolloutAction::RollBack, .reason = "the new version has not run under load" };
             if (!areSlotsEnough)
                 return { .action = RolloutAction::RollBack, .reason = "too few usable targets of the new version" };
             if (input.verdict != RolloutVerdict::Sound)
@@ -112,6 +106,8 @@
     }
     if (position.isStopped)
         return { .action = RolloutAction::RollBack, .reason = "the new version is bad" };
+    if (now - input.rollout->heardAt > minorityTime && !isMajority(*input.rollout, heardInstances(input, now)))
+        return { .action = RolloutAction::RollBack, .reason = "no majority of the instances is heard" };
     return position.phase == RolloutPhase::Switch ? stepInSwitch(input, now) : stepBeforeSwitch(input, now);
 }
 
--- /dev/null
+++ b/test/RolloutTest.cpp
@@ -0,0 +1,129 @@
+#include "core/Rollout.h"
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace limpetpond;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr SteadyTime start { std::chrono::hours(1) };
+
+Rollout runningRollout()
+{
+    return { .order = { .time = 12s }, .orderedAt = start, .position = { .generation = 2, .phase = RolloutPhase::Load }, .heardAt = start, .members = 4 };
+}
+
+} // namespace
+
+TEST_GROUP(Rollout)
+{
+};
+
+// A position that goes back would send requests to versions that are no longer allowed.
+TEST(Rollout, finalPhasesThenGenerationsThenPhasesAreLater)
+{
+    const std::vector<RolloutPosition> ascending {
+        {},
+        { .generation = 1, .phase = RolloutPhase::Sample },
+        { .generation = 1, .phase = RolloutPhase::Switch },
+        { .generation = 2, .phase = RolloutPhase::Sample },
+        { .generation = 1, .phase = RolloutPhase::Succeeded },
+        { .generation = 2, .phase = RolloutPhase::RolledBack },
+    };
+    for (std::size_t i = 0; i < ascending.size(); ++i) {
+        for (std::size_t j = 0; j < ascending.size(); ++j) {
+            CHECK(laterPosition(ascending[i], ascending[j]) == ascending[std::max(i, j)]);
+        }
+    }
+}
+
+TEST(Rollout, aStopByAnyInstanceCountsBeforeTheSwitch)
+{
+    RolloutPosition stopped { .generation = 1, .phase = RolloutPhase::Sample, .isStopped = true };
+    RolloutPosition load { .generation = 2, .phase = RolloutPhase::Load };
+    CHECK(laterPosition(stopped, load).isStopped);
+    CHECK(laterPosition(load, stopped).isStopped);
+}
+
+// An instance that returned to old targets by the word of a replaced holder could send while the new one ends the rollout.
+TEST(Rollout, inSwitchOnlyAStopInTheSameGenerationCounts)
+{
+    RolloutPosition current { .generation = 2, .phase = RolloutPhase::Switch };
+    CHECK_FALSE(laterPosition(current, { .generation = 1, .phase = RolloutPhase::Switch, .isStopped = true }).isStopped);
+    CHECK_FALSE(laterPosition({ .generation = 1, .phase = RolloutPhase::Load, .isStopped = true }, current).isStopped);
+    CHECK_FALSE(laterPosition(current, { .generation = 2, .phase = RolloutPhase::Load, .isStopped = true }).isStopped);
+    CHECK(laterPosition(current, { .generation = 2, .phase = RolloutPhase::Switch, .isStopped = true }).isStopped);
+}
+
+// With ages that each instance passes on, delays on the way would keep a holder that has ended alive for good.
+TEST(Rollout, aBeatThatIsPassedOnForeverCountsOnce)
+{
+    Rollout holder = runningRollout();
+    holdRollout(holder, 3, start + 1s);
+    Rollout other = runningRollout();
+    recordBeat(other, holder.beatGeneration, holder.beat, start + 2s);
+    CHECK(other.heardAt == start + 2s);
+    recordBeat(other, holder.beatGeneration, holder.beat, start + 3s);
+    CHECK(other.heardAt == start + 2s);
+    holdRollout(holder, 3, start + 4s);
+    recordBeat(other, holder.beatGeneration, holder.beat, start + 4s);
+    CHECK(other.heardAt == start + 4s);
+}
+
+// A holder that is cut off from all others would go on sending to old targets that a later one has ended.
+TEST(Rollout, aHolderWithoutAMajorityLosesItsOwnLease)
+{
+    Rollout rollout = runningRollout();
+    for (SteadyTime now = start; now < start + 4s; now += 200ms)
+        holdRollout(rollout, 2, now);
+    CHECK_FALSE(mayUsePool(rollout, 2, start + 4s));
+}
+
+TEST(Rollout, aNewHoldersBeatsBeginAgain)
+{
+    Rollout holder = runningRollout();
+    for (int i = 0; i < 5; ++i)
+        holdRollout(holder, 3, start + 1s);
+    Rollout other = runningRollout();
+    recordBeat(other, holder.beatGeneration, holder.beat, start + 1s);
+    holder.position.generation = 3;
+    holdRollout(holder, 3, start + 2s);
+    LONGS_EQUAL(1, holder.beat);
+    recordBeat(other, 3, holder.beat, start + 2s);
+    CHECK(other.heardAt == start + 2s);
+    recordBeat(other, 2, 99, start + 5s);
+    CHECK(other.heardAt == start + 2s);
+}
+
+// The updates of instances that still hear a replaced holder must not keep a lease alive.
+TEST(Rollout, onlyTheCurrentHoldersBeatCounts)
+{
+    Rollout rollout = runningRollout();
+    recordBeat(rollout, 1, 0s, start + 5s);
+    CHECK(rollout.heardAt == start);
+    recordBeat(rollout, 2, 1s, start + 5s);
+    CHECK(rollout.heardAt == start + 4s);
+    recordBeat(rollout, 2, 3s, start + 6s);
+    CHECK(rollout.heardAt == start + 4s);
+}
+
+TEST(Rollout, aMinorityWithoutTheHoldersWordSendsNothingUntilTheDeadline)
+{
+    Rollout rollout = runningRollout();
+    CHECK(mayUsePool(rollout, 1, start + rolloutLease - 1ms));
+    CHECK_FALSE(mayUsePool(rollout, 1, start + rolloutLease));
+    CHECK_FALSE(mayUsePool(rollout, 2, start + rolloutLease));
+    CHECK(mayUsePool(rollout, 3, start + rolloutLease));
+    CHECK(mayUsePool(rollout, 1, start + 12s));
+}
+
+TEST(Rollout, beforeItBeginsAndAfterItsEndAnInstanceMaySend)
+{
+    Rollout rollout = runningRollout();
+    rollout.position = {};
+    CHECK(mayUsePool(rollout, 1, start + 5s));
+    rollout.position = { .generation = 1, .phase = RolloutPhase::RolledBack };
+    CHECK(mayUsePool(rollout, 1, start + 5s));
+}
