--- a/src/core/RolloutEvidence.cpp
+++ b/src/core/RolloutEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 
 namespace limpetpond {
@@ -26,12 +27,17 @@
     constexpr std::uint64_t firstSnapshotInterval = 25;
 
     // Probability that a version is called bad though it is no worse than `toleratedRate()`, or sound though it is no better than
-    // `rejectedRate()`, in all looks together: by Ville's inequality for likelihood ratios.
+    // the rejected rate, in all looks together: by Ville's inequality for likelihood ratios.
     constexpr double falseBadLevel = 0.01;
     constexpr double falseSoundLevel = 0.01;
 
-    /// Answers of the new version in all, and in the last window, without which it isn't called sound.
+    // For the latest window and for single routes, which are compared beside the whole.
+    constexpr double falseSoundWindowLevel = 0.05;
+    constexpr double falseSoundRouteLevel = 0.06;
+
+    /// Answers of the new version without which it isn't called sound: in all, and in the latest window.
     constexpr double minAnswers = 50;
+    constexpr double minWindowAnswers = 80;
     constexpr double minBadAnswers = 4;
 
     // A route with less of the old answers, or with fewer, isn't compared on its own.
@@ -45,8 +51,11 @@
     constexpr double troubleFactor = 1.5;
     constexpr double toleratedMargin = 0.03;
     constexpr double rejectedMargin = 0.13;
+    constexpr double rejectedSlowMargin = 0.25; ///< A version that is three times slower has at least so many more slow answers.
     constexpr double rejectedRouteMargin = 0.3;
-    constexpr double expectedMargin = 0.02;
+    constexpr double rejectedSlowRouteMargin = 0.4;
+    constexpr double expectedMargin = 0.03;
+    constexpr double expectedRouteMargin = 0.06;
     constexpr double maxRate = 0.97;
 
     constexpr std::array<double, 5> alternatives { 0.1, 0.2, 0.4, 0.7, 0.95 }; ///< Between the tolerated rate and 1.
@@ -189,11 +198,22 @@
         std::vector<RolloutCount> counts;
         RolloutCount old;
         std::vector<std::uint32_t> notableRoutes;
+        std::size_t leftOut { 0 }; ///< Targets: a quarter of all that have answered, rounded up, but never all.
     };
 
+    std::size_t leftOut(const std::vector<RolloutCount>& totals)
+    {
+        std::set<std::uint32_t> targets;
+        for (const RolloutCount& count : totals) {
+            if (count.target)
+                targets.insert(count.target);
+        }
+        return targets.size() > 1 ? (targets.size() + 3) / 4 : 0;
+    }
+
     Window windowSince(const std::vector<RolloutCount>& totals, const std::vector<RolloutCount>& snapshot)
     {
-        Window window { .counts = totals };
+        Window window { .counts = totals, .leftOut = leftOut(totals) };
         subtractCounts(window.counts, snapshot);
         for (const RolloutCount& count : window.counts) {
             if (count.target)
@@ -221,11 +241,17 @@
         return all;
     }
 
-    std::vector<TargetAnswers> answersByTarget(const Window& window, std::optional<std::uint32_t> route, Measure measure)
+    /// Which answers of a window belong to a test.
+    using CountFilter = bool (*)(const RolloutCount&, std::optional<std::uint32_t> route);
+    bool isOnRoute(const RolloutCount& count, std::optional<std::uint32_t> route) { return !route || count.route == *route; }
+    bool isOnOtherRoute(const RolloutCount& count, std::optional<std::uint32_t> route) { return count.route != *route; }
+
+    /// The new targets' answers, the target with the most bad ones beyond the expected first.
+    std::vector<TargetAnswers> answersByTarget(const Window& window, std::optional<std::uint32_t> route, Measure measure, CountFilter filter = isOnRoute)
     {
         std::vector<TargetAnswers> targets;
         for (const RolloutCount& count : window.counts) {
-            if (!count.target || !count.answers || (route && count.route != *route))
+            if (!count.target || !count.answers || !filter(count, route))
                 continue;
             auto found = std::find_if(targets.begin(), targets.end(), [&](const TargetAnswers& target) { return target.target == count.target; });
             if (found == targets.end())
@@ -239,8 +265,18 @@
         return targets;
     }
 
-    /// A quarter, rounded up, but never all.
-    std::size_t leftOut(std::size_t targets) { return targets > 1 ? (targets + 3) / 4 : 0; }
+    /// The targets' answers on the route, in the order of what they do on the other routes: the route's own answers then don't decide
+    /// which of them are left out.
+    std::vector<TargetAnswers> answersInOrderOfOtherRoutes(const Window& window, std::uint32_t route, Measure measure)
+    {
+        std::vector<TargetAnswers> others = answersByTarget(window, route, measure, isOnOtherRoute);
+        std::vector<TargetAnswers> targets = answersByTarget(window, route, measure);
+        auto rank = [&](const TargetAnswers& target) {
+            return std::find_if(others.begin(), others.end(), [&](const TargetAnswers& other) { return other.target == target.target; }) - others.begin();
+        };
+        std::sort(targets.begin(), targets.end(), [&](const TargetAnswers& a, const TargetAnswers& b) { return std::pair(rank(a), a.target) < std::pair(rank(b), b.target); });
+        return targets;
+    }
 
     Sample sampleWithout(const std::vector<TargetAnswers>& targets, std::size_t left)
     {
@@ -270,7 +306,18 @@
 
     double toleratedRate(double rate) { return std::min(troubleFactor * rate + toleratedMargin, maxRate); }
 
-    double rejectedRate(double rate, bool isMain) { return std::min(troubleFactor * rate + (isMain ? rejectedMargin : rejectedRouteMargin), maxRate); }
+    /// Distances from the old targets' rate.
+    struct SoundMargins {
+        double expected { 0 }; ///< Of a sound version.
+        double rejected { 0 }; ///< Of one that is not to be called sound.
+    };
+
+    SoundMargins marginsOf(Measure measure, bool isMain)
+    {
+        if (measure == Measure::Slow)
+            return isMain ? SoundMargins { expectedMargin, rejectedSlowMargin } : SoundMargins { expectedRouteMargin, rejectedSlowRouteMargin };
+        return isMain ? SoundMargins { expectedMargin, rejectedMargin } : SoundMargins { expectedRouteMargin, rejectedRouteMargin };
+    }
 
     /// The logarithm of the evidence that bad answers are more frequent than tolerated: a mean of likelihood ratios.
     double evidenceAgainst(const Sample& sample)
@@ -285,41 +332,48 @@
     }
 
     /// The logarithm of the evidence that bad answers are less frequent than what is rejected.
-    double evidenceFor(const Sample& sample, bool isMain)
+    double evidenceFor(const Sample& sample, const SoundMargins& margins)
     {
-        return logRatio(sample, std::min(sample.oldRate + expectedMargin, maxRate - expectedMargin), rejectedRate(sample.oldRate, isMain));
+        double rejected = std::min(troubleFactor * sample.oldRate + margins.rejected, maxRate);
+        return logRatio(sample, std::min(sample.oldRate + margins.expected, rejected), rejected);
     }
 
-    bool isSound(const std::vector<TargetAnswers>& targets, bool isMain)
+    /// Whether the targets are sound without the first few, with as many left out as need be. Where they are in the order of the same
+    /// answers, each choice of the targets that are left out counts as a test of its own.
+    bool isSound(const std::vector<TargetAnswers>& targets, std::size_t leftOut, const SoundMargins& margins, double level, bool isInOwnOrder)
     {
-        auto isEnough = [&](std::size_t left) {
-            return evidenceFor(sampleWithout(targets, left), isMain) >= logChoices(targets.size(), left) - std::log(falseSoundLevel);
-        };
-        return isEnough(0) || isEnough(leftOut(targets.size()));
+        for (std::size_t left = 0; left <= leftOut && left < targets.size(); ++left) {
+            double limit = (isInOwnOrder ? logChoices(targets.size(), left) : 0) - std::log(level);
+            if (evidenceFor(sampleWithout(targets, left), margins) >= limit)
+                return true;
+        }
+        return false;
     }
 
-    bool isSoundIn(const Window& window)
+    bool isSound(const Window& window, double level)
     {
-        if (static_cast<double>(newAnswersOf(window.counts)) < minAnswers)
-            return false;
-        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) { return isSound(answersByTarget(window, std::nullopt, measure), true); });
+        return std::all_of(measures.begin(), measures.end(),
+            [&](Measure measure) { return isSound(answersByTarget(window, std::nullopt, measure), window.leftOut, marginsOf(measure, true), level, true); });
     }
 
-    bool isSoundOnRoutes(const Window& window)
+    bool isSoundOnRoute(const Window& window, std::uint32_t route)
     {
-        for (std::uint32_t route : window.notableRoutes) {
-            double answers = 0;
-            for (const RolloutCount& count : window.counts)
-                answers += !count.target && count.route == route ? count.answers : 0;
-            bool isMain = answers >= mainRoutePart * window.old.answers;
-            for (Measure measure : measures) {
-                if (!isSound(answersByTarget(window, route, measure), isMain))
-                    return false;
-            }
-        }
-        return true;
+        double answers = 0;
+        for (const RolloutCount& count : window.counts)
+            answers += !count.target && count.route == route ? count.answers : 0;
+        bool isMain = answers >= mainRoutePart * window.old.answers;
+        return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
+            // What is very slow is slow too, and the limits for the few answers of a rare route are wide.
+            if (!isMain && measure == Measure::VerySlow)
+                return true;
+            SoundMargins margins = marginsOf(measure, isMain);
+            return isSound(answersInOrderOfOtherRoutes(window, route, measure), window.leftOut, margins, falseSoundRouteLevel, false)
+                || isSound(answersByTarget(window, route, measure), window.leftOut, margins, falseSoundRouteLevel, true);
+        });
     }
 
+    bool hasAnswers(const Window& window, double answers) { return static_cast<double>(newAnswersOf(window.counts)) >= answers; }
+
     /// The strongest evidence against the version in the window.
     struct Strongest {
         double evidence { 0 };
@@ -330,7 +384,7 @@
     {
         for (Measure measure : measures) {
             std::vector<TargetAnswers> targets = answersByTarget(window, route, measure);
-            double evidence = evidenceAgainst(sampleWithout(targets, leftOut(targets.size())));
+            double evidence = evidenceAgainst(sampleWithout(targets, window.leftOut));
             if (evidence > strongest.evidence)
                 strongest = { .evidence = evidence, .route = route.value_or(0) };
         }
@@ -341,7 +395,7 @@
         std::array<Sample, measures.size()> samples;
         for (std::size_t i = 0; i < measures.size(); ++i) {
             std::vector<TargetAnswers> targets = answersByTarget(window, std::nullopt, measures[i]);
-            samples[i] = sampleWithout(targets, leftOut(targets.size()));
+            samples[i] = sampleWithout(targets, window.leftOut);
         }
         judgement.newAnswers = static_cast<std::uint32_t>(samples[0].answers);
         judgement.newFailures = static_cast<std::uint32_t>(samples[0].bad);
@@ -419,8 +473,10 @@
         return judgement;
     }
     // The latest window with enough answers tells whether the version has stayed sound, also under load.
-    auto latest = std::find_if(windows.rbegin(), windows.rend(), [](const Window& window) { return static_cast<double>(newAnswersOf(window.counts)) >= minAnswers; });
-    if (latest != windows.rend() && isSoundIn(*latest) && isSoundIn(all) && isSoundOnRoutes(all))
+    auto latest = std::find_if(windows.rbegin(), windows.rend(), [](const Window& window) { return hasAnswers(window, minWindowAnswers); });
+    bool isLatestSound = latest == windows.rend() || isSound(*latest, falseSoundWindowLevel);
+    bool areRoutesSound = std::all_of(all.notableRoutes.begin(), all.notableRoutes.end(), [&](std::uint32_t route) { return isSoundOnRoute(all, route); });
+    if (hasAnswers(all, minAnswers) && isLatestSound && isSound(all, falseSoundLevel) && areRoutesSound)
         judgement.verdict = RolloutVerdict::Sound;
     return judgement;
 }
