Let the target's fake accept hundreds of connections at once

Cause: its listener held 64 connections, so most of 200 streams that begin at once were dropped and tried again by the kernel later than the gateway's connect time-out. The gateway then took the target for lost and probed it with one request at a time; the small request of UncontrolledClients.streamsOfLargeEventsWhoseCallersReadNothing waited behind them (503 or no answer in 4 of 8 runs; the log showed 93 not_connected).

Change: the listener takes as many as the system allows. The gateway's log of such a test goes to POND_TEST_LOGS.

--- a/test/fakes/edge/TargetFake.h
+++ b/test/fakes/edge/TargetFake.h
@@ -127,7 +127,7 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address) || ::listen(m_listener, 64))
+        if (::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof address) || ::listen(m_listener, SOMAXCONN))
             return;
         socklen_t length = sizeof address;
         ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
--- a/test/process/GatewayProcess.cpp
+++ b/test/process/GatewayProcess.cpp
@@ -49,8 +49,11 @@
         R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(m_target.port()) + R"(","zone":"a","version":"v1","slots":)" + std::to_string(options.slots)
             + R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":1700000000000})");
     m_process = std::make_unique<Process>("limpetpond-gateway", std::vector<std::string> {}, std::vector<std::string> { "LIMPETPOND_BOOT=" + writeSettingsFile(options) });
-    m_output = std::thread([this] {
-        while (!m_process->readLine().empty()) { }
+    const char* logs = std::getenv("POND_TEST_LOGS");
+    m_output = std::thread([this, log = logs ? std::string(logs) + "/gateway.jsonl" : "/dev/null"] {
+        std::ofstream file(log);
+        for (std::string line = m_process->readLine(); !line.empty(); line = m_process->readLine())
+            file << line << '\n';
     });
     m_isReady = eventually(readinessTimeout, [this] { return statusOfAnswer(answerTo(m_readinessPort, "GET /v1/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) == "200"; });
 }
