Give a new holder time to be heard, and date a holder's lease from the last majority

A holder that was cut off prolonged its own lease by the time in which it still took the others for live (3 sends to old targets after the end). The position's generation is now dated, and a holder's lease begins when it last heard a majority.

--- a/src/core/Rollout.cpp
+++ b/src/core/Rollout.cpp
@@ -1,6 +1,7 @@
 #include "core/Rollout.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace limpetpond {
@@ -15,23 +16,34 @@
     return later;
 }
 
+void advancePosition(Rollout& rollout, const RolloutPosition& position, SteadyTime now)
+{
+    if (position.generation > rollout.position.generation)
+        rollout.generationAt = now;
+    rollout.position = laterPosition(rollout.position, position);
+}
+
 bool isMajority(const Rollout& rollout, int liveInstances) { return 2 * liveInstances > rollout.members; }
 
-void holdRollout(Rollout& rollout, int liveInstances, SteadyTime now)
+void holdRollout(Rollout& rollout, std::vector<SteadyTime> othersHeardAt, SteadyTime now)
 {
-    if (!isMajority(rollout, liveInstances))
+    std::sort(othersHeardAt.begin(), othersHeardAt.end(), std::greater());
+    auto others = static_cast<std::size_t>(rollout.members / 2);
+    if (othersHeardAt.size() < others)
         return;
+    SteadyTime majorityHeardAt = others ? othersHeardAt[others - 1] : now;
     std::uint64_t last = rollout.beatGeneration == rollout.position.generation ? rollout.beat : 0;
-    recordBeat(rollout, rollout.position.generation, last + 1, now);
+    if (majorityHeardAt > rollout.heardAt)
+        recordBeat(rollout, rollout.position.generation, last + 1, now - majorityHeardAt, now);
 }
 
-void recordBeat(Rollout& rollout, std::uint64_t generation, std::uint64_t beat, SteadyTime now)
+void recordBeat(Rollout& rollout, std::uint64_t generation, std::uint64_t beat, Duration age, SteadyTime now)
 {
     if (generation < rollout.position.generation || std::tuple(generation, beat) <= std::tuple(rollout.beatGeneration, rollout.beat))
         return;
     rollout.beatGeneration = generation;
     rollout.beat = beat;
-    rollout.heardAt = std::max(rollout.heardAt, now);
+    rollout.heardAt = std::max(rollout.heardAt, now - age);
 }
 
 void recordBeat(Rollout& rollout, std::uint64_t generation, Duration age, SteadyTime now)
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -15,6 +15,7 @@
 #include "limpetpond/Ids.h"
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace limpetpond {
 
@@ -63,6 +64,7 @@
     RolloutOrder order;
     SteadyTime orderedAt; ///< When this instance learned of the order.
     RolloutPosition position;
+    SteadyTime generationAt; ///< When this instance learned of the position's generation; see `advancePosition()`.
     SteadyTime heardAt; ///< When the holder was last known to hold the rollout; see `recordBeat()`.
     std::uint64_t beatGeneration { 0 }; ///< Of the holder that was heard last.
     std::uint64_t beat { 0 }; ///< The number of its last update; each update of any instance carries both.
@@ -71,16 +73,21 @@
     SteadyTime deadline() const { return orderedAt + order.time; }
 };
 
+/// Takes over a position that another instance or the rollout's row tells. The holder of a new generation gets some time to be heard.
+void advancePosition(Rollout&, const RolloutPosition&, SteadyTime now);
+
 /// Whether this instance hears most members, with itself.
 bool isMajority(const Rollout&, int liveInstances);
 
-/// Records that this instance holds the rollout. The holder calls it before each of its updates. Without a majority it records nothing:
-/// others may have replaced this holder, and its own lease ends too.
-void holdRollout(Rollout&, int liveInstances, SteadyTime now);
+/// Records that this instance holds the rollout. The holder calls it before each of its updates, with the times at which it last heard
+/// each other instance. It counts from when a majority was last heard: others may have replaced a holder without one, and its
+/// lease has to end like theirs.
+void holdRollout(Rollout&, std::vector<SteadyTime> othersHeardAt, SteadyTime now);
 
-/// Records the number of the holder's last update, as any instance's update tells it. A holder that was replaced since is ignored.
-/// Only the holder raises the number, so that passing it on doesn't prolong what is known of a holder that has ended.
-void recordBeat(Rollout&, std::uint64_t generation, std::uint64_t beat, SteadyTime now);
+/// Records the number of the holder's last update and the age of what it tells, as any instance's update tells them: `beatGeneration`,
+/// `beat` and the time since `heardAt`. A holder that was replaced since is ignored. Only the holder raises the number, so that
+/// passing it on doesn't prolong what is known of a holder that has ended.
+void recordBeat(Rollout&, std::uint64_t generation, std::uint64_t beat, Duration age, SteadyTime now);
 
 /// The same by an update of the holder itself. Ages that other instances pass on must not be given to it: each delay on the way makes
 /// them younger, so that a holder that has ended would never be missed.
--- a/src/core/RolloutHolder.cpp
+++ b/src/core/RolloutHolder.cpp
@@ -29,7 +29,7 @@
         const Rollout& rollout = *input.rollout;
         if (!rollout.position.generation)
             return now - rollout.orderedAt > input.turn * turnTime;
-        return now - rollout.heardAt > holderSilence + input.turn * turnTime;
+        return now - std::max(rollout.heardAt, rollout.generationAt) > holderSilence + input.turn * turnTime;
     }
 
     /// Without a majority for this time, a holder ends the rollout before the leases of those that it still hears are over.
--- a/test/RolloutHolderTest.cpp
+++ b/test/RolloutHolderTest.cpp
@@ -52,6 +52,16 @@
     expect(RolloutAction::TakeOver, start + 4801ms);
 }
 
+// Instances that learn of a new holder by the row, and haven't heard it yet, would replace it at once, and each other without end.
+TEST(RolloutHolder, aNewHolderGetsTimeToBeHeard)
+{
+    rollout.position = { .generation = 1, .phase = RolloutPhase::Load };
+    advancePosition(rollout, { .generation = 2, .phase = RolloutPhase::Load }, start + 5s);
+    advancePosition(rollout, { .generation = 1, .phase = RolloutPhase::Switch }, start + 6s);
+    expect(RolloutAction::None, start + 6500ms);
+    expect(RolloutAction::TakeOver, start + 6501ms);
+}
+
 TEST(RolloutHolder, anOrderIsTakenUpAndRolledBackAfterItsDeadlineToo)
 {
     expect(RolloutAction::TakeOver, start + 60s);
