--- a/test/GatewayMemoryTest.cpp
+++ b/test/GatewayMemoryTest.cpp
@@ -171,6 +171,7 @@
     auto running = start({ .memoryBytes = 16 * megabyte });
     std::atomic<int> whole { 0 };
     std::vector<std::thread> callers;
+    callers.reserve(streamCount);
     for (int i = 0; i < streamCount; ++i) {
         callers.emplace_back([this, &whole, i] {
             std::string answer = answerTo(requestText("/sum/x", i));
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -198,7 +198,8 @@
 // Callers that take nothing of large answers took all memory.
 TEST(HttpServerConnection, anAnswerOfWhichNothingIsTakenIsStalled)
 {
-    handler.answer = "HTTP/1.1 200 OK\r\nContent-Length: 64000000\r\n\r\n" + std::string(64'000'000, 'x');
+    handler.answer = "HTTP/1.1 200 OK\r\nContent-Length: 64000000\r\n\r\n";
+    handler.answer.resize(64'000'000, 'x');
     sendUnread();
     for (int i = 0; i < 100; ++i)
         poll();
