--- a/src/gateway/ConditionalWriter.cpp
+++ b/src/gateway/ConditionalWriter.cpp
@@ -76,7 +76,7 @@
     readBack();
 }
 
-void ConditionalWriter::finish(ConditionalWriteResult result)
+void ConditionalWriter::finish(const ConditionalWriteResult& result)
 {
     ConditionalWrite ended = std::move(m_pending.front());
     m_pending.pop_front();
--- a/src/gateway/ConditionalWriter.h
+++ b/src/gateway/ConditionalWriter.h
@@ -50,7 +50,7 @@
     void callNext();
     void readBack();
     void onCallDone(const TimedHttpCallResult&);
-    void finish(ConditionalWriteResult);
+    void finish(const ConditionalWriteResult&);
 
     boost::asio::ip::tcp::endpoint m_store;
     TimedHttpCall m_call;
--- a/src/gateway/RolloutWire.cpp
+++ b/src/gateway/RolloutWire.cpp
@@ -33,6 +33,7 @@
     std::vector<std::string> textsOf(const std::set<TargetVersion>& versions)
     {
         std::vector<std::string> texts;
+        texts.reserve(versions.size());
         for (const TargetVersion& version : versions)
             texts.push_back(version.value());
         return texts;
