Divide quotas by even shares while instances don't hear each other

Cause: a peer without updates was charged at its last rate for 6 s and then not at all, so that each side of a partition granted the whole quota; a process that started had a full bucket; the first use of every peer was taken for the start of its count and not charged; and instances that had not heard of each other yet could each use the whole bucket.

Ruled out: leases of some seconds (they refuse the smaller side's callers altogether, and both halves'), the last known demand (it changes most in the moments before a partition is noticed), and a fixed even division (it refuses callers that are unevenly spread).

Change: core/QuotaShare counts the instances that may use a share and those that are heard. Rate, bucket and debts are divided by it. An instance admits at most its part of the bucket and of the allowed excess before its peers can have heard of it. Starting instances have 150 units and one even share until they have heard their peers. The work for one update doesn't depend on the number of peers. Without a call of setShare() all is as before; the existing tests are unchanged.

--- a/src/core/AccountQuota.h
+++ b/src/core/AccountQuota.h
@@ -9,11 +9,16 @@
 ///
 /// Peers are ordered by their last update, so that the work for an update doesn't grow with the number of peers: only those
 /// that have just become silent or departed are looked at, and the silent ones are charged by the sum of their rates.
+///
+/// Partitions and restarts: rate and burst are reduced to the share of the instances that are heard (`core/QuotaShare.h`), and an
+/// instance admits at most its own part of what the bucket holds before peers have heard of it. docs/design/quotas.md derives the total.
 
 #include "core/PeerNumbers.h"
+#include "core/QuotaShare.h"
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <vector>
 
@@ -42,10 +47,34 @@
     SteadyTime chargedUntil; ///< The bucket was charged with the estimated use of silent peers until then.
 };
 
+/// Units that are counted for some time.
+struct CountedUnits {
+    SteadyTime until;
+    double units { 0 };
+};
+
+/// The units of the last moments.
+struct LatestUnits {
+    std::deque<CountedUnits> steps; ///< The oldest first.
+    double sum { 0 };
+};
+
+/// What an instance and its peers have used lately, by which the bucket is divided among them.
+struct RecentUse {
+    double here { 0 }; ///< As reported to peers, so that all instances divide by the same numbers.
+    double atPeers { 0 };
+    SteadyTime decayedAt;
+};
+
 /// The token bucket of one account. A unit is a request or a token.
 struct AccountQuota {
-    double perSecond { 0 }; ///< 0 for no limit.
-    double burst { 0 };
+    double perSecond { 0 }; ///< Over all instances; 0 for no limit.
+    double burst { 0 }; ///< Over all instances.
+    QuotaShare share;
+    double reserved { 0 }; ///< Units of the bucket that are left to silent peers until the share grows again.
+    LatestUnits unheard; ///< Own use that peers may not have heard of.
+    LatestUnits charged; ///< All use in `QuotaShare::unheardTime`, which a peer that is cut off hasn't heard of.
+    RecentUse recent;
     double left { 0 }; ///< Units in the bucket; negative after late charges.
     SteadyTime filledAt; ///< When the bucket was last refilled.
     double admittedHere { 0 }; ///< Units admitted since the start, as sent to peers.
@@ -53,12 +82,18 @@
     PeerUsages peers;
 };
 
-/// Applies a quota from the settings. The first quota starts with a full bucket; a lower one bounds what is left.
+/// Applies a quota from the settings. The first quota starts with a full bucket, or with few units where other instances may
+/// have used it; a lower one bounds what is left.
 ///
 ///     setQuota(quota, account.perSecond, account.burst, now);
 ///     admit(quota, 1, now);
 void setQuota(AccountQuota&, double perSecond, double burst, SteadyTime now);
 
+/// Applies the share that the instance and those that it hears may use together.
+///
+///     setShare(quota, updateShare(fleet, now), now);
+void setShare(AccountQuota&, const QuotaShare&, SteadyTime now);
+
 /// A request's demand on its account's quota.
 struct QuotaDemand {
     double units { 1 };
@@ -81,9 +116,16 @@
 ///     Duration retryAfter = timeUntil(quota, tokens, now);
 Duration timeUntil(const AccountQuota&, double units, SteadyTime now);
 
-/// Records a peer's count of the units that it admitted since its start.
+/// Returns the units admitted here since the start, for an update to peers.
+///
+///     update.accounts.push_back({ .account = hash, .admitted = takeReport(quota, now) });
+double takeReport(AccountQuota&, SteadyTime now);
+
+/// Records a peer's count of the units that it admitted since its start. What it used in a silence that its own share covers isn't
+/// charged again. The first count of a process is charged only where the process has been heard for so long that the count was 0.
 ///
-///     recordPeerAdmitted(quota, numbers.numberOf(peer, now), incarnation, 1200, now);
-void recordPeerAdmitted(AccountQuota&, PeerNumber, std::uint64_t incarnation, double admitted, SteadyTime now);
+///     PeerHistory history = recordHeard(fleet, peer, sign, now);
+///     recordPeerAdmitted(quota, numbers.numberOf(peer, now), incarnation, 1200, now, history);
+void recordPeerAdmitted(AccountQuota&, PeerNumber, std::uint64_t incarnation, double admitted, SteadyTime now, const PeerHistory& = {});
 
 } // namespace limpetpond
--- a/test/AccountQuotaTest.cpp
+++ b/test/AccountQuotaTest.cpp
@@ -108,6 +108,86 @@
     DOUBLES_EQUAL(300, admitAll(100, 0), 0.1);
 }
 
+TEST(AccountQuota, aReducedShareDividesRateAndBucket)
+{
+    setShare(quota, { .known = 4, .heard = 1, .part = 0.25, .unheardTime = 600ms }, now);
+    DOUBLES_EQUAL(500, admitAll(100, 0), 0.1);
+    now += 400ms;
+    DOUBLES_EQUAL(100, admitAll(100, 0), 0.1);
+    CHECK(timeUntil(quota, 100, now) == 400ms);
+}
+
+// A reserve in proportion to the whole burst would turn less urgent requests away unless the reduced bucket is full.
+TEST(AccountQuota, aReducedShareReducesTheReserveForUrgentRequests)
+{
+    setShare(quota, { .known = 4, .heard = 1, .part = 0.25, .unheardTime = 600ms }, now);
+    DOUBLES_EQUAL(300, admitAll(100, 1), 0.1);
+}
+
+// What was left to a silent peer would be lost although the peer has not used it.
+TEST(AccountQuota, unitsLeftToASilentPeerReturnWithIt)
+{
+    setShare(quota, { .known = 4, .heard = 3, .part = 0.75, .unheardTime = 600ms }, now);
+    DOUBLES_EQUAL(1500, quota.left, 0.1);
+    setShare(quota, { .known = 4, .heard = 4, .part = 1, .unheardTime = 600ms }, now);
+    DOUBLES_EQUAL(2000, quota.left, 0.1);
+}
+
+// Both sides of a partition would pay for what each used by its own share.
+TEST(AccountQuota, useInASilenceIsChargedOnlyBeyondThePeersShare)
+{
+    recordPeerAdmitted(quota, peer, 1, 0, now);
+    QuotaShare whole { .known = 2, .heard = 2, .part = 1, .unheardTime = 600ms };
+    setShare(quota, { .known = 2, .heard = 1, .part = 0.5, .unheardTime = 600ms }, now);
+    SteadyTime from = now;
+    now += 10s;
+    PeerHistory history { .heardSince = now, .silentFrom = from, .silentUntil = now };
+    recordPeerAdmitted(quota, peer, 1, 5000, now, history);
+    setShare(quota, whole, now);
+    DOUBLES_EQUAL(2000, quota.left, 0.1);
+    recordPeerAdmitted(quota, peer, 1, 5700, now, history);
+    DOUBLES_EQUAL(1300, quota.left, 0.1);
+}
+
+// The first use of each of many peers was never charged.
+TEST(AccountQuota, theFirstUseOfAPeerThatHasBeenHeardForLongIsCharged)
+{
+    recordPeerAdmitted(quota, peer, 1, 500, now, { .heardSince = now - 10s });
+    DOUBLES_EQUAL(1500, quota.left, 0.1);
+    recordPeerAdmitted(quota, peer + 1, 1, 500, now, { .heardSince = now - 100ms });
+    DOUBLES_EQUAL(1500, quota.left, 0.1);
+}
+
+// A process that starts while others run had a full bucket.
+TEST(AccountQuota, anInstanceThatStartsAmongOthersBeginsWithFewUnits)
+{
+    AccountQuota starting;
+    setShare(starting, { .known = 4, .heard = 1, .part = 0.25, .isStarting = true }, now);
+    setQuota(starting, 1e6, 1e6, now);
+    CHECK(starting.left < 1000);
+    AccountQuota small;
+    setShare(small, starting.share, now);
+    setQuota(small, 1, 2, now);
+    CHECK(admit(small, {}, now));
+}
+
+// Instances that haven't heard of each other yet could each use the whole bucket.
+TEST(AccountQuota, instancesTogetherUseTheBucketOnceBeforeTheyHearOfEachOther)
+{
+    constexpr int instances = 26;
+    constexpr double perSecond = 1e6;
+    double admitted = 0;
+    for (int i = 0; i < instances; ++i) {
+        AccountQuota own;
+        setQuota(own, perSecond, perSecond, now);
+        setShare(own, { .known = instances, .heard = instances, .part = 1, .unheardTime = 600ms }, now);
+        while (admit(own, { .units = 1000 }, now))
+            admitted += 1000;
+    }
+    CHECK(admitted <= perSecond + 0.1 * 9 * perSecond + 190000);
+    CHECK(admitted >= perSecond);
+}
+
 /// Charges silent peers by a look at each of them, as a reference.
 struct ReferenceQuota {
     struct Peer {
