Apply the share of the quotas in the gateway, with log lines and a metric

Cause: the gateway did not tell the quotas which peers are silent, and new processes began with full buckets.

Ruled out: a call to the store for the list of instances. The rows of the instances are read at the start anyway.

Change: updates of peers, the rows of instances and the seeds are counted; the share is applied at each tick. quota_share_reduced and quota_share_restored state the inputs, limpetpond_quota_share_percent the share, and quota_exceeded has it too.

Evidence: group GatewayQuota (two gateways; one ends without notice, the other one's share is 50% seven seconds later, 100% before).

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Guard.h"
 #include <algorithm>
+#include <cmath>
 
 namespace limpetpond {
 
@@ -65,8 +66,10 @@
     m_pools.applySettings(m_settings->settings.pools);
     SteadyTime now = m_clock.steadyNow();
     m_quotaByHash.clear();
+    applyQuotaShare(now);
     for (const AccountSettings& account : m_settings->settings.accounts) {
         AccountQuota& quota = m_quotas[account.id];
+        setShare(quota, m_quotaFleet.share, now);
         setQuota(quota, account.perSecond, account.burst, now);
         m_quotaByHash[shortHash(account.id.value())] = &quota;
     }
@@ -86,10 +89,11 @@
     m_metrics.peers.set(m_pools.peers());
     SteadyTime now = m_clock.steadyNow();
     PeerNumber peer = m_peerNumbers.numberOf(update.instance, now);
+    PeerHistory history = recordHeard(m_quotaFleet, update.instance, { .incarnation = update.incarnation, .isLeaving = update.isLeaving }, now);
     for (const InstanceUpdate::AccountUse& use : update.accounts) {
         auto quota = m_quotaByHash.find(use.account);
         if (quota != m_quotaByHash.end())
-            recordPeerAdmitted(*quota->second, peer, update.incarnation, use.admitted, now);
+            recordPeerAdmitted(*quota->second, peer, update.incarnation, use.admitted, now, history);
     }
     for (const PoolSuspect& suspect : update.suspects) {
         if (PoolState* pool = findPool(suspect.pool))
@@ -104,6 +108,34 @@
         dispatchWaiting(pool);
 }
 
+void Gateway::applyListedInstances(const std::vector<InstanceId>& listed)
+{
+    SteadyTime now = m_clock.steadyNow();
+    recordListed(m_quotaFleet, listed, now);
+    applyQuotaShare(now);
+}
+
+void Gateway::applyQuotaShare(SteadyTime now)
+{
+    QuotaShare before = m_quotaFleet.share;
+    const QuotaShare& share = updateShare(m_quotaFleet, now);
+    if (share == before)
+        return;
+    for (auto& [account, quota] : m_quotas)
+        setShare(quota, share, now);
+    m_metrics.quotaSharePercent.set(std::llround(100 * share.part));
+    if (share.part < before.part) {
+        m_quotaReducedAt = m_quotaReducedAt.value_or(now);
+        m_log.line("warning", "quota_share_reduced",
+            { { "share", share.part }, { "share_before", before.part }, { "instances", std::int64_t { share.known } }, { "heard", std::int64_t { share.heard } },
+                { "is_starting", share.isStarting }, { "hears_minority", m_quotaFleet.minoritySince.has_value() }, { "silent_after_ms", toMilliseconds(share.unheardTime) } });
+    } else if (share.part >= 1 && m_quotaReducedAt) {
+        m_log.line("info", "quota_share_restored",
+            { { "instances", std::int64_t { share.known } }, { "heard", std::int64_t { share.heard } }, { "reduced_ms", toMilliseconds(now - *m_quotaReducedAt) } });
+        m_quotaReducedAt.reset();
+    }
+}
+
 void Gateway::removePeer(const InstanceId& peer)
 {
     m_pools.removePeer(peer);
@@ -139,9 +171,9 @@
     for (auto& [account, quota] : m_quotas) {
         if (scope == ReportScope::Changes && quota.admittedHere == quota.reportedHere)
             continue;
-        quota.reportedHere = quota.admittedHere;
-        if (quota.admittedHere > 0)
-            update.accounts.push_back({ .account = shortHash(account.value()), .admitted = quota.admittedHere });
+        double admitted = takeReport(quota, now);
+        if (admitted > 0)
+            update.accounts.push_back({ .account = shortHash(account.value()), .admitted = admitted });
     }
     return update;
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -5,6 +5,7 @@
 /// The decisions are made by functions of core/. Everything runs in one event loop on one thread.
 
 #include "core/AccountQuota.h"
+#include "core/QuotaShare.h"
 #include "core/RouteIndex.h"
 #include "gateway/CrashChecks.h"
 #include "gateway/Exchange.h"
@@ -48,6 +49,10 @@
     /// Dispatches waiting requests after the targets have changed.
     void onTargetsChanged();
 
+    /// Addresses of peers that are known at the start; the instance may not be the first one then.
+    void expectPeers(int count) { m_quotaFleet.expectedPeers = count; }
+    /// Counts the other instances that the store lists among those that share the quotas.
+    void applyListedInstances(const std::vector<InstanceId>&);
     void applyPeerUpdate(const InstanceUpdate&);
     void removePeer(const InstanceId&);
     /// Sets how often instances send each other updates.
@@ -165,6 +170,9 @@
     Duration timeToReturn(const PoolState&, int rank, SteadyTime now);
     void finish(Exchange&);
 
+    /// Applies the share of the quotas that this instance and those that it hears may use now.
+    void applyQuotaShare(SteadyTime now);
+
     std::vector<std::shared_ptr<HttpServerConnection>> openConnections() const;
     void checkWaiting(SteadyTime now);
     void checkInProgress(SteadyTime now);
@@ -181,6 +189,8 @@
     std::shared_ptr<const IndexedSettings> m_settings;
     std::map<ClientAccountId, AccountQuota> m_quotas;
     std::unordered_map<std::uint32_t, AccountQuota*> m_quotaByHash; ///< Of the accounts in the settings, by `shortHash` of the id; elements of `m_quotas`.
+    QuotaFleet m_quotaFleet;
+    std::optional<SteadyTime> m_quotaReducedAt; ///< Since when the share is below 1.
     PeerNumbers m_peerNumbers;
     std::unordered_map<WaitTicket, std::shared_ptr<Exchange>> m_exchanges;
     std::unordered_map<const HttpServerConnection*, WaitTicket> m_ticketByCaller;
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -348,6 +348,7 @@
 void Gateway::tick()
 {
     SteadyTime now = m_clock.steadyNow();
+    applyQuotaShare(now);
     checkWaiting(now);
     checkInProgress(now);
     if (now - m_idleCheckedAt < idleCheckInterval)
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -50,6 +50,13 @@
         return parseEndpoint(boot.storeAddress).value_or(tcp::endpoint());
     }
 
+    bool isIpAddress(const std::string& text)
+    {
+        boost::system::error_code error;
+        asio::ip::make_address(text, error);
+        return !error;
+    }
+
 } // namespace
 
 GatewayInstance::GatewayInstance(asio::io_context& context, const Clock& clock, const platform::BootSettings& boot, GatewayInstanceOptions options)
@@ -125,6 +132,7 @@
         return error;
     for (const std::string& ip : m_boot.seedIps)
         m_peers.addPeer(ip);
+    m_gateway.expectPeers(static_cast<int>(std::count_if(m_boot.seedIps.begin(), m_boot.seedIps.end(), [this](const std::string& ip) { return ip != m_boot.ip; })));
     m_settingsReader.setCheckTurn(CheckTurn()); // Until peers are known.
     m_settingsReader.start();
     m_targetReader.start();
@@ -338,6 +346,7 @@
     logWholeRead(platform::instanceTable, update);
     bool isOwnRowStored = false;
     std::set<std::string> suspectKeys;
+    std::vector<InstanceId> otherInstances;
     for (const platform::Row& row : update.rows) {
         if (row.isDeleted)
             continue;
@@ -348,8 +357,11 @@
         }
         if (row.key == m_boot.instance.value())
             isOwnRowStored = row.value == m_boot.ip;
+        else if (isIpAddress(row.value))
+            otherInstances.emplace_back(row.key);
         m_peers.addPeer(row.value);
     }
+    m_gateway.applyListedInstances(otherInstances);
     // A restored store has lost the rows of the last seconds.
     if (!isOwnRowStored)
         m_writer.write(m_boot.instance.value(), m_boot.ip);
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -15,6 +15,7 @@
     Counter& refusedOverload;
     Counter& refusedQuarantined; ///< One of the prompt's parts crashes targets.
     Counter& refusedQuota;
+    Gauge& quotaSharePercent;
     Counter& refusedOther; ///< Unknown route or key, no settings.
     Counter& failed; ///< Answered with 502 or 504, or cut off.
     Counter& callersDisconnected;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -142,7 +142,7 @@
     m_metrics.refusedQuota.add();
     m_log.line("info", "quota_exceeded",
         { { "request", facts.id }, { "account", facts.account }, { "units", facts.quotaUnits }, { "left", quota.left }, { "per_second", quota.perSecond },
-            { "burst", quota.burst }, { "admitted_here", quota.admittedHere } });
+            { "burst", quota.burst }, { "share", quota.share.part }, { "admitted_here", quota.admittedHere } });
     return Refusal { .status = 429, .reason = "over_quota", .retryAfter = retryAfter };
 }
 
