--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -390,6 +390,7 @@
 {
     SteadyTime now = m_clock.steadyNow();
     closeStalledCallers(now);
+    applyQuotaShare(now);
     checkWaiting(now);
     checkInProgress(now);
     if (now - m_idleCheckedAt < idleCheckInterval)
