Tell a crashing prompt part from shared parts by probes after a start

Cause: where a part crashes targets before an instance has had 20 answers, no request without the part is answered, as it runs beside one with the part, and so nothing tells the part from those that all requests share.

Ruled out: lower thresholds for the quarantine. Without an answer, the shared parts are at the same crashes.

Change: the parts without an answer that are at almost all crashes are the common suspects. A request with none of them is sent as before. One with some of them is a probe, of which an instance sends one at a time, in turn with the others, each to its own target. One with all of them is kept back. While suspects remain, every suspect takes its turn in updates, and a part is quarantined only if it is the only explanation. Instances that had 20 answers before the first crash decide as before.

--- a/src/core/CrashingParts.cpp
+++ b/src/core/CrashingParts.cpp
@@ -3,6 +3,7 @@
 #include "core/Guard.h"
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +37,12 @@
     constexpr Duration maxTrialInterval = std::chrono::hours(1);
     constexpr Duration trialTurn = std::chrono::seconds(1); ///< Longer than a trial and the update about its end usually take.
 
+    constexpr std::size_t minCrashesToProbe = 2; ///< A single crash is often a coincidence.
+    constexpr Duration probeTime = std::chrono::milliseconds(2500); ///< Until this instance sends another one, and further instances begin.
+    constexpr std::size_t maxCrashesWithoutWait = 4; ///< From the next one on, the interval between requests with all common suspects grows.
+    constexpr Duration firstWholeInterval = std::chrono::seconds(3); ///< Longer than instances take to learn of an answer or a crash.
+    constexpr Duration wholeTurn = std::chrono::seconds(3); ///< Longer than a slow target takes to begin an answer.
+
     constexpr Duration reportTime = std::chrono::seconds(1); ///< A change is reported in each update for this long, since single updates may be lost.
     constexpr std::size_t minCrashesToRepeat = 2; ///< A part with fewer crashes is usually there by coincidence and isn't reported again.
     constexpr std::size_t maxReports = 16; ///< In one update.
@@ -131,7 +138,9 @@
     {
         if (suspect.crashes.size() < minCrashesApart || suspect.isQuarantined)
             return false;
-        return hasEnoughAnswers(evidence.parts) ? explainsCrashes(evidence, part, suspect) : standsOut(evidence, part, suspect);
+        if (!hasEnoughAnswers(evidence.parts))
+            return standsOut(evidence, part, suspect);
+        return explainsCrashes(evidence, part, suspect) && (!evidence.parts.hasCrashedBeforeAnswers || isOnlyExplanation(evidence.parts, part, suspect));
     }
 
     void clear(CrashingParts& parts, PromptPart part, SuspectPart& suspect, std::uint32_t clearings, SteadyTime now)
@@ -319,6 +328,56 @@
         return isEvidence;
     }
 
+    bool wasAnswered(const CrashingParts& parts, PromptPart part, const SuspectPart& suspect) { return suspect.clearings > 0 || answersOf(parts.answered, part) > 0; }
+
+    /// The parts without an answer that are at almost all crashes.
+    PromptParts findCommonSuspects(const CrashingParts& parts)
+    {
+        std::size_t most = 0;
+        std::vector<std::pair<PromptPart, std::size_t>> candidates;
+        for (const auto& [part, suspect] : parts.suspects) {
+            std::size_t crashes = countCrashes(suspect);
+            if (suspect.isQuarantined || crashes < minCrashesToProbe || wasAnswered(parts, part, suspect))
+                continue;
+            candidates.emplace_back(part, crashes);
+            most = std::max(most, crashes);
+        }
+        PromptParts common;
+        for (const auto& [part, crashes] : candidates) {
+            if (static_cast<double>(crashes) >= minShareOfCrashes * static_cast<double>(most))
+                common.push_back(part);
+        }
+        return common;
+    }
+
+    void updateCommonSuspects(CrashingParts& parts)
+    {
+        if (!std::exchange(parts.areCommonSuspectsOutdated, false))
+            return;
+        PromptParts common = findCommonSuspects(parts);
+        if (common != parts.commonSuspects)
+            parts.probedAt.reset();
+        parts.commonSuspects = std::move(common);
+        parts.hasCrashedBeforeAnswers &= !hasEnoughAnswers(parts) || !parts.commonSuspects.empty();
+    }
+
+    void recordChange(CrashingParts& parts, bool isCrash)
+    {
+        parts.hasCrashedBeforeAnswers |= isCrash && !hasEnoughAnswers(parts);
+        parts.areCommonSuspectsOutdated |= parts.hasCrashedBeforeAnswers;
+    }
+
+    /// The time without a crash after which a request with all common suspects is sent.
+    Duration wholeInterval(std::size_t crashes)
+    {
+        if (crashes <= maxCrashesWithoutWait)
+            return firstWholeInterval;
+        Duration interval = firstTrialInterval;
+        for (std::size_t i = maxCrashesWithoutWait + 1; i < crashes; ++i)
+            interval = std::min<Duration>(interval * trialIntervalFactor, maxTrialInterval);
+        return interval;
+    }
+
     bool wasObservedLately(const SuspectPart& suspect, SteadyTime now) { return suspect.observedAt && now - *suspect.observedAt < reportTime; }
 
 } // namespace
@@ -337,6 +396,7 @@
         parts.answersToCount = minOtherAnswers;
     }
     decideQuarantines(parts);
+    recordChange(parts, true);
 }
 
 PromptParts recordAnswer(CrashingParts& parts, const PromptParts& answered, SteadyTime now)
@@ -354,8 +414,10 @@
     }
     bool hasNewEvidence = !cleared.empty();
     hasNewEvidence |= countAnswerForOthers(parts);
-    if (hasNewEvidence)
+    if (hasNewEvidence) {
         decideQuarantines(parts);
+        recordChange(parts, false);
+    }
     return cleared;
 }
 
@@ -395,16 +457,64 @@
         found->second.triedAt = now;
 }
 
+std::size_t crashRisk(CrashingParts& parts, const PromptParts& requested)
+{
+    if (!parts.hasCrashedBeforeAnswers || isGuardDisabled(GuardId::CrashingPartsRefused))
+        return 0;
+    updateCommonSuspects(parts);
+    PromptParts suspected;
+    std::copy_if(requested.begin(), requested.end(), std::back_inserter(suspected),
+        [&](PromptPart part) { return std::binary_search(parts.commonSuspects.begin(), parts.commonSuspects.end(), part); });
+    std::sort(suspected.begin(), suspected.end());
+    suspected.erase(std::unique(suspected.begin(), suspected.end()), suspected.end());
+    std::size_t risk = 0;
+    for (PromptPart part : suspected)
+        risk += countCrashes(parts.suspects.at(part));
+    return risk;
+}
+
+ProbePermission probePermission(CrashingParts& parts, const PromptParts& requested, const ProbeTurn& turn, SteadyTime now)
+{
+    std::size_t risk = crashRisk(parts, requested);
+    if (risk == 0)
+        return {};
+    SteadyTime last {};
+    std::size_t crashes = 0;
+    for (PromptPart part : parts.commonSuspects) {
+        const SuspectPart& suspect = parts.suspects.at(part);
+        last = std::max(last, lastCrashAt(suspect));
+        crashes = std::max(crashes, countCrashes(suspect));
+    }
+    if (risk == crashRisk(parts, parts.commonSuspects))
+        return { .isAllowed = now >= std::max(last, parts.probedAt.value_or(last)) + wholeInterval(crashes) + turn.turn * wholeTurn };
+    if (parts.probedAt && now < *parts.probedAt + probeTime)
+        return { .isAllowed = false };
+    int targets = std::max(turn.targets, 1);
+    int atOnce = crashes <= maxCrashesWithoutWait ? targets : 1;
+    int groups = (turn.instances + atOnce - 1) / atOnce;
+    auto slot = static_cast<int>((now - last) / probeTime);
+    return { .isAllowed = turn.turn / atOnce == slot % groups, .target = (turn.turn + slot / groups) % targets };
+}
+
+void recordProbe(CrashingParts& parts, const PromptParts& requested, SteadyTime now)
+{
+    if (crashRisk(parts, requested) > 0)
+        parts.probedAt = now;
+}
+
 std::vector<SuspectReport> suspectsToReport(CrashingParts& parts, ReportScope scope, SteadyTime now)
 {
     std::vector<std::pair<const PromptPart, SuspectPart>*> candidates;
     for (auto& entry : parts.suspects) {
-        bool isRepeated = scope == ReportScope::All && entry.second.crashes.size() >= minCrashesToRepeat;
+        bool isRepeated = (scope == ReportScope::All && entry.second.crashes.size() >= minCrashesToRepeat) || (parts.hasCrashedBeforeAnswers && countCrashes(entry.second) >= minCrashesToRepeat);
         if (isRepeated || wasObservedLately(entry.second, now))
             candidates.push_back(&entry);
     }
     // Parts of one long prompt are equally suspect, and each of them has to reach the peers.
-    auto isFirst = [](const auto* a, const auto* b) {
+    // Where any of them may be the crashing one, the strongest ones would take all places.
+    auto isFirst = [&](const auto* a, const auto* b) {
+        if (parts.hasCrashedBeforeAnswers)
+            return std::tuple(a->second.reportedAt, a->first) < std::tuple(b->second.reportedAt, b->first);
         return std::tuple(countCrashes(b->second), a->second.reportedAt, a->first) < std::tuple(countCrashes(a->second), b->second.reportedAt, b->first);
     };
     std::sort(candidates.begin(), candidates.end(), isFirst);
@@ -446,6 +556,7 @@
             parts.answersToCount = minOtherAnswers;
         }
     }
+    recordChange(parts, !suspect.crashes.empty());
     if (suspect.isQuarantined || suspect.crashes.empty())
         return;
     // A peer may have seen crashes that this instance hasn't; only an answer here speaks against its decision.
--- a/src/core/CrashingParts.h
+++ b/src/core/CrashingParts.h
@@ -16,6 +16,12 @@
 /// decides by itself if the part is the only one that explains the crashes. A quarantined part explains its crashes, so that
 /// they no longer count against other parts. An answer clears the part. Instances merge their suspicions, which carry the ids
 /// of the crashes, so that repeated and reordered reports do no harm.
+///
+/// Where targets crash before this instance has had any answer, its common suspects are the parts without an answer that are
+/// at almost all crashes. The crashing part is one of them, and a sound request never contains all of them. A request with
+/// none of them is sent as usual. A request with some of them is a probe: an instance sends one at a time, with as few of them
+/// as possible; its answer clears them, and its crash leaves only them. A request with all of them is kept back; it is only
+/// sent after a time without crashes, by one instance after the other. docs/design/crashing-parts.md derives the bound.
 
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
@@ -71,6 +77,10 @@
     std::vector<TargetCrash> recentCrashes; ///< Of all targets that no quarantined part explains; bounded.
     AnsweredParts answered;
     std::uint64_t answers { 0 }; ///< Since the start of this instance.
+    bool hasCrashedBeforeAnswers { false }; ///< Until no common suspect is left.
+    std::vector<PromptPart> commonSuspects; ///< In order; see `crashRisk()`.
+    bool areCommonSuspectsOutdated { false };
+    std::optional<SteadyTime> probedAt; ///< When this instance last sent a probe that hasn't changed the suspicions yet.
 };
 
 /// The parts of a request's prompt that it may share with others.
@@ -108,6 +118,32 @@
 /// Records that this instance sends a request with the quarantined part.
 void recordTrial(CrashingParts&, PromptPart, SteadyTime now);
 
+/// The crashes of the common suspects among the parts, added up; 0 for a request that may be sent at any time, as always where
+/// enough answers were seen before the first crash. Requests with a lower risk are to be sent first.
+///
+///     std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) { return risk(a) < risk(b); });
+std::size_t crashRisk(CrashingParts&, const PromptParts&);
+
+/// What decides when an instance sends probes, and where.
+struct ProbeTurn {
+    int turn { 0 }; ///< Position of this instance in an order of all instances.
+    int instances { 1 };
+    int targets { 1 }; ///< Of the pool.
+};
+
+/// Whether a request may be sent as far as the common suspects are concerned.
+struct ProbePermission {
+    bool isAllowed { true };
+    std::optional<int> target; ///< The only one that it may be sent to, by position in an order of all targets.
+};
+
+/// Whether a request with these parts may be sent now. Instances take turns, so that usually no two send probes to one target
+/// at the same time: a crash there would leave the suspects of both.
+ProbePermission probePermission(CrashingParts&, const PromptParts&, const ProbeTurn&, SteadyTime now);
+
+/// Records that this instance sends a request with these parts.
+void recordProbe(CrashingParts&, const PromptParts&, SteadyTime now);
+
 /// A suspicion as sent to peers and kept in the store.
 struct SuspectReport {
     struct Crash {
--- a/test/CrashReplay.h
+++ b/test/CrashReplay.h
@@ -9,7 +9,7 @@
 #include "core/CrashingParts.h"
 #include <algorithm>
 #include <cmath>
-#include <deque>
+#include <iterator>
 #include <random>
 
 namespace limpetpond {
@@ -36,6 +36,10 @@
     Duration restartInterval { 0 }; ///< Between restarts of one instance after another, which lose its memory; 0 for none.
     std::vector<CrashStorm> storms;
     bool doAllShareOnePart { false };
+    int sharedParts { 0 }; ///< Of all requests, beside the others.
+    Duration timeToFirstEvent { std::chrono::milliseconds(80) }; ///< A target begins to write an answer; one with the crashing part crashes it.
+    Duration timeToSecondEvent { std::chrono::milliseconds(110) };
+    Duration serviceTime { std::chrono::milliseconds(450) };
     bool doTargetsKeepTheirIds { false }; ///< Whether a target has the same incarnation after a crash.
     std::uint32_t seed { 1 };
 };
@@ -44,6 +48,10 @@
     int sound { 0 };
     int soundRefused { 0 };
     int badCrashes { 0 }; ///< Targets that the part has crashed.
+    std::optional<Duration> fifthCrashAt; ///< Since the start.
+    int soundLate { 0 }; ///< Arrived later than twice the stable time after the fifth crash, or in the second half where there is none.
+    int soundLateBegun { 0 }; ///< Of these, answered by the first target.
+    int soundAnswered { 0 };
     int badSendsLate { 0 }; ///< Sends of requests with the part later than the stable time after its fifth crash and after the start of the instance.
     std::size_t mostSuspects { 0 }; ///< At one instance.
 };
@@ -79,10 +87,8 @@
 
 private:
     static constexpr Duration step = std::chrono::milliseconds(5);
-    static constexpr Duration timeToFirstEvent = std::chrono::milliseconds(80);
-    static constexpr Duration timeToSecondEvent = std::chrono::milliseconds(110);
-    static constexpr Duration serviceTime = std::chrono::milliseconds(450);
     static constexpr Duration maxWait = std::chrono::seconds(2);
+    static constexpr Duration timeToEnd = std::chrono::seconds(5); ///< In which a request that arrives is answered or expires.
     static constexpr int kinds = 3;
     static constexpr int subjects = 300;
     static constexpr PromptPart badPart { 0xbad };
@@ -94,6 +100,7 @@
         int sends { 0 };
         SteadyTime arrivedAt;
         SteadyTime startedAt;
+        std::size_t risk { 0 };
     };
     struct Target {
         std::vector<Request> running;
@@ -128,16 +135,20 @@
             target.crashesAt.reset();
             crash(index);
         }
-        auto bad = std::find_if(target.running.begin(), target.running.end(), [this](const Request& request) { return request.isBad && m_now - request.startedAt >= timeToFirstEvent; });
+        auto bad = std::find_if(target.running.begin(), target.running.end(), [this](const Request& request) { return request.isBad && m_now - request.startedAt >= m_options.timeToFirstEvent; });
         if (bad != target.running.end()) {
-            if (++m_result.badCrashes == 5)
+            if (++m_result.badCrashes == 5) {
                 m_fifthCrashAt = m_now;
+                m_result.fifthCrashAt = m_elapsed;
+            }
             crash(index);
         }
         std::erase_if(target.running, [this](const Request& request) {
-            if (m_now - request.startedAt < serviceTime)
+            if (m_now - request.startedAt < m_options.serviceTime)
                 return false;
             recordAnswer(m_instances[request.instance], request.parts, m_now);
+            m_result.soundAnswered += !request.isBad;
+            m_result.soundLateBegun += isLateSound(request) && request.sends == 1;
             return true;
         });
     }
@@ -157,7 +168,7 @@
             for (const Request& request : lost) {
                 if (request.instance != instance)
                     continue;
-                if (m_now - request.startedAt < timeToSecondEvent)
+                if (m_now - request.startedAt < m_options.timeToSecondEvent)
                     suspects.push_back(request.parts);
                 else
                     recordAnswer(m_instances[instance], request.parts, m_now);
@@ -175,25 +186,48 @@
     {
         for (int count = poisson(m_options.soundPerSecond); count > 0; --count) {
             ++m_result.sound;
-            send(makeRequest(false));
+            accept(makeRequest(false));
         }
         for (int count = m_elapsed < m_options.badFrom ? 0 : poisson(m_options.badPerSecond); count > 0; --count)
-            send(makeRequest(true));
-        std::deque<Request> waiting = std::move(m_waiting);
+            accept(makeRequest(true));
+        std::vector<Request> waiting(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(m_waiting.end()));
         m_waiting.clear();
+        for (Request& request : waiting)
+            request.risk = riskOf(request);
+        std::stable_sort(waiting.begin(), waiting.end(), [](const Request& a, const Request& b) { return a.risk < b.risk; });
         for (Request& request : waiting) {
             if (m_now - request.arrivedAt < maxWait)
                 send(std::move(request));
         }
     }
 
+    /// A request of which some parts are suspected waits for those that arrive with fewer.
+    void accept(Request request)
+    {
+        m_result.soundLate += isLateSound(request);
+        if (riskOf(request) > 0)
+            m_waiting.push_back(std::move(request));
+        else
+            send(std::move(request));
+    }
+
+    std::size_t riskOf(const Request& request) { return crashRisk(m_instances[request.instance], request.parts); }
+
+    bool isLateSound(const Request& request) const
+    {
+        SteadyTime from = m_fifthCrashAt ? *m_fifthCrashAt + 2 * m_options.stableTime : begin + m_options.time / 2;
+        return !request.isBad && request.arrivedAt > from && request.arrivedAt < begin + m_options.time - timeToEnd;
+    }
+
     Request makeRequest(bool isBad)
     {
         // A few subjects get most requests.
         auto subject = static_cast<std::uint64_t>(std::floor(subjects * std::pow(uniform(), 3)));
         std::uint64_t kind = m_random() % kinds;
         Request request { .instance = m_random() % m_instances.size(), .isBad = isBad, .arrivedAt = m_now };
-        request.parts = { PromptPart(1000 + (m_options.doAllShareOnePart ? 0 : kind)), isBad ? badPart : PromptPart(2000 + kind * subjects + subject) };
+        for (int i = 0; i < m_options.sharedParts; ++i)
+            request.parts.push_back(PromptPart(100000 + static_cast<std::uint64_t>(i)));
+        request.parts.insert(request.parts.end(), { PromptPart(1000 + (m_options.doAllShareOnePart ? 0 : kind)), isBad ? badPart : PromptPart(2000 + kind * subjects + subject) });
         return request;
     }
 
@@ -208,15 +242,23 @@
             }
             recordTrial(parts, *part, m_now);
         }
+        ProbePermission permission = probePermission(parts, request.parts, { .turn = static_cast<int>(request.instance), .instances = m_options.instances, .targets = m_options.targets }, m_now);
+        if (!permission.isAllowed) {
+            m_waiting.push_back(std::move(request));
+            return;
+        }
         std::size_t first = m_random() % m_targets.size();
         for (std::size_t i = 0; i < m_targets.size(); ++i) {
             Target& target = m_targets[(first + i) % m_targets.size()];
+            if (permission.target && &target != &m_targets[static_cast<std::size_t>(*permission.target)])
+                continue;
             if (m_now < target.downUntil || target.running.size() >= static_cast<std::size_t>(m_options.slots))
                 continue;
             ++request.sends;
             request.startedAt = m_now;
             bool hasHadTime = m_fifthCrashAt && m_now > std::max(*m_fifthCrashAt, m_startedAt[request.instance]) + m_options.stableTime;
             m_result.badSendsLate += request.isBad && hasHadTime;
+            recordProbe(parts, request.parts, m_now);
             target.running.push_back(std::move(request));
             return;
         }
@@ -248,8 +290,9 @@
     std::vector<Target> m_targets;
     std::vector<CrashingParts> m_instances;
     std::vector<SteadyTime> m_startedAt; ///< Of each instance, where it was restarted.
-    std::deque<Request> m_waiting; ///< No target was free.
-    SteadyTime m_now { std::chrono::hours(1) };
+    std::vector<Request> m_waiting; ///< No target was free.
+    static constexpr SteadyTime begin { std::chrono::hours(1) };
+    SteadyTime m_now { begin };
     Duration m_elapsed { 0 };
     int m_restarts { 0 };
     std::optional<SteadyTime> m_fifthCrashAt;
--- a/test/CrashingPartsTest.cpp
+++ b/test/CrashingPartsTest.cpp
@@ -451,6 +451,16 @@
     LONGS_EQUAL(0, result.soundRefused);
 }
 
+/// Checks besides that sound requests begin at the first attempt again, which all do without crashes.
+void checkKeptAndAnswered(const CrashReplayOptions& options)
+{
+    CrashResult result = CrashReplay(options).run();
+    CHECK(result.badSendsLate <= maxSendsAfterFiveCrashes);
+    LONGS_EQUAL(0, result.soundRefused);
+    CHECK(result.soundLate > 0);
+    CHECK(2 * result.soundLateBegun >= result.soundLate);
+}
+
 /// Many targets crash at once, then a third of them one after the other, then all of them.
 const std::vector<CrashStorm> storms { { .at = 5s, .share = 0.3 }, { .at = 9s, .time = 3s, .share = 0.35 }, { .at = 15s, .time = 2s, .share = 0.6 }, { .at = 21s, .share = 1 },
     { .at = 25s, .time = 1s, .share = 1 } };
@@ -590,3 +600,161 @@
         CHECK(result.mostSuspects <= 256);
     }
 }
+
+// Load: the part arrives from the first moment on. Requests with it were sent to targets without end, since no other request was
+// answered, and nothing told the part from those that all requests share.
+TEST(CrashingParts, aCrashingPartIsKeptFromPoolsOfAnySizeAfterAStartOfAllInstances)
+{
+    for (int targets : { 1, 2, 3, 18 }) {
+        for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+            CrashReplayOptions options { .targets = targets, .soundPerSecond = 7.0 * targets, .badPerSecond = 20, .badFrom = 0s, .time = 40s, .downTime = 3s, .seed = seed };
+            checkKeptAndAnswered(options);
+        }
+    }
+}
+
+TEST(CrashingParts, aCrashingPartIsFoundAmongManySharedPartsAfterAStartOfAllInstances)
+{
+    for (int sharedParts : { 1, 10, 100 }) {
+        for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+            for (int targets : { 2, 3 }) {
+                CrashReplayOptions options { .targets = targets, .soundPerSecond = 7.0 * targets, .badPerSecond = 20, .badFrom = 0s, .time = 30s, .downTime = 3s, .seed = seed };
+                options.sharedParts = sharedParts;
+                checkKeptAndAnswered(options);
+            }
+        }
+    }
+}
+
+TEST(CrashingParts, aCrashingPartIsKeptFromFastAndSlowTargetsAfterAStartOfAllInstances)
+{
+    for (Duration timeToFirstEvent : { 20ms, 350ms, 1000ms }) {
+        for (int targets : { 1, 2, 3 }) {
+            for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+                CrashReplayOptions options { .targets = targets, .badPerSecond = 20, .badFrom = 0s, .time = 40s, .downTime = 3s, .seed = seed };
+                options.timeToFirstEvent = timeToFirstEvent;
+                options.timeToSecondEvent = timeToFirstEvent + 30ms;
+                options.serviceTime = timeToFirstEvent + 370ms;
+                options.soundPerSecond = targets * 3.15 / toSeconds(options.serviceTime);
+                checkKeptAndAnswered(options);
+            }
+        }
+    }
+}
+
+TEST(CrashingParts, aCrashingPartIsKeptFromFewTargetsAfterAStartWhileUpdatesAreLost)
+{
+    for (int targets : { 1, 2, 3 }) {
+        for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+            CrashReplayOptions options { .targets = targets, .soundPerSecond = 7.0 * targets, .badPerSecond = 20, .badFrom = 0s, .time = 40s, .downTime = 3s, .lostUpdates = 0.3, .seed = seed };
+            checkKeptAndAnswered(options);
+        }
+    }
+}
+
+// A pool in which answers came before the first crash is served as before.
+TEST(CrashingParts, noRequestWaitsWhereEnoughAnswersWereSeenBeforeTheFirstCrash)
+{
+    crash({ { systemPart, badPart } });
+    crash({ { systemPart, badPart } });
+    LONGS_EQUAL(0, crashRisk(parts, { systemPart, badPart }));
+    CHECK(probePermission(parts, { systemPart, badPart }, { .turn = 3, .instances = 4 }, now).isAllowed);
+}
+
+TEST_GROUP(CrashingPartsAfterAStart)
+{
+    static constexpr ProbeTurn firstTurn { .turn = 0, .instances = 2, .targets = 1 };
+    static constexpr ProbeTurn secondTurn { .turn = 1, .instances = 2, .targets = 1 };
+    static constexpr PromptPart soundPart { 4 };
+    CrashingParts parts;
+    SteadyTime now { start };
+
+    /// The part and the one that all requests share are the common suspects.
+    void setup() override
+    {
+        crash(1);
+        crash(2);
+    }
+
+    void crash(std::uint64_t id)
+    {
+        now += 200ms;
+        recordCrash(parts, { .id = CrashId(id), .at = now }, { { systemPart, badPart } });
+    }
+
+    bool isAllowed(const PromptParts& requested, const ProbeTurn& turn) { return probePermission(parts, requested, turn, now).isAllowed; }
+};
+
+TEST(CrashingPartsAfterAStart, aRequestWithoutASuspectIsSentAtAnyTime)
+{
+    CHECK(isAllowed({ soundPart }, firstTurn));
+    CHECK(isAllowed({ soundPart }, secondTurn));
+}
+
+TEST(CrashingPartsAfterAStart, aRequestThatLacksASuspectHasALowerRiskThanOneWithAll)
+{
+    CHECK(crashRisk(parts, { systemPart, soundPart }) < crashRisk(parts, { systemPart, badPart }));
+}
+
+// Two probes at one target would share a crash, which then tells nothing.
+TEST(CrashingPartsAfterAStart, oneInstanceAtATimeSendsProbesToATarget)
+{
+    PromptParts probe { systemPart, soundPart };
+    for (int i = 0; i < 100; ++i) {
+        CHECK_FALSE(isAllowed(probe, firstTurn) && isAllowed(probe, secondTurn));
+        now += 100ms;
+    }
+    CHECK(isAllowed(probe, firstTurn) || isAllowed(probe, secondTurn));
+}
+
+TEST(CrashingPartsAfterAStart, anInstanceSendsOneProbeAtATime)
+{
+    PromptParts probe { systemPart, soundPart };
+    CHECK(isAllowed(probe, firstTurn));
+    recordProbe(parts, probe, now);
+    CHECK_FALSE(isAllowed(probe, firstTurn));
+}
+
+TEST(CrashingPartsAfterAStart, theAnswerOfAProbeLeavesTheCrashingPart)
+{
+    recordAnswer(parts, { systemPart, soundPart }, now);
+    CHECK(isAllowed({ systemPart, soundPart }, secondTurn));
+    CHECK_FALSE(isAllowed({ systemPart, badPart }, firstTurn));
+}
+
+TEST(CrashingPartsAfterAStart, theCrashOfAProbeLeavesItsSuspects)
+{
+    recordCrash(parts, { .id = CrashId(3), .at = now + 200ms }, { { badPart, soundPart } });
+    LONGS_EQUAL(0, crashRisk(parts, { systemPart }));
+    CHECK(crashRisk(parts, { badPart }) > 0);
+}
+
+// Where targets crash for another reason, requests with all suspects are the only ones.
+TEST(CrashingPartsAfterAStart, aRequestWithAllSuspectsIsSentAfterATimeWithoutCrashes)
+{
+    PromptParts all { systemPart, badPart };
+    CHECK_FALSE(isAllowed(all, firstTurn));
+    now += 4s;
+    CHECK(isAllowed(all, firstTurn));
+    CHECK_FALSE(isAllowed(all, secondTurn));
+    for (std::uint64_t id = 3; id <= 5; ++id)
+        crash(id);
+    now += 4s;
+    CHECK_FALSE(isAllowed(all, firstTurn));
+}
+
+// With more than sixteen parts at more crashes than the others, these were never reported, and peers kept suspecting sound parts.
+TEST(CrashingPartsAfterAStart, eachSuspectIsReportedWhereOthersAreAtMoreCrashes)
+{
+    PromptParts many = longPrompt(1000, 40);
+    for (std::uint64_t id = 10; id < 13; ++id)
+        recordCrash(parts, { .id = CrashId(id), .at = now += 200ms }, { many });
+    std::set<PromptPart> reported;
+    for (int update = 0; update < 4; ++update) {
+        now += 1s;
+        for (const SuspectReport& report : suspectsToReport(parts, ReportScope::All, now))
+            reported.insert(report.part);
+    }
+    CHECK(reported.contains(badPart));
+    LONGS_EQUAL(many.size() + 2, reported.size());
+}
