Let the gateway send probes for prompt parts that crash targets

The gateway asks core/CrashingParts.h before each send. While suspects remain it examines up to 256 waiting requests, those with the lowest risk first, so that requests that are kept back don't block others, and doesn't send stalled requests with a suspect to further targets.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -133,6 +133,12 @@
     /// The time until the request may be sent, if one of its prompt parts is quarantined and no trial is due.
     std::optional<Duration> quarantineTime(PoolState&, const RequestFacts&, SteadyTime now);
     void refuseQuarantined(Exchange&, Duration quarantineTime);
+    /// Whether the request may be sent although one of its prompt parts may be the one that crashes the pool's targets.
+    ProbePermission probePermissionOf(PoolState&, const RequestFacts&, SteadyTime now);
+    /// Like `chooseTarget()`, for a request that may only be sent to one target.
+    std::optional<std::size_t> chooseProbeTarget(const PoolState&, const Exchange&, int position, SteadyTime now) const;
+    /// The waiting requests to examine, in order.
+    std::vector<WaitTicket> dispatchCandidates(PoolState&, SteadyTime now);
     /// Learns from the end of an attempt whether the request's prompt parts crash targets.
     void recordPromptOutcome(const Exchange&, const Attempt&, AttemptEnd, SteadyTime now);
     void onTargetCrash(const LostTarget&, const std::vector<PromptParts>& suspects);
--- a/src/gateway/GatewayCrashes.cpp
+++ b/src/gateway/GatewayCrashes.cpp
@@ -11,6 +11,8 @@
     constexpr Duration minQuarantineRetryAfter = std::chrono::seconds(1);
     constexpr Duration maxQuarantineRetryAfter = std::chrono::seconds(60); ///< A caller that has waited for longer may as well ask again.
     constexpr int firstNoSuccessStatus = 300;
+    constexpr std::size_t maxDispatchCandidates = 6; ///< Requests examined from the head of the queue.
+    constexpr std::size_t maxProbeCandidates = 256; ///< Requests with a suspected part wait, and mustn't block those without.
 
     bool isSuccess(const Exchange& exchange) { return exchange.answerStatus() < firstNoSuccessStatus; }
 
@@ -48,6 +50,42 @@
     finishWithFailure(exchange, { .reason = "crashing_prompt_part", .isQuarantined = true, .retryAfter = retryAfter });
 }
 
+ProbePermission Gateway::probePermissionOf(PoolState& pool, const RequestFacts& facts, SteadyTime now)
+{
+    if (!pool.crashingParts.hasCrashedBeforeAnswers)
+        return {};
+    ProbeTurn turn { .turn = m_pools.turnOf(pool.hash), .instances = instances(), .targets = static_cast<int>(pool.targets.size()) };
+    return probePermission(pool.crashingParts, facts.promptParts, turn, now);
+}
+
+std::optional<std::size_t> Gateway::chooseProbeTarget(const PoolState& pool, const Exchange& exchange, int position, SteadyTime now) const
+{
+    std::vector<TargetId> avoid;
+    for (const TargetState& target : pool.targets)
+        avoid.push_back(target.entry.id);
+    std::sort(avoid.begin(), avoid.end());
+    auto own = avoid.begin() + position;
+    const std::vector<TargetId>& tried = exchange.triedTargets();
+    if (std::find(tried.begin(), tried.end(), *own) != tried.end())
+        return std::nullopt;
+    avoid.erase(own);
+    return limpetpond::chooseTarget(pool.targets, targetSelectionInput(pool, exchange, &avoid, now), now);
+}
+
+std::vector<WaitTicket> Gateway::dispatchCandidates(PoolState& pool, SteadyTime now)
+{
+    if (!pool.crashingParts.hasCrashedBeforeAnswers)
+        return firstWaiting(pool.queue, maxDispatchCandidates, now);
+    std::vector<std::pair<std::size_t, WaitTicket>> candidates;
+    for (WaitTicket ticket : firstWaiting(pool.queue, maxProbeCandidates, now))
+        candidates.emplace_back(crashRisk(pool.crashingParts, m_exchanges.at(ticket)->facts().promptParts), ticket);
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<WaitTicket> tickets;
+    for (const auto& [risk, ticket] : candidates)
+        tickets.push_back(ticket);
+    return tickets;
+}
+
 void Gateway::recordPromptOutcome(const Exchange& exchange, const Attempt& attempt, AttemptEnd end, SteadyTime now)
 {
     const RequestFacts& facts = exchange.facts();
--- a/src/gateway/GatewayDispatch.cpp
+++ b/src/gateway/GatewayDispatch.cpp
@@ -9,7 +9,6 @@
 namespace {
 
     constexpr double tokensPerEvent = 5; ///< Only used to compare targets of one pool, where the factor cancels out.
-    constexpr std::size_t maxDispatchCandidates = 6; ///< Requests examined from the head of the queue.
 
     std::vector<TargetId> targetsExcept(const PoolState& pool, const std::vector<TargetId>& excepted)
     {
@@ -77,14 +76,17 @@
     while (!pool.queue.requests.empty()) {
         bool hasChanged = false; // A request was sent or refused.
         // A request that waits for a fast target doesn't block the next few, which a slower target can serve in time.
-        for (WaitTicket ticket : firstWaiting(pool.queue, maxDispatchCandidates, now)) {
+        for (WaitTicket ticket : dispatchCandidates(pool, now)) {
             std::shared_ptr<Exchange> exchange = m_exchanges.at(ticket);
             if (std::optional<Duration> wait = quarantineTime(pool, exchange->facts(), now)) {
                 refuseQuarantined(*exchange, *wait);
                 hasChanged = true;
                 break;
             }
-            std::optional<std::size_t> index = chooseTarget(pool, *exchange, now);
+            ProbePermission permission = probePermissionOf(pool, exchange->facts(), now);
+            if (!permission.isAllowed)
+                continue;
+            std::optional<std::size_t> index = permission.target ? chooseProbeTarget(pool, *exchange, *permission.target, now) : chooseTarget(pool, *exchange, now);
             if (!index)
                 continue;
             removeWaiting(pool.queue, ticket);
@@ -103,7 +105,7 @@
 {
     for (WaitTicket ticket : std::vector<WaitTicket>(pool.stalled.begin(), pool.stalled.end())) {
         std::shared_ptr<Exchange> exchange = m_exchanges.at(ticket);
-        if (quarantineTime(pool, exchange->facts(), now))
+        if (quarantineTime(pool, exchange->facts(), now) || crashRisk(pool.crashingParts, exchange->facts().promptParts) > 0)
             continue;
         std::optional<std::size_t> index = chooseTarget(pool, *exchange, now);
         if (index && giveUpStalledAttempt(pool, *exchange, now))
@@ -121,6 +123,12 @@
     }
     if (std::optional<QuarantinedPart> quarantined = findQuarantinedPart(pool, facts))
         recordTrial(quarantined->pool->crashingParts, quarantined->part, now);
+    if (std::size_t risk = crashRisk(pool.crashingParts, facts.promptParts); risk > 0) {
+        recordProbe(pool.crashingParts, facts.promptParts, now);
+        m_log.line("info", "prompt_probe_sent",
+            { { "request", facts.id }, { "pool", pool.id.value() }, { "suspects", static_cast<std::int64_t>(pool.crashingParts.commonSuspects.size()) },
+                { "risk", static_cast<std::int64_t>(risk) } });
+    }
     double estimatedFirstEvent = exchange.isStreaming() ? estimatedFirstEventMilliseconds(pool.targets, index, facts.promptTokens) : 0;
     TargetState& target = pool.targets[index];
     recordSend(target.rateLimit, now);
