Divide the gateway's rollouts into steps, rows, targets and names

The class stays as it is; isSameOrder() is a function of core/Rollout.h, and the names of states in log lines have a file of their own.

--- a/src/core/Rollout.cpp
+++ b/src/core/Rollout.cpp
@@ -6,6 +6,8 @@
 
 namespace limpetpond {
 
+bool isSameOrder(const RolloutOrder& a, const RolloutOrder& b) { return a.id.number == b.id.number && a.to == b.to && a.time == b.time; }
+
 RolloutPosition laterPosition(const RolloutPosition& a, const RolloutPosition& b)
 {
     auto order = [](const RolloutPosition& position) { return std::tuple(isFinal(position.phase), position.generation, position.phase); };
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -27,6 +27,9 @@
     Duration time { 0 }; ///< From the order to the time by which it has to be decided.
 };
 
+/// Whether both are the same order, also where a restored store has given its row another epoch.
+bool isSameOrder(const RolloutOrder&, const RolloutOrder&);
+
 enum class RolloutPhase {
     NotStarted, ///< Nobody has taken the order up; the old versions get all requests.
     Sample, ///< A few requests go to a few targets of the new version.
--- a/src/gateway/Rollouts.cpp
+++ b/src/gateway/Rollouts.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Rollouts.h"
 
 #include "core/Hash.h"
+#include "gateway/RolloutNames.h"
 #include <algorithm>
 #include <utility>
 
@@ -8,123 +9,19 @@
 
 namespace {
 
-    using Outcome = ConditionalWriteResult::Outcome;
-
-    constexpr std::string_view versionsKeyPrefix = "versions/"; ///< In the table of instances.
     constexpr Duration versionCheckInterval = std::chrono::milliseconds(200);
     /// An instance that can't read the rows goes by its targets' entries after this time.
     constexpr Duration rowsTimeout = std::chrono::seconds(3);
     /// An instance that has started so recently has no part in the slack: it may have been given out before, to its earlier incarnation.
     constexpr Duration startTime = std::chrono::seconds(2);
     constexpr Duration writeRetryInterval = std::chrono::milliseconds(500);
-    /// Several instances would write the same row: the first ones do, one after the other, until the row is found written.
-    constexpr int maxWriters = 3;
-    constexpr Duration writerInterval = std::chrono::seconds(1);
-    /// Instances that aren't among the first writers assume by then that these have written.
-    constexpr Duration maxWriteWait = std::chrono::seconds(10);
     /// So long each update holds a final state, and later only those that hold everything.
     constexpr Duration finalReportTime = std::chrono::seconds(3);
     constexpr Duration silentAge = std::chrono::milliseconds(1500); ///< Three updates of an instance of the largest fleet.
     constexpr std::size_t maxEndedOrders = 16; ///< Remembered for each pool.
 
-    std::string versionsKey(const PoolId& pool) { return std::string(versionsKeyPrefix) + pool.value(); }
-
-    /// A store that was restored gives its rows another epoch.
-    bool isSameOrder(const RolloutOrder& a, const RolloutOrder& b) { return a.id.number == b.id.number && a.to == b.to && a.time == b.time; }
-
-    bool areSame(const TargetVersions& a, const TargetVersions& b) { return a.established == b.established && a.excluded == b.excluded; }
-
-    std::string_view phaseName(RolloutPhase phase)
-    {
-        switch (phase) {
-        case RolloutPhase::NotStarted:
-            return "not_started";
-        case RolloutPhase::Sample:
-            return "sample";
-        case RolloutPhase::Load:
-            return "load";
-        case RolloutPhase::Switch:
-            return "switch";
-        case RolloutPhase::Succeeded:
-            return "succeeded";
-        case RolloutPhase::RolledBack:
-            return "rolled_back";
-        }
-        return "unknown";
-    }
-
-    std::string_view actionName(RolloutAction action)
-    {
-        switch (action) {
-        case RolloutAction::None:
-            return "none";
-        case RolloutAction::TakeOver:
-            return "take_over";
-        case RolloutAction::BeginLoad:
-            return "begin_load";
-        case RolloutAction::BeginSwitch:
-            return "begin_switch";
-        case RolloutAction::Stop:
-            return "stop";
-        case RolloutAction::Succeed:
-            return "succeed";
-        case RolloutAction::RollBack:
-            return "roll_back";
-        }
-        return "unknown";
-    }
-
-    std::string_view verdictName(RolloutVerdict verdict)
-    {
-        switch (verdict) {
-        case RolloutVerdict::Undecided:
-            return "undecided";
-        case RolloutVerdict::Bad:
-            return "bad";
-        case RolloutVerdict::Sound:
-            return "sound";
-        }
-        return "unknown";
-    }
-
-    std::string joined(const std::set<TargetVersion>& versions)
-    {
-        std::string text;
-        for (const TargetVersion& version : versions)
-            text.append(text.empty() ? "" : ",").append(version.value());
-        return text;
-    }
-
     std::int64_t count(std::int64_t number) { return number; }
 
-    /// What an attempt's end tells of the target's version; nothing for ends with other reasons. A connection that was lost is
-    /// trouble of the target or of the network.
-    std::optional<RolloutAnswer> answerOf(const Exchange& exchange, std::optional<AttemptEnd> end, bool asksForPause, SteadyTime now)
-    {
-        RolloutAnswer answer;
-        if (!end) {
-            answer.isGivenUp = now >= exchange.facts().deadline;
-            return answer.isGivenUp ? std::optional(answer) : std::nullopt;
-        }
-        switch (*end) {
-        case AttemptEnd::Answered:
-            return answer;
-        case AttemptEnd::FailedAnswer:
-        case AttemptEnd::BadAnswer:
-            answer.isFailure = true;
-            return asksForPause ? std::nullopt : std::optional(answer);
-        case AttemptEnd::Stalled:
-            answer.isGivenUp = true;
-            return answer;
-        case AttemptEnd::NotRun:
-        case AttemptEnd::WrongTarget:
-        case AttemptEnd::NotConnected:
-        case AttemptEnd::Broken:
-            return std::nullopt;
-        }
-        return std::nullopt;
-    }
-
 } // namespace
 
 Rollouts::Rollouts(boost::asio::io_context& context, const Clock& clock, Pools& pools, GatewayMetrics& metrics, RateLimitedLog& log, RolloutsOptions options)
@@ -139,8 +36,6 @@
 {
 }
 
-bool Rollouts::isOwnRow(std::string_view key) { return key.starts_with(platform::rolloutKeyPrefix) || key.starts_with(versionsKeyPrefix); }
-
 Rollouts::PoolRollouts& Rollouts::stateOf(PoolState& pool)
 {
     PoolRollouts& state = m_states[pool.hash];
@@ -212,7 +107,7 @@
     bool replacesCandidate = state.versions.known.candidate && *state.versions.known.candidate != order.to;
     m_log.line("info", "rollout_ordered",
         { { "pool", order.pool.value() }, { "to", order.to.value() }, { "order", static_cast<std::int64_t>(order.id.number) }, { "seconds", toSeconds(order.time) },
-            { "age_ms", toMilliseconds(source.age) }, { "source", source.name }, { "established", joined(state.versions.known.established) } });
+            { "age_ms", toMilliseconds(source.age) }, { "source", source.name }, { "established", joinedVersions(state.versions.known.established) } });
     Current current;
     current.rollout = { .order = order, .orderedAt = now - source.age, .heardAt = now, .members = m_pools.peers() + 1 };
     current.isTimeKnown = source.isTimeKnown;
@@ -280,114 +175,6 @@
     logVersions(state, "rollout_ended");
 }
 
-void Rollouts::applyRolloutRow(PoolRollouts& state, const RolloutRow& row, std::uint64_t version)
-{
-    state.rowVersion = version;
-    state.isRowKnown = true;
-    RolloutOrder order { .id = row.order, .pool = state.pool->id, .to = row.to, .time = row.time };
-    applyOrder(state, order, { .name = "store", .age = row.orderAge });
-    if (!state.current || !isSameOrder(state.current->rollout.order, order)) {
-        if (row.position.phase == RolloutPhase::Succeeded)
-            applyEarlierSuccess(state, order);
-        return;
-    }
-    Current& current = *state.current;
-    if (row.holder == m_options.self && row.holderIncarnation == m_options.incarnation)
-        current.ownGeneration = std::max(current.ownGeneration, row.position.generation);
-    if (isFinal(row.position.phase))
-        current.rewriteAt.reset();
-    applyPosition(state, row.position, "store");
-}
-
-void Rollouts::applyReadRow(PoolRollouts& state, const platform::Row& row)
-{
-    std::optional<RolloutRow> read = row.isDeleted ? std::nullopt : decodeRolloutRow(row.value, m_clock.systemNow());
-    if (!row.isDeleted && !read)
-        m_log.line("warning", "rollout_row_unreadable", { { "key", row.key } });
-    state.rowVersion = row.version;
-    state.isRowKnown = true;
-    if (read)
-        applyRolloutRow(state, *read, row.version);
-}
-
-void Rollouts::applyVersionsRow(PoolRollouts& state, const TargetVersions& row, std::uint64_t version)
-{
-    Version& versions = state.versions;
-    versions.rowVersion = version;
-    if (areSame(row, versions.known)) {
-        versions.changedAt.reset();
-        versions.isProvisional = false;
-        return;
-    }
-    const std::vector<TargetState>& targets = state.pool->targets;
-    bool isAnyPresent = std::any_of(targets.begin(), targets.end(), [&](const TargetState& target) { return row.established.contains(target.entry.version); });
-    bool hasRollout = state.current && !versions.isProvisional;
-    if (!versions.isProvisional && (versions.isRestored || hasRollout || !isAnyPresent)) {
-        versions.changedAt = m_clock.steadyNow();
-        return;
-    }
-    versions.known.established = row.established;
-    versions.known.excluded = row.excluded;
-    if (versions.known.candidate)
-        versions.known.excluded.erase(*versions.known.candidate);
-    versions.isProvisional = false;
-    versions.changedAt.reset();
-    logVersions(state, "store");
-    updateTargets(state);
-}
-
-void Rollouts::applyStoredRows(const std::vector<platform::Row>& rows)
-{
-    if (!m_options.isEnabled)
-        return;
-    SteadyTime now = m_clock.steadyNow();
-    m_hasReadRows = true;
-    for (auto& [hash, state] : m_states) {
-        state.rowVersion = 0;
-        state.isRowKnown = true;
-        state.versions.rowVersion = 0;
-    }
-    // The versions first: a rollout changes them.
-    for (const platform::Row& row : rows) {
-        if (row.isDeleted || !row.key.starts_with(versionsKeyPrefix))
-            continue;
-        PoolRollouts& state = stateOf(m_pools.pool(PoolId(row.key.substr(versionsKeyPrefix.size()))));
-        if (std::optional<TargetVersions> versions = decodeVersionsRow(row.value))
-            applyVersionsRow(state, *versions, row.version);
-        else
-            m_log.line("warning", "versions_row_unreadable", { { "key", row.key } });
-        state.versions.rowVersion = row.version;
-    }
-    for (const platform::Row& row : rows) {
-        if (!row.isDeleted && row.key.starts_with(platform::rolloutKeyPrefix))
-            applyReadRow(stateOf(m_pools.pool(PoolId(row.key.substr(platform::rolloutKeyPrefix.size())))), row);
-    }
-    // What this instance knows and the store has lost.
-    for (auto& [hash, state] : m_states) {
-        if (!state.versions.rowVersion && !state.versions.isProvisional && !state.versions.changedAt)
-            state.versions.changedAt = now;
-        state.versions.isRestored = false;
-        if (!state.current || !state.current->isFinalApplied)
-            continue;
-        auto key = platform::rolloutKey(state.pool->id);
-        auto row = std::find_if(rows.begin(), rows.end(), [&](const platform::Row& each) { return !each.isDeleted && each.key == key; });
-        std::optional<RolloutRow> stored = row == rows.end() ? std::nullopt : decodeRolloutRow(row->value, m_clock.systemNow());
-        bool isStored = stored && stored->order.number == state.current->rollout.order.id.number && isFinal(stored->position.phase);
-        std::optional<Duration> delay = writeDelay(state);
-        if (!isStored && delay)
-            state.current->rewriteAt = now + *delay;
-    }
-    onTargetsChanged();
-}
-
-void Rollouts::onStoreRestored()
-{
-    for (auto& [hash, state] : m_states) {
-        state.isRowKnown = false;
-        state.versions.isRestored = true;
-    }
-}
-
 void Rollouts::applyPeerUpdate(const InstanceUpdate& update)
 {
     if (!m_options.isEnabled)
@@ -446,160 +233,6 @@
     }
 }
 
-void Rollouts::onTargetsChanged()
-{
-    if (!m_options.isEnabled)
-        return;
-    SteadyTime now = m_clock.steadyNow();
-    if (!m_targetsKnownAt && m_pools.targets())
-        m_targetsKnownAt = now;
-    for (auto& [id, pool] : m_pools.all()) {
-        if (!pool.targets.empty() || m_states.contains(pool.hash))
-            checkVersions(stateOf(pool), now);
-    }
-}
-
-void Rollouts::checkVersions(PoolRollouts& state, SteadyTime now)
-{
-    if (m_hasReadRows) {
-        std::vector<VersionedTarget> entries;
-        entries.reserve(state.pool->targets.size());
-        for (const TargetState& target : state.pool->targets)
-            entries.push_back({ .version = target.entry.version, .startedAt = target.entry.startedAt });
-        if (updateVersions(state.versions.known, entries, now)) {
-            state.versions.changedAt = now;
-            logVersions(state, "entries");
-        }
-    }
-    updateTargets(state);
-}
-
-void Rollouts::logVersions(const PoolRollouts& state, std::string_view source)
-{
-    m_log.line("info", "versions_changed",
-        { { "pool", state.pool->id.value() }, { "established", joined(state.versions.known.established) }, { "excluded", joined(state.versions.known.excluded) }, { "source", source } });
-}
-
-bool Rollouts::isOnlyEstablished(const PoolRollouts& state) const
-{
-    const std::set<TargetVersion>& established = state.versions.known.established;
-    return established.size() == 1 && established.contains(state.current->rollout.order.to);
-}
-
-void Rollouts::updateTargets(PoolRollouts& state)
-{
-    const TargetVersions& known = state.versions.known;
-    std::vector<TargetState>& targets = state.pool->targets;
-    bool isRunning = state.current && !isFinal(state.current->rollout.position.phase) && !isOnlyEstablished(state);
-    std::vector<SampleCandidate> candidates;
-    std::vector<std::size_t> indices; ///< Of the candidates in `targets`.
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        TargetState& target = targets[i];
-        const TargetVersion& version = target.entry.version;
-        bool isNew = isRunning && version == state.current->rollout.order.to;
-        target.isSample = false;
-        target.isVersionAllowed = m_hasReadRows && known.established.contains(version);
-        if (!isRunning)
-            continue;
-        const RolloutPosition& position = state.current->rollout.position;
-        if (position.isStopped)
-            target.isVersionAllowed = target.isVersionAllowed && !isNew;
-        else if (position.phase == RolloutPhase::Switch)
-            target.isVersionAllowed = m_hasReadRows && isNew;
-        else if (position.phase != RolloutPhase::NotStarted && !target.entry.isDraining && (isNew || known.established.contains(version))) {
-            candidates.push_back({ .hash = state.pool->connections[i].hash, .isNew = isNew });
-            indices.push_back(i);
-            target.isVersionAllowed = target.isVersionAllowed && !isNew;
-        }
-    }
-    if (candidates.empty())
-        return;
-    const Rollout& rollout = state.current->rollout;
-    std::vector<std::size_t> samples = rollout.position.phase == RolloutPhase::Load
-        ? loadTargets(candidates, m_options.limits, m_clock.steadyNow() - rollout.orderedAt)
-        : sampleTargets(candidates, m_options.limits);
-    for (std::size_t position : samples) {
-        if (position >= indices.size() || !candidates[position].isNew)
-            continue;
-        TargetState& target = targets[indices[position]];
-        target.isSample = true;
-        target.isVersionAllowed = m_hasReadRows;
-    }
-}
-
-bool Rollouts::mayUsePool(const PoolState& pool) const
-{
-    const PoolRollouts* state = findState(pool.hash);
-    return !state || !state->current || limpetpond::mayUsePool(state->current->rollout, m_pools.peers() + 1, m_clock.steadyNow());
-}
-
-bool Rollouts::triesSamplesFirst(const PoolState& pool, const Exchange& exchange) const
-{
-    const PoolRollouts* state = findState(pool.hash);
-    if (!state || !state->current)
-        return false;
-    const Current& current = *state->current;
-    const RolloutPosition& position = current.rollout.position;
-    bool hasSamples = !position.isStopped && (position.phase == RolloutPhase::Sample || position.phase == RolloutPhase::Load);
-    return hasSamples && chooseVersions(position, current.share, m_options.limits, shortHash(exchange.facts().route->name)) == RolloutChoice::NewFirst;
-}
-
-void Rollouts::recordSend(const Exchange& exchange, const PoolState& pool, const TargetState& target)
-{
-    if (!m_options.isEnabled)
-        return;
-    auto found = m_states.find(pool.hash);
-    if (found == m_states.end())
-        return;
-    PoolRollouts& state = found->second;
-    const TargetVersion& version = target.entry.version;
-    m_attempts[exchange.ticket()] = { .pool = pool.hash, .target = shortHash(target.entry.id.value()), .version = version, .sentAt = m_clock.steadyNow() };
-    ++state.inProgress[version];
-    if (!state.current || isFinal(state.current->rollout.position.phase))
-        return;
-    bool isToNew = version == state.current->rollout.order.to;
-    limpetpond::recordSend(state.current->share, isToNew, shortHash(exchange.facts().route->name));
-    if (isToNew)
-        m_metrics.rolloutSends.add();
-}
-
-void Rollouts::recordEnd(const Exchange& exchange, std::optional<AttemptEnd> end, bool asksForPause)
-{
-    auto attempt = m_attempts.extract(exchange.ticket());
-    if (attempt.empty())
-        return;
-    const SentAttempt& sent = attempt.mapped();
-    PoolRollouts& state = m_states.at(sent.pool);
-    if (auto running = state.inProgress.find(sent.version); --running->second <= 0)
-        state.inProgress.erase(running);
-    if (!state.current)
-        return;
-    const Rollout& rollout = state.current->rollout;
-    if (isFinal(rollout.position.phase) || sent.sentAt < rollout.orderedAt)
-        return;
-    SteadyTime now = m_clock.steadyNow();
-    std::optional<RolloutAnswer> answer = answerOf(exchange, end, asksForPause, now);
-    if (!answer)
-        return;
-    answer->route = shortHash(exchange.facts().route->name);
-    if (sent.version == rollout.order.to)
-        answer->newTarget = sent.target;
-    answer->time = now - sent.sentAt;
-    recordAnswer(state.current->counts, *answer);
-}
-
-int Rollouts::oldInProgress(const PoolRollouts& state) const
-{
-    int sum = 0;
-    for (const auto& [version, running] : state.inProgress) {
-        if (version != state.current->rollout.order.to)
-            sum += running;
-    }
-    return sum;
-}
-
-bool Rollouts::hearsMostMembers(const Rollout& rollout) const { return 2 * (m_pools.peers() + 1) > rollout.members; }
-
 void Rollouts::tick(bool isStoreReachable)
 {
     if (!m_options.isEnabled)
@@ -736,126 +369,4 @@
     writeRow(state, position, now);
 }
 
-void Rollouts::rewriteFinal(PoolRollouts& state, bool isStoreReachable, SteadyTime now)
-{
-    Current& current = *state.current;
-    if (!current.rewriteAt || now < *current.rewriteAt || state.isWriting || !isStoreReachable)
-        return;
-    current.rewriteAt = now + writerInterval; // Unless it is written until then.
-    writeRow(state, current.rollout.position, now);
-}
-
-void Rollouts::readRow(PoolRollouts& state)
-{
-    state.isWriting = true;
-    std::string key = platform::rolloutKey(state.pool->id);
-    m_writer.write({ .condition = { .table = std::string(platform::instanceTable), .key = key },
-        .onDone = [this, pool = state.pool->hash](const ConditionalWriteResult& result) { onRowWritten(pool, {}, result); } });
-}
-
-void Rollouts::writeRow(PoolRollouts& state, const RolloutPosition& position, SteadyTime now)
-{
-    if (!state.isRowKnown) {
-        readRow(state);
-        return;
-    }
-    const Rollout& rollout = state.current->rollout;
-    RolloutRow row { .order = rollout.order.id, .to = rollout.order.to, .time = rollout.order.time, .orderAge = now - rollout.orderedAt, .position = position, .holder = m_options.self, .holderIncarnation = m_options.incarnation };
-    std::string table(platform::instanceTable);
-    std::string key = platform::rolloutKey(state.pool->id);
-    ConditionalWrite write { .condition = { .table = table, .key = key, .version = state.rowVersion } };
-    if (isFinal(position.phase)) {
-        TargetVersions versions = state.versions.known;
-        if (position.phase == RolloutPhase::Succeeded)
-            establishCandidate(versions, rollout.order.to);
-        else
-            excludeCandidate(versions, rollout.order.to);
-        // A later change of the versions may have followed the final state.
-        const TargetVersions& written = state.current->isFinalApplied ? state.versions.known : versions;
-        if (!written.established.empty())
-            write.writes.push_back({ .table = table, .key = versionsKey(state.pool->id), .value = encodeVersionsRow(written) });
-    }
-    bool isTakeOver = position.generation > rollout.position.generation;
-    if (isFinal(position.phase) || isTakeOver)
-        write.writes.push_back({ .table = std::string(platform::statusTable), .key = key, .value = platform::encodeRolloutStatus({ .phase = position.phase, .to = rollout.order.to }) });
-    // The last one, so that the store's version after the transaction is that of this row.
-    write.writes.push_back({ .table = table, .key = key, .value = encodeRolloutRow(row, m_clock.systemNow()) });
-    write.onDone = [this, pool = state.pool->hash, row](const ConditionalWriteResult& result) { onRowWritten(pool, row, result); };
-    state.isWriting = true;
-    m_writer.write(std::move(write));
-}
-
-void Rollouts::recordWrite(const PoolRollouts& state, std::string_view key, const ConditionalWriteResult& result)
-{
-    if (result.outcome == Outcome::Unknown)
-        m_writeFailedAt = m_clock.steadyNow();
-    if (result.failure.empty())
-        return;
-    m_log.line("warning", "rollout_write_failed",
-        { { "pool", state.pool->id.value() }, { "key", key }, { "reason", result.failure }, { "read_back", result.outcome == Outcome::ReadBack },
-            { "version", static_cast<std::int64_t>(result.row.version) } });
-}
-
-/// The row is empty where it was only read.
-void Rollouts::onRowWritten(std::uint32_t pool, const RolloutRow& row, const ConditionalWriteResult& result)
-{
-    PoolRollouts& state = m_states.at(pool);
-    state.isWriting = false;
-    recordWrite(state, platform::rolloutKey(state.pool->id), result);
-    if (result.outcome == Outcome::ReadBack) {
-        applyReadRow(state, result.row);
-        return;
-    }
-    if (result.outcome != Outcome::Written)
-        return;
-    if (isFinal(row.position.phase) && state.current && !state.current->isFinalApplied)
-        (row.position.phase == RolloutPhase::Succeeded ? m_metrics.rolloutsSucceeded : m_metrics.rolloutsRolledBack).add();
-    applyRolloutRow(state, row, result.row.version);
-}
-
-std::optional<Duration> Rollouts::writeDelay(const PoolRollouts& state) const
-{
-    int turn = m_pools.turnOf(state.pool->hash);
-    return turn < maxWriters ? std::optional(turn * writerInterval) : std::nullopt;
-}
-
-void Rollouts::writeVersions(PoolRollouts& state, bool isStoreReachable, SteadyTime now)
-{
-    Version& versions = state.versions;
-    if (!versions.changedAt || versions.isWriting || !isStoreReachable || !m_hasReadRows)
-        return;
-    std::optional<Duration> delay = writeDelay(state);
-    if (!delay && now - *versions.changedAt >= maxWriteWait) {
-        versions.changedAt.reset();
-        versions.isProvisional = false;
-    }
-    if (!delay || now - *versions.changedAt < *delay)
-        return;
-    versions.isWriting = true;
-    std::string table(platform::instanceTable);
-    std::string key = versionsKey(state.pool->id);
-    m_writer.write({ .condition = { .table = table, .key = key, .version = versions.rowVersion },
-        .writes = { { .table = table, .key = key, .value = encodeVersionsRow(versions.known) } },
-        .onDone = [this, pool = state.pool->hash, written = versions.known](const ConditionalWriteResult& result) { onVersionsWritten(pool, written, result); } });
-}
-
-void Rollouts::onVersionsWritten(std::uint32_t pool, const TargetVersions& written, const ConditionalWriteResult& result)
-{
-    PoolRollouts& state = m_states.at(pool);
-    Version& versions = state.versions;
-    versions.isWriting = false;
-    recordWrite(state, versionsKey(state.pool->id), result);
-    if (result.outcome == Outcome::Unknown)
-        return;
-    versions.rowVersion = result.row.version;
-    if (result.outcome == Outcome::Written) {
-        versions.isProvisional = false;
-        if (areSame(written, versions.known))
-            versions.changedAt.reset();
-        return;
-    }
-    if (std::optional<TargetVersions> row = decodeVersionsRow(result.row.value))
-        applyVersionsRow(state, *row, result.row.version);
-}
-
 } // namespace limpetpond
