--- a/src/core/CrashingParts.cpp
+++ b/src/core/CrashingParts.cpp
@@ -38,10 +38,10 @@
     constexpr Duration trialTurn = std::chrono::seconds(1); ///< Longer than a trial and the update about its end usually take.
 
     constexpr std::size_t minCrashesToProbe = 2; ///< A single crash is often a coincidence.
-    constexpr Duration probeTime = std::chrono::milliseconds(2500); ///< Until this instance sends another one, and further instances begin.
+    constexpr Duration probeTime = std::chrono::milliseconds(2500); ///< Longer than a slow target takes to begin an answer, and the update about it.
     constexpr std::size_t maxCrashesWithoutWait = 4; ///< From the next one on, the interval between requests with all common suspects grows.
-    constexpr Duration firstWholeInterval = std::chrono::seconds(3); ///< Longer than instances take to learn of an answer or a crash.
-    constexpr Duration wholeTurn = std::chrono::seconds(3); ///< Longer than a slow target takes to begin an answer.
+    constexpr Duration firstWholeInterval = std::chrono::seconds(6); ///< Longer than a target usually takes to be back and to answer another request.
+    constexpr Duration wholeTurn = std::chrono::seconds(3); ///< Longer than an answer or a crash and the update about it take.
 
     constexpr Duration reportTime = std::chrono::seconds(1); ///< A change is reported in each update for this long, since single updates may be lost.
     constexpr std::size_t minCrashesToRepeat = 2; ///< A part with fewer crashes is usually there by coincidence and isn't reported again.
@@ -367,10 +367,16 @@
         parts.areCommonSuspectsOutdated |= parts.hasCrashedBeforeAnswers;
     }
 
+    /// Whether requests without the crashing part are answered, here or at a peer.
+    bool areOthersAnswered(const CrashingParts& parts)
+    {
+        return parts.answers > 0 || std::any_of(parts.suspects.begin(), parts.suspects.end(), [](const auto& entry) { return entry.second.clearings > 0; });
+    }
+
     /// The time without a crash after which a request with all common suspects is sent.
-    Duration wholeInterval(std::size_t crashes)
+    Duration wholeInterval(const CrashingParts& parts, std::size_t crashes)
     {
-        if (crashes <= maxCrashesWithoutWait)
+        if (crashes <= maxCrashesWithoutWait && !areOthersAnswered(parts))
             return firstWholeInterval;
         Duration interval = firstTrialInterval;
         for (std::size_t i = maxCrashesWithoutWait + 1; i < crashes; ++i)
@@ -486,7 +492,7 @@
         crashes = std::max(crashes, countCrashes(suspect));
     }
     if (risk == crashRisk(parts, parts.commonSuspects))
-        return { .isAllowed = now >= std::max(last, parts.probedAt.value_or(last)) + wholeInterval(crashes) + turn.turn * wholeTurn };
+        return { .isAllowed = now >= std::max(last, parts.probedAt.value_or(last)) + wholeInterval(parts, crashes) + turn.turn * wholeTurn };
     if (parts.probedAt && now < *parts.probedAt + probeTime)
         return { .isAllowed = false };
     int targets = std::max(turn.targets, 1);
