GatewayPause: don't rely on the order in which arguments are evaluated

Cause: the test's target counted a payment in one argument of a call and read the count in another one. On arm64 the order is the other one.

Change: the count is read once. The checks are unchanged.

--- a/test/GatewayPauseTest.cpp
+++ b/test/GatewayPauseTest.cpp
@@ -261,7 +261,8 @@
             arrivals.push_back(TestClock::now());
         }
         if (request.head().find("/pay/") != std::string::npos) {
-            request.answer(++payments == 1 ? 503 : 200, "", payments == 1 ? notRun + retryAfter("1.2") : "");
+            bool isFirst = ++payments == 1;
+            request.answer(isFirst ? 503 : 200, "", isFirst ? notRun + retryAfter("1.2") : "");
             return;
         }
         request.beginEvents();
