Give starting instances their part of what a quota's window may exceed

Cause: an instance that starts among others had 150 units of each quota.

Ruled out: a full bucket at each start, which a rolling restart would give out once for each instance.

Change: all instances together begin with a quarter of the excess that a window may have (0.25 x (0.1 x (8R + B) + slack)), each with its even part; what they may use unheard is 0.55 of it in place of 0.65. Window, excess and slack come from the settings file in place of constants.

--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -25,16 +25,12 @@
     constexpr double maxReservedShare = 0.5;
     constexpr double reservedTimesOwnSize = 20;
 
-    /// The excess over rate and burst that a window of `quotaWindow` seconds may have, and the part of it that instances may use
-    /// before they have heard of each other's use. The rest covers what is lost with processes that are killed.
-    constexpr double quotaWindow = 8;
-    constexpr double quotaExcess = 0.1;
-    constexpr double quotaSlack = 190000;
-    constexpr double unheardPartOfExcess = 0.65;
+    // Parts of the excess that `QuotaTolerance` allows. The rest covers what is lost with processes that are killed.
+    constexpr double unheardPartOfExcess = 0.55; ///< That instances may use before they have heard of each other's use.
+    constexpr double startPartOfExcess = 0.25; ///< That instances have in their buckets at their starts, all together.
 
-    /// In the bucket of an instance that starts while others run: all of a small quota, which the slack covers at several hundred
-    /// instances, and next to nothing of a large one.
-    constexpr double unitsAtStart = 150;
+    /// In the bucket of an instance that starts while others run, at least: all of a small quota.
+    constexpr double minUnitsAtStart = 150;
 
     /// Recent use is forgotten by a factor of e in this time.
     constexpr double recentUseSeconds = 8;
@@ -57,7 +53,18 @@
         return std::min(share * sharedBurst(quota), reservedTimesOwnSize * demand.units);
     }
 
-    double excessOf(const AccountQuota& quota) { return quotaExcess * (quotaWindow * quota.perSecond + quota.burst) + quotaSlack; }
+    double excessOf(const AccountQuota& quota)
+    {
+        const QuotaTolerance& tolerance = quota.tolerance;
+        return tolerance.excess * (toSeconds(tolerance.window) * quota.perSecond + quota.burst) + tolerance.slack;
+    }
+
+    /// In the bucket of an instance among others that starts or learns of the quota.
+    double unitsAtStart(const AccountQuota& quota)
+    {
+        double part = quota.share.isStarting ? quota.share.part : 1.0 / quota.share.known;
+        return std::min(quota.burst, std::max(minUnitsAtStart, startPartOfExcess * excessOf(quota) * part));
+    }
 
     /// Units that the heard instances together may admit beyond what the bucket holds, before they hear of each other's use.
     double unheardExcess(const AccountQuota& quota) { return quota.share.known > 1 ? unheardPartOfExcess * excessOf(quota) * quota.share.part : 0; }
@@ -226,7 +233,7 @@
     quota.perSecond = perSecond;
     quota.burst = std::max(burst, perSecond > 0 ? 1.0 : 0.0);
     bool mayBeUsedElsewhere = quota.share.known > 1 || quota.share.isStarting;
-    double atStart = mayBeUsedElsewhere ? std::min(quota.burst, unitsAtStart) : quota.burst;
+    double atStart = mayBeUsedElsewhere ? unitsAtStart(quota) : quota.burst;
     quota.left = isFirst ? atStart : std::min(quota.left, quota.burst);
     quota.filledAt = now;
 }
@@ -234,9 +241,9 @@
 void setShare(AccountQuota& quota, const QuotaShare& share, SteadyTime now)
 {
     refill(quota, now);
+    bool isNewStart = share.isStarting && !quota.share.isStarting;
     if (share.isStarting) {
-        if (!quota.share.isStarting)
-            quota.left = std::min(quota.left, unitsAtStart);
+        // Its bucket is that of a start.
     } else if (share.part < quota.share.part) {
         // What there was when the silent peers last heard of it is divided, also where it is a debt now: each side of a partition
         // pays for its own use since then.
@@ -250,6 +257,8 @@
         quota.left += units;
     }
     quota.share = share;
+    if (isNewStart)
+        quota.left = std::min(quota.left, unitsAtStart(quota));
 }
 
 bool admit(AccountQuota& quota, const QuotaDemand& demand, SteadyTime now)
--- a/src/core/AccountQuota.h
+++ b/src/core/AccountQuota.h
@@ -66,10 +66,18 @@
     SteadyTime decayedAt;
 };
 
+/// What a window may hold beyond rate x window + burst, over all instances.
+struct QuotaTolerance {
+    Duration window { std::chrono::seconds(8) };
+    double excess { 0.1 }; ///< As a part of rate x window + burst.
+    double slack { 190000 }; ///< Units in addition.
+};
+
 /// The token bucket of one account. A unit is a request or a token.
 struct AccountQuota {
     double perSecond { 0 }; ///< Over all instances; 0 for no limit.
     double burst { 0 }; ///< Over all instances.
+    QuotaTolerance tolerance;
     QuotaShare share;
     double reserved { 0 }; ///< Units of the bucket that are left to silent peers until the share grows again.
     LatestUnits unheard; ///< Own use that peers may not have heard of.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -76,6 +76,7 @@
     applyQuotaShare(now);
     for (const AccountSettings& account : m_settings->settings.accounts) {
         AccountQuota& quota = m_quotas[account.id];
+        quota.tolerance = { .window = m_boot.quotaWindow, .excess = m_boot.quotaExcess, .slack = m_boot.quotaSlack };
         setShare(quota, m_quotaFleet.share, now);
         setQuota(quota, account.perSecond, account.burst, now);
         m_quotaByHash[shortHash(account.id.value())] = &quota;
