--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -25,12 +25,13 @@
     constexpr double maxReservedShare = 0.5;
     constexpr double reservedTimesOwnSize = 20;
 
-    // Parts of the excess that `QuotaTolerance` allows. The rest covers what is lost with processes that are killed.
-    constexpr double unheardPartOfExcess = 0.55; ///< That instances may use before they have heard of each other's use.
-    constexpr double startPartOfExcess = 0.25; ///< That instances have in their buckets at their starts, all together.
+    /// The part of the excess that `QuotaTolerance` allows which instances may use before they have heard of each other's use. The rest
+    /// covers what is lost with processes that are killed.
+    constexpr double unheardPartOfExcess = 0.65;
 
-    /// In the bucket of an instance that starts while others run, at least: all of a small quota.
-    constexpr double minUnitsAtStart = 150;
+    /// In the bucket of an instance that starts while others run: all of a small quota, and next to nothing of a large one, since
+    /// processes may start again and again.
+    constexpr double unitsAtStart = 150;
 
     /// Recent use is forgotten by a factor of e in this time.
     constexpr double recentUseSeconds = 8;
@@ -59,13 +60,6 @@
         return tolerance.excess * (toSeconds(tolerance.window) * quota.perSecond + quota.burst) + tolerance.slack;
     }
 
-    /// In the bucket of an instance among others that starts or learns of the quota.
-    double unitsAtStart(const AccountQuota& quota)
-    {
-        double part = quota.share.isStarting ? quota.share.part : 1.0 / quota.share.known;
-        return std::min(quota.burst, std::max(minUnitsAtStart, startPartOfExcess * excessOf(quota) * part));
-    }
-
     /// Units that the heard instances together may admit beyond what the bucket holds, before they hear of each other's use.
     double unheardExcess(const AccountQuota& quota) { return quota.share.known > 1 ? unheardPartOfExcess * excessOf(quota) * quota.share.part : 0; }
 
@@ -233,7 +227,7 @@
     quota.perSecond = perSecond;
     quota.burst = std::max(burst, perSecond > 0 ? 1.0 : 0.0);
     bool mayBeUsedElsewhere = quota.share.known > 1 || quota.share.isStarting;
-    double atStart = mayBeUsedElsewhere ? unitsAtStart(quota) : quota.burst;
+    double atStart = mayBeUsedElsewhere ? std::min(quota.burst, unitsAtStart) : quota.burst;
     quota.left = isFirst ? atStart : std::min(quota.left, quota.burst);
     quota.filledAt = now;
 }
@@ -241,9 +235,9 @@
 void setShare(AccountQuota& quota, const QuotaShare& share, SteadyTime now)
 {
     refill(quota, now);
-    bool isNewStart = share.isStarting && !quota.share.isStarting;
     if (share.isStarting) {
-        // Its bucket is that of a start.
+        if (!quota.share.isStarting)
+            quota.left = std::min(quota.left, unitsAtStart);
     } else if (share.part < quota.share.part) {
         // What there was when the silent peers last heard of it is divided, also where it is a debt now: each side of a partition
         // pays for its own use since then.
@@ -257,8 +251,6 @@
         quota.left += units;
     }
     quota.share = share;
-    if (isNewStart)
-        quota.left = std::min(quota.left, unitsAtStart(quota));
 }
 
 bool admit(AccountQuota& quota, const QuotaDemand& demand, SteadyTime now)
