Credit a returning peer's use only as far as it was charged

Cause: while a share is reduced, the estimated use of silent peers is charged only where it exceeds the share that is left to them, but a returning peer was credited with its whole estimate.

Ruled out: the loss itself.

Change: after a silence the credit is the peer's even share; while a share is reduced, estimates are not credited. The random sequences include three of 77 instances; the test of the lease checks the sum of both sides' shares.

--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -311,7 +311,9 @@
         if (elapsed > 0)
             usage.perSecond += rateWeight * (std::max(units, 0.0) / elapsed - usage.perSecond);
         double silent = toSeconds(history.silentUntil - std::max(history.silentFrom, usage.reportedAt));
-        double covered = std::max(estimated, quota.perSecond / quota.share.known * std::max(silent, 0.0));
+        // While a share is reduced, estimates are charged only where they exceed it.
+        double estimate = quota.share.part < 1 ? 0 : estimated;
+        double covered = silent > 0 ? quota.perSecond / quota.share.known * silent : estimate;
         chargePeerUse(quota, units - std::min(covered, std::max(units, 0.0)), now);
         decayRecentUse(quota.recent, now);
         quota.recent.atPeers += std::max(units, 0.0);
--- a/test/QuotaReplayTest.cpp
+++ b/test/QuotaReplayTest.cpp
@@ -201,13 +201,24 @@
 TEST(QuotaReplay, randomSequencesStayWithinTheQuota)
 {
     for (std::uint32_t seed = 1; seed <= 40; ++seed) {
-        const Site& site = smallSites[seed % smallSites.size()];
+        const Site& site = seed > 37 ? allSites[3] : smallSites[seed % smallSites.size()];
         QuotaReplay replay(optionsOf(site, seed % 2 ? 7.5 : 50, seed));
         playRandomly(replay, seed, 25s);
         checkWithinLimit(site, seed, replay.run(25s));
     }
 }
 
+// Use that a lost update would have told was credited as if it had been charged: 1.03 times what is allowed.
+TEST(QuotaReplay, lostUpdatesDoNotExceedTheQuota)
+{
+    for (double loss : { 0.2, 0.4 }) {
+        QuotaReplayOptions options = optionsOf(allSites[3], 7.5);
+        options.updateLoss = loss;
+        QuotaReplay replay(options);
+        checkWithinLimit(allSites[3], 7.5, replay.run(12s));
+    }
+}
+
 // A bound that holds by refusing callers below their limit would cost more than it is worth.
 TEST(QuotaReplay, anAccountAt60PercentLosesNothingWhenOneOfFourInstancesIsKilled)
 {
--- a/test/QuotaShareTest.cpp
+++ b/test/QuotaShareTest.cpp
@@ -113,6 +113,7 @@
         updateShare(minority, now);
         hearFor(100ms, instances);
     }
+    SteadyTime noticedAt = now + 1s;
     for (SteadyTime end = now + 15min; now < end && !takenOverAt; now += 1s) {
         double before = fleet.share.part;
         for (int peer = 1; peer < instances - 1; ++peer)
@@ -121,7 +122,7 @@
             takenOverAt = now;
         if (updateShare(minority, now).part < 0.02 && !givenUpAt)
             givenUpAt = now;
-        CHECK(minority.share.part <= 0.25 || now < end - 14min);
+        CHECK(now < noticedAt || fleet.share.part + minority.share.part <= 1.0125 + 1e-9);
     }
     CHECK(givenUpAt && takenOverAt);
     CHECK(*takenOverAt - *givenUpAt >= 8s);
