--- a/src/gateway/GatewayCrashes.cpp
+++ b/src/gateway/GatewayCrashes.cpp
@@ -61,6 +61,7 @@
 std::optional<std::size_t> Gateway::chooseProbeTarget(const PoolState& pool, const Exchange& exchange, int position, SteadyTime now) const
 {
     std::vector<TargetId> avoid;
+    avoid.reserve(pool.targets.size());
     for (const TargetState& target : pool.targets)
         avoid.push_back(target.entry.id);
     std::sort(avoid.begin(), avoid.end());
@@ -81,6 +82,7 @@
         candidates.emplace_back(crashRisk(pool.crashingParts, m_exchanges.at(ticket)->facts().promptParts), ticket);
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     std::vector<WaitTicket> tickets;
+    tickets.reserve(candidates.size());
     for (const auto& [risk, ticket] : candidates)
         tickets.push_back(ticket);
     return tickets;
