--- a/test/RolloutGatewayTest.cpp
+++ b/test/RolloutGatewayTest.cpp
@@ -24,6 +24,7 @@
 using TestClock = std::chrono::steady_clock;
 
 constexpr auto serviceTime = 10ms;
+constexpr int callersPerInstance = 5; ///< With fewer, a busy machine serves too few requests to judge a version.
 constexpr double exposedShare = 0.1;
 constexpr int exposedSlack = 50;
 
@@ -125,7 +126,7 @@
     void order(const std::string& to, double seconds) { store->put("op", "rollout/lm", R"({"service":"lm","to":")" + to + R"(","durationS":)" + std::to_string(seconds) + "}"); }
 
     /// Callers at the gateway send one request after the other until the calls are stopped or the gateway ends.
-    void callAt(const RunningGateway& gateway, int count = 3, const std::string& path = "/read/")
+    void callAt(const RunningGateway& gateway, int count = callersPerInstance, const std::string& path = "/read/")
     {
         isCalling = true;
         for (int i = 0; i < count; ++i)
@@ -554,7 +555,7 @@
     start(3);
     callAtAll();
     for (const auto& gateway : gateways)
-        callAt(*gateway, 3, "/readx/");
+        callAt(*gateway, callersPerInstance, "/readx/");
     std::this_thread::sleep_for(500ms);
     store->put("op", "rollout/lx", R"({"service":"lx","to":"v2","durationS":6})");
     order("v2", 6);
@@ -588,7 +589,9 @@
 {
     addTargets(2, 2);
     start(2, false);
-    callAtAll();
+    // More callers than the targets of one version have slots, so that all targets are used.
+    for (const auto& gateway : gateways)
+        callAt(*gateway, 10);
     order("v2", 3);
     std::this_thread::sleep_for(1500ms);
     stopCalls();
