--- a/test/CrashingPartsTest.cpp
+++ b/test/CrashingPartsTest.cpp
@@ -652,6 +652,21 @@
     }
 }
 
+// Load: all targets crash twice by themselves before they have answered anything. Requests that all share a part must not wait for long.
+TEST(CrashingParts, requestsAreAnsweredWhereTargetsCrashByThemselvesAfterAStartOfAllInstances)
+{
+    for (bool doAllShareOnePart : { false, true }) {
+        for (int targets : { 1, 3, 18 }) {
+            for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+                CrashReplayOptions options { .targets = targets, .soundPerSecond = 7.0 * targets, .badPerSecond = 0, .time = 30s, .downTime = 3s, .seed = seed };
+                options.storms = { { .at = 200ms, .time = 100ms, .share = 1 }, { .at = 3500ms, .time = 100ms, .share = 1 } };
+                options.doAllShareOnePart = doAllShareOnePart;
+                checkKeptAndAnswered(options);
+            }
+        }
+    }
+}
+
 // A pool in which answers came before the first crash is served as before.
 TEST(CrashingParts, noRequestWaitsWhereEnoughAnswersWereSeenBeforeTheFirstCrash)
 {
