--- a/src/core/CrashingParts.h
+++ b/src/core/CrashingParts.h
@@ -17,7 +17,7 @@
 /// they no longer count against other parts. An answer clears the part. Instances merge their suspicions, which carry the ids
 /// of the crashes, so that repeated and reordered reports do no harm.
 ///
-/// Where targets crash before this instance has had any answer, its common suspects are the parts without an answer that are
+/// Where targets crash before this instance has had enough answers, its common suspects are the parts without an answer that are
 /// at almost all crashes. The crashing part is one of them, and a sound request never contains all of them. A request with
 /// none of them is sent as usual. A request with some of them is a probe: an instance sends one at a time, with as few of them
 /// as possible; its answer clears them, and its crash leaves only them. A request with all of them is kept back; it is only
@@ -77,7 +77,7 @@
     std::vector<TargetCrash> recentCrashes; ///< Of all targets that no quarantined part explains; bounded.
     AnsweredParts answered;
     std::uint64_t answers { 0 }; ///< Since the start of this instance.
-    bool hasCrashedBeforeAnswers { false }; ///< Until no common suspect is left.
+    bool hasCrashedBeforeAnswers { false }; ///< A crash was known before there were enough answers; until no common suspect is left.
     std::vector<PromptPart> commonSuspects; ///< In order; see `crashRisk()`.
     bool areCommonSuspectsOutdated { false };
     std::optional<SteadyTime> probedAt; ///< When this instance last sent a probe that hasn't changed the suspicions yet.
