Roll back without a stop in Switch

A first model of who decides found it: the holder's write of Succeeded has no answer, the holder finds the version bad, stops and sends to old targets, and the write has been or will be performed. Reading the row back doesn't rule that out.

--- a/src/core/RolloutHolder.cpp
+++ b/src/core/RolloutHolder.cpp
@@ -93,8 +93,9 @@
     const RolloutPosition& position = input.rollout->position;
     if (isFinal(position.phase))
         return {};
-    // In `Switch`, only the holder may return to the old targets: it decides on their end too.
-    bool mayStop = !input.isOnlyEstablished && (input.isHolder || position.phase < RolloutPhase::Switch);
+    // In `Switch`, a write of `Succeeded` without an answer may still be performed: old targets get requests again only once
+    // `RolledBack` is written, after which it no longer can.
+    bool mayStop = !input.isOnlyEstablished && position.phase < RolloutPhase::Switch;
     if (input.verdict == RolloutVerdict::Bad && !position.isStopped && mayStop)
         return { .action = RolloutAction::Stop, .reason = "the new version is bad" };
     if (!input.isStoreReachable)
@@ -104,7 +105,8 @@
             return { .action = RolloutAction::TakeOver, .reason = position.generation ? "no word of the holder" : "no holder" };
         return {};
     }
-    if (position.isStopped)
+    bool isBad = input.verdict == RolloutVerdict::Bad && !input.isOnlyEstablished;
+    if (position.isStopped || isBad)
         return { .action = RolloutAction::RollBack, .reason = "the new version is bad" };
     if (now - input.rollout->heardAt > minorityTime && !isMajority(*input.rollout, heardInstances(input, now)))
         return { .action = RolloutAction::RollBack, .reason = "no majority of the instances is heard" };
--- a/test/RolloutShareTest.cpp
+++ b/test/RolloutShareTest.cpp
@@ -68,6 +68,7 @@
         for (std::uint32_t seed = 1; seed <= 20; ++seed) {
             std::mt19937 random(seed);
             std::vector<RolloutShare> shares;
+            shares.reserve(static_cast<std::size_t>(members));
             for (int i = 0; i < members; ++i)
                 shares.push_back(initialShare(mixBits(seed * 1000 + static_cast<std::uint32_t>(i)), members, limits));
             std::int64_t sent = 0;
