--- a/models/rollout.pml
+++ b/models/rollout.pml
@@ -8,6 +8,8 @@
  *
  * Checked: a final state never changes; after `SUCCEEDED` no instance sends to an old target, and none has a request in progress
  * there but one that has been silent for longer than its lease.
+ *
+ * Not finished: the search is too large to complete, so that support/model-check has no line for it yet.
  */
 
 #define INSTANCES 3
@@ -215,8 +217,10 @@
     }
     :: now < HORIZON && owned > 0 && owned == generation[me] && phase[me] == LOAD && !isStopped[me] && seenGeneration == owned && seenPhase == LOAD ->
         write(owned, SWITCH)
+#ifdef STOP_IN_SWITCH
     :: atomic { now < HORIZON && owned > 0 && owned == generation[me] && phase[me] == SWITCH && !isStopped[me] -> isStopped[me] = true }
-    :: now < HORIZON && owned > 0 && owned == generation[me] && phase[me] == SWITCH && isStopped[me] && seenGeneration == owned && seenPhase == SWITCH ->
+#endif
+    :: now < HORIZON && owned > 0 && owned == generation[me] && phase[me] == SWITCH && seenGeneration == owned && seenPhase == SWITCH ->
         write(owned, ROLLED_BACK)
     :: atomic {
         now < HORIZON && owned > 0 && owned == generation[me] && phase[me] == SWITCH && !isStopped[me] && seenGeneration == owned && seenPhase == SWITCH && !hasOld[me] && isMajority(me) && allows(me, 0, owned) && allows(me, 1, owned) && allows(me, 2, owned) ->
