Comments of src/core: rollouts, quota shares, crashing parts

Says what code does where a comment was wrong or unclear: `QuotaFleet::takeOverAfter` doesn't exist, a minority is counted among the peers that were ever heard, answers that were given up count as slow, and no decision uses the stop time of a rollout. Renames constants of CrashingParts.cpp whose names said something else. No behaviour changes.

--- a/src/core/BufferAccount.h
+++ b/src/core/BufferAccount.h
@@ -41,7 +41,7 @@
 ///     account->limit = unwrittenAnswerLimit(256 << 20);
 std::size_t unwrittenAnswerLimit(std::size_t memoryBytes);
 
-/// Memory beside the object itself.
+/// The memory that a string has allocated, in bytes; 0 where its bytes are held in the object itself.
 std::size_t heapMemory(const std::string&);
 
 /// Frees the memory that a string holds beyond its bytes, unless it is little. Erasing bytes and assigning an empty string keep it.
@@ -115,7 +115,7 @@
     std::vector<std::vector<char>> m_blocks; ///< None grows beyond what it has reserved.
     std::size_t m_size { 0 };
     std::size_t m_held { 0 }; ///< Reserved by all blocks.
-    CountedMemory m_memory; ///< The same in the account.
+    CountedMemory m_memory; ///< Of `m_held`.
 };
 
 } // namespace limpetpond
--- a/src/core/CrashingParts.cpp
+++ b/src/core/CrashingParts.cpp
@@ -39,9 +39,9 @@
 
     constexpr std::size_t minCrashesToProbe = 2; ///< A single crash is often a coincidence.
     constexpr Duration probeTime = std::chrono::milliseconds(2500); ///< Longer than a slow target takes to begin an answer, and the update about it.
-    constexpr std::size_t maxCrashesWithoutWait = 4; ///< From the next one on, the interval between requests with all common suspects grows.
-    constexpr Duration firstWholeInterval = std::chrono::seconds(6); ///< Longer than a target usually takes to be back and to answer another request.
-    constexpr Duration wholeTurn = std::chrono::seconds(3); ///< Longer than an answer or a crash and the update about it take.
+    constexpr std::size_t maxEarlyCrashes = 4; ///< With more, one probe is sent at a time over all instances, and the interval between requests with all common suspects grows.
+    constexpr Duration firstAllSuspectsInterval = std::chrono::seconds(6); ///< Longer than a target usually takes to be back and to answer another request.
+    constexpr Duration allSuspectsTurn = std::chrono::seconds(3); ///< Longer than an answer or a crash and the update about it take.
 
     constexpr Duration reportTime = std::chrono::seconds(1); ///< A change is reported in each update for this long, since single updates may be lost.
     constexpr std::size_t minCrashesToRepeat = 2; ///< A part with fewer crashes is usually there by coincidence and isn't reported again.
@@ -374,12 +374,12 @@
     }
 
     /// The time without a crash after which a request with all common suspects is sent.
-    Duration wholeInterval(const CrashingParts& parts, std::size_t crashes)
+    Duration allSuspectsInterval(const CrashingParts& parts, std::size_t crashes)
     {
-        if (crashes <= maxCrashesWithoutWait && !areOthersAnswered(parts))
-            return firstWholeInterval;
+        if (crashes <= maxEarlyCrashes && !areOthersAnswered(parts))
+            return firstAllSuspectsInterval;
         Duration interval = firstTrialInterval;
-        for (std::size_t i = maxCrashesWithoutWait + 1; i < crashes; ++i)
+        for (std::size_t i = maxEarlyCrashes + 1; i < crashes; ++i)
             interval = std::min<Duration>(interval * trialIntervalFactor, maxTrialInterval);
         return interval;
     }
@@ -492,11 +492,11 @@
         crashes = std::max(crashes, countCrashes(suspect));
     }
     if (risk == crashRisk(parts, parts.commonSuspects))
-        return { .isAllowed = now >= std::max(last, parts.probedAt.value_or(last)) + wholeInterval(parts, crashes) + turn.turn * wholeTurn };
+        return { .isAllowed = now >= std::max(last, parts.probedAt.value_or(last)) + allSuspectsInterval(parts, crashes) + turn.turn * allSuspectsTurn };
     if (parts.probedAt && now < *parts.probedAt + probeTime)
         return { .isAllowed = false };
     int targets = std::max(turn.targets, 1);
-    int atOnce = crashes <= maxCrashesWithoutWait ? targets : 1;
+    int atOnce = crashes <= maxEarlyCrashes ? targets : 1;
     int groups = (turn.instances + atOnce - 1) / atOnce;
     auto slot = static_cast<int>((now - last) / probeTime);
     return { .isAllowed = turn.turn / atOnce == slot % groups, .target = (turn.turn + slot / groups) % targets };
@@ -517,7 +517,7 @@
             candidates.push_back(&entry);
     }
     // Parts of one long prompt are equally suspect, and each of them has to reach the peers.
-    // Where any of them may be the crashing one, the strongest ones would take all places.
+    // While any common suspect may be the crashing part, they take turns: otherwise those at the most crashes would fill every update.
     auto isFirst = [&](const auto* a, const auto* b) {
         if (parts.hasCrashedBeforeAnswers)
             return std::tuple(a->second.reportedAt, a->first) < std::tuple(b->second.reportedAt, b->first);
--- a/src/core/CrashingParts.h
+++ b/src/core/CrashingParts.h
@@ -118,13 +118,13 @@
 /// Records that this instance sends a request with the quarantined part.
 void recordTrial(CrashingParts&, PromptPart, SteadyTime now);
 
-/// The crashes of the common suspects among the parts, added up; 0 for a request that may be sent at any time, as always where
+/// The sum of the crashes of the common suspects among the parts; 0 for a request that may be sent at any time. It is always 0 where
 /// enough answers were seen before the first crash. Requests with a lower risk are to be sent first.
 ///
 ///     std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& a, const auto& b) { return risk(a) < risk(b); });
 std::size_t crashRisk(CrashingParts&, const PromptParts&);
 
-/// What decides when an instance sends probes, and where.
+/// The place of an instance in the order in which instances send probes.
 struct ProbeTurn {
     int turn { 0 }; ///< Position of this instance in an order of all instances.
     int instances { 1 };
--- a/src/core/QuotaShare.cpp
+++ b/src/core/QuotaShare.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    /// Least time without an update after which a peer counts as silent, so that the loss of single updates reduces no share.
     constexpr Duration minUnheardTime = std::chrono::milliseconds(600);
     /// Bounds of the time between two updates of an instance; they are further apart where there are more instances.
     constexpr Duration updateIntervalPerPeer = std::chrono::milliseconds(4);
@@ -18,7 +19,7 @@
     constexpr Duration startTime = std::chrono::seconds(2);
     /// Instances that are listed but not heard may be long gone; those that run are heard within a few seconds of a start.
     constexpr Duration listedTime = std::chrono::minutes(1);
-    /// An instance that hears fewer than half of the others for `keepTime` gives up its share, but for `lapsedPart`. The majority takes it
+    /// An instance that for `keepTime` hears fewer than half of those that it has ever heard gives up its share, but for `lapsedPart`. The majority takes it
     /// over later, by more than the longest window in which quotas are counted.
     constexpr Duration keepTime = std::chrono::minutes(10);
     constexpr Duration takeOverAfter = keepTime + std::chrono::seconds(15);
@@ -26,7 +27,7 @@
     /// Without the store's list, a starting instance uses the share of one among at least so many: it may not know most of its peers.
     constexpr int minInstancesAtStart = 32;
 
-    /// Longest time from an update of a peer to its next one, with the loss of none.
+    /// Longest time between two updates of a peer if none is lost.
     Duration reportTime(int instances)
     {
         return std::min<Duration>(updateIntervalPerPeer * instances, maxUpdateInterval) * 3 / 2 + tickTime;
@@ -44,7 +45,7 @@
         int heard { 1 };
         int everHeard { 1 };
         bool isAnyGone { false };
-        bool isAnyTakenOver { false }; ///< If this instance hears most of the others.
+        bool isAnyTakenOver { false }; ///< Applies only if this instance hears most of the others.
     };
 
     PeerCounts countPeers(const QuotaFleet& fleet, SteadyTime now)
--- a/src/core/QuotaShare.h
+++ b/src/core/QuotaShare.h
@@ -4,8 +4,8 @@
 ///
 /// Load pattern: a network partition while an account sends many times its quota. Instances on both sides keep running, so each
 /// side uses only the even shares of its own instances. The share of a silent peer is left to it until it has left in order, or
-/// until most instances have not heard it for `QuotaFleet::takeOverAfter`; an instance that hears fewer than half gives up most
-/// of its own share before that.
+/// until an instance that hears most of the others has not heard it for about ten minutes; an instance that hears fewer than half gives
+/// up most of its own share before that.
 
 #include "limpetpond/Clock.h"
 #include "limpetpond/Ids.h"
@@ -52,12 +52,12 @@
     bool isListRead { false }; ///< The store's list of instances has been read.
     boost::unordered_flat_map<InstanceId, QuotaPeer, std::hash<InstanceId>> peers;
     std::optional<SteadyTime> firstHeardAt;
-    std::optional<SteadyTime> minoritySince; ///< Since when this instance has heard fewer than half of those that it knows.
+    std::optional<SteadyTime> minoritySince; ///< Since when this instance has heard fewer than half of those that it has ever heard, itself included.
     QuotaShare share;
 };
 
-/// Counts the other instances that the store lists, which may run although this one can't hear them. Only after a start: later, those
-/// that run have been heard.
+/// Counts the other instances that the store lists, which may run although this one can't hear them. It has an effect only shortly after
+/// a start: later, those that run have been heard.
 ///
 ///     recordListed(fleet, idsIn(rows), now);
 void recordListed(QuotaFleet&, const std::vector<InstanceId>&, SteadyTime now);
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -45,7 +45,7 @@
 struct RolloutPosition {
     std::uint64_t generation { 0 }; ///< Raised by each instance that becomes the holder; 0 for none.
     RolloutPhase phase { RolloutPhase::NotStarted };
-    bool isStopped { false }; ///< The new version has been found bad and gets no request; `RolledBack` follows when the store takes it.
+    bool isStopped { false }; ///< The new version has been found bad and gets no request; `RolledBack` follows once it can be written to the store.
     bool operator==(const RolloutPosition&) const = default;
 };
 
@@ -59,7 +59,7 @@
 struct RolloutLimits {
     double exposedShare { 0.1 }; ///< Of the pool's requests between the order and its deadline, over all instances.
     double exposedSlack { 50 }; ///< Requests beyond that share.
-    Duration stopTime { std::chrono::seconds(5) }; ///< In which the version gets no more requests after many bad answers.
+    Duration stopTime { std::chrono::seconds(5) }; ///< After many bad answers, the version must get no more requests once this time has passed. No decision depends on it.
 };
 
 /// One rollout as an instance knows it.
@@ -76,35 +76,36 @@
     SteadyTime deadline() const { return orderedAt + order.time; }
 };
 
-/// Takes over a position that another instance or the rollout's row tells. The holder of a new generation gets some time to be heard.
+/// Applies a position from another instance or from the rollout's row, if it is later. Records when a new generation was learned of, so
+/// that its holder isn't replaced before its updates can arrive.
 void advancePosition(Rollout&, const RolloutPosition&, SteadyTime now);
 
-/// Whether this instance hears most members, with itself.
+/// Whether the live instances that this one hears, itself included, are more than half of the members.
 bool isMajority(const Rollout&, int liveInstances);
 
 /// Records that this instance holds the rollout. The holder calls it before each of its updates, with the times at which it last heard
-/// each other instance. It counts from when a majority was last heard: others may have replaced a holder without one, and its
-/// lease has to end like theirs.
+/// each other instance. The holder's lease begins when it last heard a majority: without one, others may have replaced it, and its lease
+/// has to end like theirs.
 void holdRollout(Rollout&, std::vector<SteadyTime> othersHeardAt, SteadyTime now);
 
-/// Records the number of the holder's last update and the age of what it tells, as any instance's update tells them: `beatGeneration`,
-/// `beat` and the time since `heardAt`. A holder that was replaced since is ignored. Only the holder raises the number, so that
-/// passing it on doesn't prolong what is known of a holder that has ended.
+/// Records the number of the holder's last update and its age, which the update of any instance carries as `beatGeneration`, `beat` and
+/// the time since `heardAt`. A holder that has been replaced is ignored. Only the holder raises the number, so that passing it on
+/// doesn't make a holder that has ended seem alive.
 void recordBeat(Rollout&, std::uint64_t generation, std::uint64_t beat, Duration age, SteadyTime now);
 
-/// The same by an update of the holder itself. Ages that other instances pass on must not be given to it: each delay on the way makes
-/// them younger, so that a holder that has ended would never be missed.
+/// Records an update that came from the holder itself. Ages that other instances pass on must not be given to it: each delay on the way
+/// makes them younger, so that a holder that has ended would never be noticed.
 void recordBeat(Rollout&, std::uint64_t generation, Duration age, SteadyTime now);
 
-/// Whether this instance may send requests to the pool's targets. Without a word of the holder for some seconds it may only
-/// while it hears most members: nobody else can then end the rollout, as this takes a majority too. Others may have ended it
-/// otherwise, and old targets stop without a notice.
+/// Whether this instance may send requests to the pool's targets. If nothing has been heard of the holder for
+/// `rolloutLease`, it may only while it hears most members: nobody else can then end the rollout, as this takes a majority too.
+/// Otherwise the rollout may have ended, and old targets stop without a notice.
 ///
 ///     if (!mayUsePool(rollout, peers + 1, now))
 ///         refuse("rollout_unknown");
 bool mayUsePool(const Rollout&, int liveInstances, SteadyTime now);
 
-/// After this time without a word of the holder, an instance that doesn't hear most members sends nothing to the pool.
+/// An instance that has heard nothing of the holder for this time, and doesn't hear most members, sends nothing to the pool.
 inline constexpr Duration rolloutLease = std::chrono::seconds(3);
 
 } // namespace limpetpond
--- a/src/core/RolloutEvidence.cpp
+++ b/src/core/RolloutEvidence.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-    // Bounds on what one instance tells of its answers. Further routes are counted together, as route 0.
+    // Bounds on what one instance reports of its answers. Further routes are counted together, as route 0.
     constexpr std::size_t maxRoutes = 16;
     constexpr std::size_t maxCounts = 160;
 
     /// Buckets of the answers' times for each doubling, from one millisecond to about a minute.
     constexpr double bucketsPerDoubling = 2.5;
 
-    /// Old answers from which the times that count as slow are told.
+    /// Answers of old targets that must be known before a time can count as slow.
     constexpr std::uint32_t minTimes = 5;
 
     // A sound version that runs under twice the load may need up to half as much more time; bad ones need several times as much.
@@ -47,7 +47,8 @@
     /// A route with so much of the old answers is held to the same limits as all of them together.
     constexpr double mainRoutePart = 0.3;
 
-    // The window of the new version has more of its answers late, so that trouble of all targets weighs up to half as much more there.
+    // More of the new version's answers are late in the window, so that trouble of all targets that begins late raises its rate by up to
+    // half as much again.
     constexpr double troubleFactor = 1.5;
     constexpr double toleratedMargin = 0.03;
     constexpr double rejectedMargin = 0.13;
@@ -363,7 +364,7 @@
             answers += !count.target && count.route == route ? count.answers : 0;
         bool isMain = answers >= mainRoutePart * window.old.answers;
         return std::all_of(measures.begin(), measures.end(), [&](Measure measure) {
-            // What is very slow is slow too, and the limits for the few answers of a rare route are wide.
+            // Very slow answers count as slow too, and the margins for the few answers of a rare route are wide.
             if (!isMain && measure == Measure::VerySlow)
                 return true;
             SoundMargins margins = marginsOf(measure, isMain);
@@ -374,7 +375,7 @@
 
     bool hasAnswers(const Window& window, double answers) { return static_cast<double>(newAnswersOf(window.counts)) >= answers; }
 
-    /// The strongest evidence against the version in the window.
+    /// The strongest evidence against the version that was found in any window.
     struct Strongest {
         double evidence { 0 };
         std::uint32_t route { 0 };
--- a/src/core/RolloutEvidence.h
+++ b/src/core/RolloutEvidence.h
@@ -5,8 +5,8 @@
 /// Load pattern: a version of which a part of the answers fail or are several times slower, at once, later, under load or on
 /// one route only; and a sound version beside trouble of all targets (a burst), of some targets (crashes, failures) or of
 /// some requests. Counts are kept by route, and for the new version by target too, and only since the order, so that both
-/// sides are seen in the same time. The worst quarter of the new targets is left out: trouble of single targets is none of
-/// the version.
+/// sides are seen in the same time. The worst quarter of the new targets is left out: failures of single targets don't
+/// count against the version.
 ///
 /// Each instance counts its own answers since the order. Its counts travel as a whole, so that a lost or repeated update
 /// changes nothing.
@@ -20,7 +20,7 @@
 
 namespace limpetpond {
 
-/// One attempt at a target that has ended, as far as it tells of the target's version. Attempts that ended for other reasons, such as a
+/// What an attempt that has ended says about its target's version. Attempts that ended for other reasons, such as a
 /// caller that left or a connection that could not be established, aren't recorded.
 struct RolloutAnswer {
     std::uint32_t route { 0 }; ///< `shortHash` of the route's name.
@@ -36,8 +36,8 @@
     std::uint32_t target { 0 }; ///< Of the new version; 0 for all targets of old versions.
     std::uint32_t answers { 0 };
     std::uint32_t failures { 0 };
-    std::uint32_t slow { 0 }; ///< Took several times the median of the old versions.
-    std::uint32_t verySlow { 0 }; ///< Of these, took far longer than nearly all answers of the old versions.
+    std::uint32_t slow { 0 }; ///< Took several times the median of the old versions, or were given up.
+    std::uint32_t verySlow { 0 }; ///< Those of `slow` that took far longer than nearly all answers of the old versions, or were given up.
     bool operator==(const RolloutCount&) const = default;
 };
 
@@ -52,8 +52,8 @@
     std::vector<RolloutCount> counts; ///< In ascending order of route and target; bounded.
 };
 
-/// Records an answer. It counts as slow only once enough answers from old targets are known, with which its time is compared: of
-/// its route, or else of all routes. A failure counts at once, and never as slow.
+/// Records an answer. Its time is compared with those of old targets on its route, or on all routes where the route has few; it doesn't
+/// count as slow before enough of them are known. An answer that was given up counts as slow at once. A failure never does.
 void recordAnswer(RolloutCounts&, const RolloutAnswer&);
 
 /// The counts of all instances, as far as this one has heard of them.
@@ -65,7 +65,7 @@
     };
     std::map<std::uint32_t, Instance> instances; ///< By `shortHash` of the id.
     std::vector<RolloutCount> totals; ///< Of all instances and their earlier incarnations, in ascending order of route and target.
-    std::vector<std::vector<RolloutCount>> snapshots; ///< Earlier totals, from which a version that turns bad later is told; bounded.
+    std::vector<std::vector<RolloutCount>> snapshots; ///< Earlier totals. What has been added since shows a version that turns bad later; bounded.
     std::uint64_t snapshotInterval { 0 }; ///< Answers of the new version between two snapshots; 0 before the first.
 };
 
@@ -75,10 +75,10 @@
 enum class RolloutVerdict {
     Undecided, ///< Not enough answers.
     Bad,
-    Sound, ///< Enough answers on each route with traffic, and nothing that tells against the version.
+    Sound, ///< Enough answers on each route with traffic, and no evidence against the version.
 };
 
-/// What the verdict rests on, for the log.
+/// The verdict and the counts behind it, for the log.
 struct RolloutJudgement {
     RolloutVerdict verdict { RolloutVerdict::Undecided };
     std::uint32_t route { 0 }; ///< With the strongest evidence against the version; 0 if that is of all routes together.
--- a/src/core/RolloutHolder.cpp
+++ b/src/core/RolloutHolder.cpp
@@ -18,8 +18,8 @@
     /// An instance without updates for this time has usually ended or is frozen or cut off.
     constexpr Duration holderSilence = std::chrono::milliseconds(1500);
 
-    /// The lease of a silent instance begins with its last word of the holder, up to an interval of updates and their delay after its own
-    /// last update.
+    /// The lease of a silent instance begins when it last heard of the holder, which may be later than its own last update by an interval
+    /// between updates and their delay.
     constexpr Duration leaseMargin = std::chrono::milliseconds(500);
 
     SteadyTime atPart(const Rollout& rollout, double part) { return rollout.orderedAt + fromSeconds(part * toSeconds(rollout.order.time)); }
--- a/src/core/RolloutHolder.h
+++ b/src/core/RolloutHolder.h
@@ -4,7 +4,7 @@
 ///
 /// The holder writes its position to the rollout's row, under the condition that the row hasn't changed since it was read. Each
 /// new holder raises the generation, so that writes of an earlier one fail. The final state is written together with the row
-/// that the operator reads, in one transaction, so that two holders never tell two of them.
+/// that the operator reads, in one transaction, so that two holders never report different ones.
 
 #include "core/Rollout.h"
 #include "core/RolloutEvidence.h"
@@ -18,7 +18,7 @@
 struct RolloutMember {
     std::uint32_t hash { 0 }; ///< Of its id.
     SteadyTime heardAt; ///< Its last update.
-    RolloutPosition position; ///< That it acts upon.
+    RolloutPosition position; ///< The one that it acts upon.
     int oldInProgress { 0 }; ///< Its requests at targets of old versions.
 };
 
@@ -32,7 +32,7 @@
     int oldSlots { 0 };
     int ownOldInProgress { 0 };
     RolloutVerdict verdict { RolloutVerdict::Undecided };
-    std::vector<RolloutMember> members; ///< All instances that were heard since the order; those that said that they stop are left out once they are silent.
+    std::vector<RolloutMember> members; ///< All instances that were heard since the order, except those that announced their stop and are silent.
 };
 
 /// What this instance does next for a rollout.
--- a/src/core/RolloutShare.cpp
+++ b/src/core/RolloutShare.cpp
@@ -15,7 +15,8 @@
     /// Of the exposed slack, given out at the order. The rest covers the random rounding and instances that start again.
     constexpr double slackStage = 0.4;
 
-    /// The worst quarter of the sample targets is left out of the evidence, rounded up: two of five, which few targets in trouble reach.
+    /// The evidence leaves out the worst quarter of the sample targets, rounded up: two of five. It is rare that more of them fail or are
+    /// slow for reasons of their own.
     constexpr std::size_t minSampleTargets = 5;
 
     /// Long enough for several answers of one target at its full load, short enough for each sample target to have its turn in `Load`.
@@ -47,7 +48,7 @@
         return static_cast<double>(found->second.sentToNew) <= allowed;
     }
 
-    /// So many targets get about twice the load of an old target from the share of `Load`.
+    /// The number of new targets at which each gets about twice the load of an old target from the share in `Load`.
     double loadedTargets(const std::vector<SampleCandidate>& candidates, const RolloutLimits& limits)
     {
         auto old = std::count_if(candidates.begin(), candidates.end(), [](const SampleCandidate& candidate) { return !candidate.isNew; });
--- a/src/core/TargetVersions.cpp
+++ b/src/core/TargetVersions.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    /// Entries of targets that are replaced one after the other, or written again after an outage of the store, overlap in less.
+    /// Where targets are replaced one after the other, or entries are written again after an outage of the store, no established version is
+    /// listed for less than this time.
     constexpr Duration absenceTime = std::chrono::seconds(5);
 
     bool isEstablished(const TargetVersions& versions, const TargetVersion& version) { return versions.established.contains(version); }
@@ -15,8 +16,8 @@
     {
         const VersionedTarget* oldest = nullptr;
         for (const VersionedTarget& target : targets) {
-            bool isCandidate = versions.excluded.contains(target.version) || versions.candidate == target.version;
-            if (!isCandidate && (!oldest || target.startedAt < oldest->startedAt))
+            bool isCandidateOrExcluded = versions.excluded.contains(target.version) || versions.candidate == target.version;
+            if (!isCandidateOrExcluded && (!oldest || target.startedAt < oldest->startedAt))
                 oldest = &target;
         }
         if (oldest)
--- a/src/core/TargetVersions.h
+++ b/src/core/TargetVersions.h
@@ -18,7 +18,7 @@
 struct TargetVersions {
     std::set<TargetVersion> established; ///< Get requests; empty before any target is known.
     std::optional<TargetVersion> candidate; ///< Of the rollout in progress; gets a share of the requests.
-    std::set<TargetVersion> excluded; ///< Were rolled back, or were left in a rollout that another one has replaced.
+    std::set<TargetVersion> excluded; ///< Were rolled back, or were the candidate when another rollout replaced theirs.
     std::optional<SteadyTime> absentSince; ///< Since when no target of an established version has an entry.
 };
 
