--- a/src/gateway/ConditionalWriter.h
+++ b/src/gateway/ConditionalWriter.h
@@ -3,7 +3,7 @@
 /// Writes rows of the platform's store in transactions that hold only while one row is as it was read.
 ///
 /// A write that gets no answer may have been performed, or may still be performed later if its condition holds then. So the
-/// row is read back, and only a further write under the same condition, of which one at most is performed, decides.
+/// row is read back. If it is unchanged, the caller can write again under the same condition: at most one of the writes is performed.
 
 #include "gateway/TimedHttpCall.h"
 #include "limpetpond/Clock.h"
@@ -21,7 +21,7 @@
     enum class Outcome {
         Written, ///< All rows have been written.
         ReadBack, ///< Not known to be written; `row` is the condition's row as it is now.
-        Unknown, ///< The store answers neither the write nor the read.
+        Unknown, ///< Neither the write nor the read had a valid answer.
     };
     Outcome outcome { Outcome::Unknown };
     platform::Row row; ///< Its version is that to be stated in the next condition. Without a value after `Written`.
@@ -40,7 +40,7 @@
 public:
     ConditionalWriter(boost::asio::io_context&, const Clock&, boost::asio::ip::tcp::endpoint store);
 
-    /// Starts the write once those before it have ended. Each calls `onDone` once, and isn't retried.
+    /// Starts the write once those before it have ended. `onDone` is called once for each write; no write is retried.
     void write(ConditionalWrite);
 
     /// Ends a call that has timed out. Call it several times a second.
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -52,7 +52,7 @@
     /// Dispatches waiting requests after the targets have changed.
     void onTargetsChanged();
 
-    /// Addresses of peers that are known at the start; the instance may not be the first one then.
+    /// Sets the number of peers whose addresses are known at the start. If it is above 0, others may already use the quotas.
     void expectPeers(int count) { m_quotaFleet.expectedPeers = count; }
     /// Counts the other instances that the store lists among those that share the quotas.
     void applyListedInstances(const std::vector<InstanceId>&);
@@ -153,7 +153,7 @@
     ProbePermission probePermissionOf(PoolState&, const RequestFacts&, SteadyTime now);
     /// Like `chooseTarget()`, for a request that may only be sent to one target.
     std::optional<std::size_t> chooseProbeTarget(const PoolState&, const Exchange&, int position, SteadyTime now) const;
-    /// The waiting requests to examine, in order.
+    /// The waiting requests to examine for a dispatch, in the order in which they are tried.
     std::vector<WaitTicket> dispatchCandidates(PoolState&, SteadyTime now);
     /// Learns from the end of an attempt whether the request's prompt parts crash targets.
     void recordPromptOutcome(const Exchange&, const Attempt&, AttemptEnd, SteadyTime now);
--- a/src/gateway/GatewayCrashes.cpp
+++ b/src/gateway/GatewayCrashes.cpp
@@ -12,7 +12,7 @@
     constexpr Duration maxQuarantineRetryAfter = std::chrono::seconds(60); ///< A caller that has waited for longer may as well ask again.
     constexpr int firstNoSuccessStatus = 300;
     constexpr std::size_t maxDispatchCandidates = 6; ///< Requests examined from the head of the queue.
-    constexpr std::size_t maxProbeCandidates = 256; ///< Requests with a suspected part wait, and mustn't block those without.
+    constexpr std::size_t maxProbeCandidates = 256; ///< While crashing parts are suspected: requests that are kept back must not hide those behind them.
 
     bool isSuccess(const Exchange& exchange) { return exchange.answerStatus() < firstNoSuccessStatus; }
 
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -13,7 +13,7 @@
     constexpr Duration defaultTimeout = std::chrono::seconds(30); ///< Used where the caller states none.
     constexpr Duration retryAfterNoSettings = std::chrono::milliseconds(500);
     constexpr Duration retryAfterNoTarget = std::chrono::milliseconds(800);
-    constexpr Duration retryAfterHeld = std::chrono::milliseconds(500);
+    constexpr Duration retryAfterRolloutUnknown = std::chrono::milliseconds(500);
     constexpr Duration minQuotaRetryAfter = std::chrono::milliseconds(200);
     constexpr std::chrono::milliseconds bodyRetryAfter { 1000 }; ///< Bodies are held for as long as their requests run.
     constexpr Duration firstTokenOverhead = std::chrono::milliseconds(40); ///< Time to the first token besides reading the prompt: sending, admission and one step.
@@ -225,7 +225,7 @@
         return;
     }
     if (!m_rollouts.mayUsePool(pool)) {
-        finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterHeld });
+        finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterRolloutUnknown });
         return;
     }
     recordArrival(pool.arrivals, demandOf(facts.route->rank), now);
@@ -270,7 +270,7 @@
     for (WaitTicket ticket : expiredRequests(pool.queue, SteadyTime::max())) {
         std::shared_ptr<Exchange> exchange = m_exchanges.at(ticket);
         if (!exchange->hasBegunAnswer())
-            finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterHeld });
+            finishWithFailure(*exchange, { .reason = rolloutUnknown, .retryAfter = retryAfterRolloutUnknown });
     }
 }
 
--- a/src/gateway/Pools.cpp
+++ b/src/gateway/Pools.cpp
@@ -154,7 +154,7 @@
     TargetConnections connections { .hash = shortHash(entry.id.value()), .endpoint = *endpoint };
     TargetState target { .entry = entry, .notice = noticeOf(m_keptNotices, entry.id, entry.startedAt) };
     applyPeers(target, connections.hash);
-    state.slotsAssignedAt = {}; // Otherwise it would receive requests of all instances at once.
+    state.slotsAssignedAt = {}; // Until its slots are assigned, the new target would receive requests of all instances at once.
     state.targets.push_back(std::move(target));
     state.connections.push_back(std::move(connections));
     recordPosition(state, state.targets.size() - 1);
--- a/src/gateway/RolloutRows.cpp
+++ b/src/gateway/RolloutRows.cpp
@@ -107,7 +107,7 @@
         if (!row.isDeleted && row.key.starts_with(platform::rolloutKeyPrefix))
             applyReadRow(stateOf(m_pools.pool(PoolId(row.key.substr(platform::rolloutKeyPrefix.size())))), row);
     }
-    // What this instance knows and the store has lost.
+    // Rows that this instance knows and the store has lost are written again.
     for (auto& [hash, state] : m_states) {
         if (!state.versions.rowVersion && !state.versions.isProvisional && !state.versions.changedAt)
             state.versions.changedAt = now;
@@ -138,7 +138,7 @@
     Current& current = *state.current;
     if (!current.rewriteAt || now < *current.rewriteAt || state.isWriting || !isStoreReachable)
         return;
-    current.rewriteAt = now + writerInterval; // Unless it is written until then.
+    current.rewriteAt = now + writerInterval; // Repeated unless the row is found written by then.
     writeRow(state, current.rollout.position, now);
 }
 
@@ -167,7 +167,7 @@
             establishCandidate(versions, rollout.order.to);
         else
             excludeCandidate(versions, rollout.order.to);
-        // A later change of the versions may have followed the final state.
+        // Once the final state is applied, the versions may have changed since.
         const TargetVersions& written = state.current->isFinalApplied ? state.versions.known : versions;
         if (!written.established.empty())
             write.writes.push_back({ .table = table, .key = versionsKey(state.pool->id), .value = encodeVersionsRow(written) });
--- a/src/gateway/RolloutTargets.cpp
+++ b/src/gateway/RolloutTargets.cpp
@@ -1,4 +1,4 @@
-/// Which targets get requests during a rollout, and what their answers tell.
+/// Which targets get requests during a rollout, and what their answers say about the versions.
 
 #include "gateway/RolloutNames.h"
 #include "gateway/Rollouts.h"
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /// What an attempt's end tells of the target's version; nothing for ends with other reasons. A connection that was lost is
-    /// trouble of the target or of the network.
+    /// What an attempt's end says about the target's version; nothing for ends with other reasons. A lost connection is a failure of the
+    /// single target or of the network, so it isn't counted.
     std::optional<RolloutAnswer> answerOf(const Exchange& exchange, std::optional<AttemptEnd> end, bool asksForPause, SteadyTime now)
     {
         RolloutAnswer answer;
--- a/src/gateway/RolloutWire.h
+++ b/src/gateway/RolloutWire.h
@@ -17,7 +17,7 @@
     class RolloutNews;
 }
 
-/// What an instance tells its peers of one rollout.
+/// What an instance reports to its peers about one rollout.
 struct RolloutReport {
     std::uint32_t pool { 0 }; ///< `shortHash` of the id.
     TableVersion order;
@@ -33,7 +33,7 @@
 };
 
 rpc::RolloutNews toWire(const RolloutReport&);
-/// Nothing for a message without a version, or with a phase or a time that can't be.
+/// Nothing for a message without a version, or with an invalid phase or time.
 std::optional<RolloutReport> fromWire(const rpc::RolloutNews&);
 
 /// The row of one rollout, which its holder writes.
@@ -41,7 +41,7 @@
     TableVersion order;
     TargetVersion to;
     Duration time { 0 };
-    Duration orderAge { 0 }; ///< When the row was written or read.
+    Duration orderAge { 0 }; ///< Time since the order when the row was written or read.
     RolloutPosition position;
     InstanceId holder;
     std::uint64_t holderIncarnation { 0 };
--- a/src/gateway/Rollouts.cpp
+++ b/src/gateway/Rollouts.cpp
@@ -16,11 +16,12 @@
     /// An instance that has started so recently has no part in the slack: it may have been given out before, to its earlier incarnation.
     constexpr Duration startTime = std::chrono::seconds(2);
     constexpr Duration writeRetryInterval = std::chrono::milliseconds(500);
-    /// So long each update holds a final state, and later only those that hold everything.
+    /// Each update reports a final state for this long, and after that only updates with `ReportScope::All` do.
     constexpr Duration finalReportTime = std::chrono::seconds(3);
-    constexpr Duration silentAge = std::chrono::milliseconds(1500); ///< Three updates of an instance of the largest fleet.
+    constexpr Duration silentAge = std::chrono::milliseconds(1500); ///< Three intervals between updates, at their longest.
     constexpr std::size_t maxEndedOrders = 16; ///< Remembered for each pool.
 
+    /// Converts a number to the type of a log field.
     std::int64_t count(std::int64_t number) { return number; }
 
 } // namespace
@@ -113,8 +114,8 @@
     current.rollout = { .order = order, .orderedAt = now - source.age, .heardAt = now, .members = m_pools.peers() + 1 };
     current.isTimeKnown = source.isTimeKnown;
     bool wasRunning = current.rollout.orderedAt - m_startedAt > startTime;
-    std::uint64_t hash = mixBits(mixBits(m_options.incarnation ^ m_selfHash) ^ order.id.number);
-    current.share = initialShare(hash, wasRunning ? current.rollout.members : 0, m_options.limits);
+    std::uint64_t shareHash = mixBits(mixBits(m_options.incarnation ^ m_selfHash) ^ order.id.number);
+    current.share = initialShare(shareHash, wasRunning ? current.rollout.members : 0, m_options.limits);
     for (const auto& [hash, heard] : m_heard) {
         if (now - heard.heardAt < silentAge)
             current.members[hash] = { .heardAt = heard.heardAt, .isLeaving = heard.isLeaving };
@@ -223,7 +224,7 @@
         if (!state.current)
             continue;
         const Rollout& rollout = state.current->rollout;
-        // Instances that were cut off learn of the final state however late they hear again.
+        // Updates with everything go on reporting the final state, for instances that were cut off.
         bool hasEndedLately = now - state.current->endedAt < finalReportTime;
         if (isFinal(rollout.position.phase) && !hasEndedLately && scope == ReportScope::Changes)
             continue;
--- a/src/gateway/Rollouts.h
+++ b/src/gateway/Rollouts.h
@@ -38,17 +38,17 @@
 public:
     Rollouts(boost::asio::io_context&, const Clock&, Pools&, GatewayMetrics&, RateLimitedLog&, RolloutsOptions);
 
-    /// Applies a row of the operator's table that holds an order. Of a row that was just changed it is known when the order was given.
+    /// Applies a row of the operator's table that holds an order. Only for a row that was just changed is it known when the order was given.
     void applyOrderRow(const platform::Row&, StoreEpoch, bool wasJustChanged, const ServingSettings&);
 
-    /// Whether the row of the table of instances belongs to a rollout or names versions.
+    /// Whether the row with the key in the table of instances holds a rollout or the versions of a pool's targets.
     static bool isOwnRow(std::string_view key);
 
     /// Applies a whole read of the table of instances; other rows are ignored. Known final states and versions that the store
     /// has lost are written again.
     void applyStoredRows(const std::vector<platform::Row>&);
 
-    /// From now on no row is as it was read.
+    /// Marks all rows as unknown: a store that was restored from a copy may hold others than those that were read.
     void onStoreRestored();
 
     /// Whether the versions of targets are known, so that requests can be sent.
@@ -107,20 +107,20 @@
         TargetVersions known;
         std::uint64_t rowVersion { 0 };
         bool isProvisional { true }; ///< No row has confirmed them.
-        bool isRestored { false }; ///< The row was lost, so that the known versions go first.
+        bool isRestored { false }; ///< The store was restored and its row may be outdated: the known versions take precedence.
         bool isWriting { false };
         std::optional<SteadyTime> changedAt; ///< When they last changed, until the row is written.
     };
     struct PoolRollouts {
         PoolState* pool { nullptr };
         Version versions;
-        std::map<TargetVersion, int> inProgress; ///< Attempts of this instance.
+        std::map<TargetVersion, int> inProgress; ///< Attempts of this instance that are in progress.
         std::optional<Current> current;
-        std::vector<EndedOrder> ended; ///< The latest ones.
+        std::vector<EndedOrder> ended; ///< The latest ones, the oldest first; bounded.
         std::uint64_t rowVersion { 0 };
         bool isRowKnown { true }; ///< False after the store was restored, until the row is read.
         bool isWriting { false };
-        bool isHeld { false }; ///< By the last line of the log: the instance may not use the pool.
+        bool isHeld { false }; ///< The instance may not use the pool, as logged last.
     };
     struct SentAttempt {
         std::uint32_t pool { 0 };
@@ -171,7 +171,8 @@
     void writeVersions(PoolRollouts&, bool isStoreReachable, SteadyTime now);
     void onVersionsWritten(std::uint32_t pool, const TargetVersions& written, const ConditionalWriteResult&);
     void recordWrite(const PoolRollouts&, std::string_view key, const ConditionalWriteResult&);
-    /// When this instance writes a row that several would write: each in its turn, and only a few of them.
+    /// How long this instance waits before it writes a row that several instances would write. Nothing where it leaves the row to others:
+    /// only the first few in turn write.
     std::optional<Duration> writeDelay(const PoolRollouts&) const;
 
     const Clock& m_clock;
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -41,7 +41,7 @@
     virtual std::shared_ptr<BufferAccount> requestBodies() const { return nullptr; }
     /// The account that bytes of answers count in until they are written; null for none.
     virtual std::shared_ptr<BufferAccount> unwrittenAnswers() const { return nullptr; }
-    /// Refuses requests whose bodies have stopped arriving, until the others have room. Called where they take more memory than there is.
+    /// Refuses requests whose bodies have stopped arriving, until the others have room. Called while all bodies exceed their limit.
     virtual void refuseStalledBodies() { }
     /// The answer to a request whose body takes more memory than there is; the connection closes after it.
     virtual std::string refuseBody(const ReceivedRequest&) { return {}; }
@@ -84,13 +84,13 @@
     /// Closes the connection unless it is in use; true where it was closed.
     bool closeIfIdle();
 
-    /// The memory of a body that has stopped arriving, or arrives very slowly; 0 for none.
+    /// The memory of the request's body if it has stopped arriving or arrives very slowly, in bytes; 0 otherwise.
     std::size_t stalledBodyMemory(SteadyTime now) const;
 
     /// Refuses the request that is being read, and frees its body.
     void refuseBody();
 
-    /// The memory of an answer of which the caller takes nothing; 0 for none.
+    /// The memory of the answer if the caller takes nothing of it, in bytes; 0 otherwise.
     std::size_t stalledAnswerMemory(SteadyTime now) const;
 
     /// Closes the connection of a caller that takes nothing of its answer.
@@ -128,7 +128,7 @@
     std::string m_pending; ///< Queued for the next write.
     std::string m_writing; ///< Bytes of the write in progress; empty for none.
     std::size_t m_written { 0 }; ///< Bytes of `m_writing` that the kernel has taken.
-    SteadyTime m_writtenAt; ///< When it last took some.
+    SteadyTime m_writtenAt; ///< When the kernel last took some, or the write began.
     CountedMemory m_outputMemory; ///< Of `m_pending` and `m_writing`.
     bool m_isReading { false };
     bool m_isServing { false };
