Comments of rollout leases, tests and the rollout model

A rollout succeeds only with a majority, but a holder without one may roll it back; the comment of `mayUsePool()` said that every end takes a majority.

--- a/models/rollout.pml
+++ b/models/rollout.pml
@@ -14,8 +14,8 @@
 
 #define INSTANCES 3
 #define HOLDERS 2 /* Instances that may hold the rollout. */
-#define LEASE 1 /* In which an instance without the holder's word may send. */
-#define MARGIN 1 /* Between a holder's last word from an instance and that one's last word of a holder. */
+#define LEASE 1 /* Time since it last heard of the holder in which an instance may send. */
+#define MARGIN 1 /* An instance may have heard of a holder later, by this time, than the holder has heard it. */
 #ifndef HORIZON
 #define HORIZON 4
 #endif
@@ -36,7 +36,7 @@
 byte generation[INSTANCES];
 byte phase[INSTANCES];
 bool isStopped[INSTANCES];
-byte heardAt[INSTANCES]; /* The holder's last word. */
+byte heardAt[INSTANCES]; /* When the holder was last known to hold the rollout. */
 bool hasOld[INSTANCES]; /* Requests in progress at old targets. */
 bool isCut[INSTANCES];
 
@@ -85,7 +85,7 @@
     fi
 }
 
-/* An update of one instance arrives at another; its word of the holder is as old as the sender's. */
+/* An update of one instance arrives at another; what it says of the holder is as old as at the sender. */
 inline receive(i, j) {
     d_step {
         advance(i, generation[j], phase[j], isStopped[j]);
@@ -106,7 +106,7 @@
     }
 }
 
-/* A silent instance has lost its lease; of the others, the last word of this generation counts. */
+/* A silent instance has lost its lease; of the others, the last update in this generation counts. */
 #ifdef SILENCE_NOT_WAITED_OUT
 #define isSilent(i) (now > toldAt[i])
 #else
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -59,7 +59,7 @@
 struct RolloutLimits {
     double exposedShare { 0.1 }; ///< Of the pool's requests between the order and its deadline, over all instances.
     double exposedSlack { 50 }; ///< Requests beyond that share.
-    Duration stopTime { std::chrono::seconds(5) }; ///< After many bad answers, the version must get no more requests once this time has passed. No decision depends on it.
+    Duration stopTime { std::chrono::seconds(5) }; ///< Within it after the 50th bad answer, requests to the version must end. Not an input of any decision.
 };
 
 /// One rollout as an instance knows it.
@@ -98,8 +98,8 @@
 void recordBeat(Rollout&, std::uint64_t generation, Duration age, SteadyTime now);
 
 /// Whether this instance may send requests to the pool's targets. If nothing has been heard of the holder for
-/// `rolloutLease`, it may only while it hears most members: nobody else can then end the rollout, as this takes a majority too.
-/// Otherwise the rollout may have ended, and old targets stop without a notice.
+/// `rolloutLease`, it may only while it hears most members: a rollout succeeds only if its holder hears a majority too. Otherwise it may
+/// have succeeded, and old targets stop without a notice.
 ///
 ///     if (!mayUsePool(rollout, peers + 1, now))
 ///         refuse("rollout_unknown");
--- a/test/BootSettingsTest.cpp
+++ b/test/BootSettingsTest.cpp
@@ -163,7 +163,7 @@
     CHECK(boot.rollbackTime == std::chrono::milliseconds(4000));
 }
 
-// Files of before may hold anything there.
+// Settings files without the contract may hold any value in these fields.
 TEST(BootSettings, boundsOfRolloutsAreIgnoredWithoutTheContract)
 {
     std::string withOddBound = withReplaced("graceS: 9", "graceS: 9\n  exposeShare: odd");
--- a/test/RolloutReplay.h
+++ b/test/RolloutReplay.h
@@ -83,7 +83,7 @@
     int badAnswers { 0 }; ///< Of the new version.
     int oldInProgressAtEnd { 0 }; ///< At old targets when the row says `Succeeded`.
     int oldSendsAfterEnd { 0 };
-    int notSent { 0 }; ///< Requests that no instance might or could send for two seconds.
+    int notSent { 0 }; ///< Requests that no instance was allowed or able to send for two seconds.
     std::uint64_t generation { 0 };
     std::string reason; ///< Of the last step of a holder.
     RolloutJudgement judgement; ///< Of the last holder.
--- a/test/RolloutTest.cpp
+++ b/test/RolloutTest.cpp
@@ -45,7 +45,7 @@
     CHECK(laterPosition(load, stopped).isStopped);
 }
 
-// An instance that returned to old targets by the word of a replaced holder could send while the new one ends the rollout.
+// An instance that returned to old targets by an update of a replaced holder could send while the new one ends the rollout.
 TEST(Rollout, inSwitchOnlyAStopInTheSameGenerationCounts)
 {
     RolloutPosition current { .generation = 2, .phase = RolloutPhase::Switch };
--- a/test/process/Crowd.cpp
+++ b/test/process/Crowd.cpp
@@ -14,7 +14,7 @@
 namespace {
 
     constexpr int pollMilliseconds = 50;
-    constexpr auto standstill = std::chrono::seconds(3); ///< Nothing more will be taken after so long without a byte.
+    constexpr auto standstill = std::chrono::seconds(3); ///< After this time without a byte sent or received, the gateway takes nothing more.
     constexpr std::size_t maxBytesPerTurn = 1U << 20;
     constexpr std::size_t statusBytes = 12; ///< Of "HTTP/1.1 503".
 
--- a/test/process/UncontrolledClientsTest.cpp
+++ b/test/process/UncontrolledClientsTest.cpp
@@ -1,5 +1,5 @@
 /// Callers that don't keep to the limits must not end the process: memory and descriptors stay below what its settings file
-/// allows, and ordinary requests are answered. Each test guards against a crowd that ended a process, which ran out of memory.
+/// allows, and ordinary requests are answered. Each test guards against a process that runs out of memory under such callers.
 
 #include "test/process/Crowd.h"
 #include "test/process/GatewayProcess.h"
