--- a/src/core/AccountQuota.h
+++ b/src/core/AccountQuota.h
@@ -38,8 +38,8 @@
 
 /// The use of one account's quota by all peers.
 struct PeerUsages {
-    std::vector<PeerUsage> byNumber; ///< By the peers' numbers.
-    std::optional<PeerNumber> earliest; ///< Ends of the order by `reportedAt`, in which departed peers no longer are.
+    std::vector<PeerUsage> byNumber; ///< Indexed by `PeerNumber`.
+    std::optional<PeerNumber> earliest; ///< The ends of the order by `reportedAt`, which departed peers have been removed from.
     std::optional<PeerNumber> latest;
     std::optional<PeerNumber> earliestHeard; ///< The first in the order that isn't silent.
     double silentPerSecond { 0 }; ///< Sum of the rates of the silent peers.
@@ -47,13 +47,13 @@
     SteadyTime chargedUntil; ///< The bucket was charged with the estimated use of silent peers until then.
 };
 
-/// Units that are counted for some time.
+/// Units that are counted up to a time.
 struct CountedUnits {
     SteadyTime until;
     double units { 0 };
 };
 
-/// The units of the last moments.
+/// The units whose time has not passed yet.
 struct LatestUnits {
     std::deque<CountedUnits> steps; ///< The oldest first.
     double sum { 0 };
@@ -130,7 +130,8 @@
 double takeReport(AccountQuota&, SteadyTime now);
 
 /// Records a peer's count of the units that it admitted since its start. What it used in a silence that its own share covers isn't
-/// charged again. The first count of a process is charged only where the process has been heard for so long that the count was 0.
+/// charged again. The first count of a process is charged only if the process has been heard for some seconds without one, so that all
+/// of the use is recent.
 ///
 ///     PeerHistory history = recordHeard(fleet, peer, sign, now);
 ///     recordPeerAdmitted(quota, numbers.numberOf(peer, now), incarnation, 1200, now, history);
--- a/src/core/Rollout.h
+++ b/src/core/Rollout.h
@@ -59,7 +59,7 @@
 struct RolloutLimits {
     double exposedShare { 0.1 }; ///< Of the pool's requests between the order and its deadline, over all instances.
     double exposedSlack { 50 }; ///< Requests beyond that share.
-    Duration stopTime { std::chrono::seconds(5) }; ///< Within it after the 50th bad answer, requests to the version must end. Not an input of any decision.
+    Duration stopTime { std::chrono::seconds(5) }; ///< After the 50th bad answer; requests sent later must not reach the version. Not an input of any decision.
 };
 
 /// One rollout as an instance knows it.
--- a/src/core/RolloutHolder.h
+++ b/src/core/RolloutHolder.h
@@ -27,7 +27,7 @@
     bool isHolder { false }; ///< This instance wrote the current generation.
     int turn { 0 }; ///< Position of this instance in an order of the live instances; 0 takes over first.
     bool isStoreReachable { false };
-    bool isOnlyEstablished { false }; ///< The order names the only version that is established already.
+    bool isOnlyEstablished { false }; ///< The order names a version that is established already, and no other one is.
     int newSlots { 0 }; ///< Of usable targets of the new version.
     int oldSlots { 0 };
     int ownOldInProgress { 0 };
@@ -56,7 +56,7 @@
 ///     RolloutStep step = nextStep(input, now);
 RolloutStep nextStep(const RolloutHolderInput&, SteadyTime now);
 
-/// The time by which a rollout that has begun is rolled back or succeeds unless requests at old targets are still in progress.
+/// The time at which a rollout that has not reached `Switch` begins it or is rolled back.
 SteadyTime decisionTime(const Rollout&);
 
 } // namespace limpetpond
--- a/test/QuotaReplay.h
+++ b/test/QuotaReplay.h
@@ -86,7 +86,7 @@
     /// Starts the process again at once, whether it runs or not.
     void restart(std::size_t i) { start(i); }
 
-    /// Ends the process in order: it takes no requests any more after some seconds, and is gone later.
+    /// Stops the process in order: it announces that it leaves, takes no more requests after some seconds, and ends later.
     void stop(std::size_t i)
     {
         if (!m_instances[i].leavingSince)
--- a/test/RolloutGatewayTest.cpp
+++ b/test/RolloutGatewayTest.cpp
@@ -242,12 +242,12 @@
             if (i == index)
                 continue;
             others.push_back(gateways[i]->ip());
-            setReceives(*gateways[i], { gateways[index]->ip() }, isCut);
+            setDropsDatagrams(*gateways[i], { gateways[index]->ip() }, isCut);
         }
-        setReceives(*gateways[index], others, isCut);
+        setDropsDatagrams(*gateways[index], others, isCut);
     }
 
-    void setReceives(const RunningGateway& gateway, const std::vector<std::string>& dropped, bool isCut) const
+    void setDropsDatagrams(const RunningGateway& gateway, const std::vector<std::string>& dropped, bool isCut) const
     {
         int socket = findDatagramSocket(gateway.ip(), peerPort);
         CHECK(socket >= 0);
