--- a/src/core/RolloutHolder.h
+++ b/src/core/RolloutHolder.h
@@ -4,7 +4,7 @@
 ///
 /// The holder writes its position to the rollout's row, under the condition that the row hasn't changed since it was read. Each
 /// new holder raises the generation, so that writes of an earlier one fail. The final state is written together with the row
-/// that the operator reads, in one transaction, so that two holders never tell two of them.
+/// that the operator reads, in one transaction, so that two holders never report different ones.
 
 #include "core/Rollout.h"
 #include "core/RolloutEvidence.h"
@@ -18,7 +18,7 @@
 struct RolloutMember {
     std::uint32_t hash { 0 }; ///< Of its id.
     SteadyTime heardAt; ///< Its last update.
-    RolloutPosition position; ///< That it acts upon.
+    RolloutPosition position; ///< The one that it acts upon.
     int oldInProgress { 0 }; ///< Its requests at targets of old versions.
 };
 
@@ -27,12 +27,12 @@
     bool isHolder { false }; ///< This instance wrote the current generation.
     int turn { 0 }; ///< Position of this instance in an order of the live instances; 0 takes over first.
     bool isStoreReachable { false };
-    bool isOnlyEstablished { false }; ///< The order names the only version that is established already.
+    bool isOnlyEstablished { false }; ///< The order names a version that is established already, and no other one is.
     int newSlots { 0 }; ///< Of usable targets of the new version.
     int oldSlots { 0 };
     int ownOldInProgress { 0 };
     RolloutVerdict verdict { RolloutVerdict::Undecided };
-    std::vector<RolloutMember> members; ///< All instances that were heard since the order; those that said that they stop are left out once they are silent.
+    std::vector<RolloutMember> members; ///< All instances that were heard since the order, except those that announced their stop and are silent.
 };
 
 /// What this instance does next for a rollout.
@@ -56,7 +56,7 @@
 ///     RolloutStep step = nextStep(input, now);
 RolloutStep nextStep(const RolloutHolderInput&, SteadyTime now);
 
-/// The time by which a rollout that has begun is rolled back or succeeds unless requests at old targets are still in progress.
+/// The time at which a rollout that has not reached `Switch` begins it or is rolled back.
 SteadyTime decisionTime(const Rollout&);
 
 } // namespace limpetpond
