--- a/src/gateway/Rollouts.cpp
+++ b/src/gateway/Rollouts.cpp
@@ -264,7 +264,7 @@
         bool isHeld = !mayUsePool(*state.pool);
         if (isHeld != state.isHeld) {
             state.isHeld = isHeld;
-            m_log.line("warning", isHeld ? "rollout_unknown" : "rollout_known",
+            m_log.line(isHeld ? "warning" : "info", isHeld ? "rollout_unknown" : "rollout_known",
                 { { "pool", state.pool->id.value() }, { "instances", count(m_pools.peers() + 1) }, { "members", count(state.current->rollout.members) },
                     { "silent_ms", toMilliseconds(now - state.current->rollout.heardAt) } });
         }
