Let instances admit a few requests of an account below its quota unheard

Cause: an instance's part of what may be used before peers hear of it is smaller than a single request there, so that two requests of an account within 0.85 s at one instance were one too many.

Ruled out: an even part that weighs less beside recent use, and two or three even parts while use is low: no gain, or too much in random sequences at 77 instances.

Change: while an account uses less than its quota and all peers are heard, an instance may admit up to four requests of that size unheard. An account at its quota is bounded as before.

--- a/src/core/AccountQuota.cpp
+++ b/src/core/AccountQuota.cpp
@@ -38,6 +38,11 @@
     /// The bucket is divided evenly until instances have used as much as the quota allows in this time, then more and more by use.
     constexpr double evenUseSeconds = 4;
 
+    /// While an account uses less than its quota allows in this time of the last `recentUseSeconds`, an instance may admit several of its
+    /// requests before peers have heard of them, also where its part of the bucket is smaller than a request.
+    constexpr double lowUseSeconds = 7.5;
+    constexpr double unheardRequestsAtLowUse = 4;
+
     /// A request above the limit of unheard use counts at most so many times as long.
     constexpr double maxLongerCount = 20;
     /// A peer that is heard for this time has reported each account that it has used before.
@@ -211,6 +216,9 @@
             return true;
         endCounted(quota.unheard, now);
         double limit = maxUnheardUnits(quota, now);
+        bool isUseLow = quota.recent.here + quota.recent.atPeers < lowUseSeconds * quota.perSecond;
+        if (isUseLow && quota.share.part >= 1)
+            limit = std::max(limit, unheardRequestsAtLowUse * units);
         if (quota.unheard.sum > limit / 2 && quota.unheard.sum + units > limit)
             return false;
         double longer = std::clamp((quota.unheard.sum + units) / limit, 1.0, maxLongerCount);
