Build POST requests to the store in one place

ConditionalWriter had a copy of the request text that StoreWriter built in line. Both call postRequestText(), which stands beside getRequestText(). The bytes are the same.

--- a/src/gateway/ConditionalWriter.cpp
+++ b/src/gateway/ConditionalWriter.cpp
@@ -9,12 +9,6 @@
     /// A store that is available answers within a few round trips, and a rollout may have to end within a few seconds.
     constexpr Duration callTimeout = std::chrono::milliseconds(800);
 
-    std::string postRequestText(std::string_view path, const std::string& body)
-    {
-        return "POST " + std::string(path) + " HTTP/1.1\r\nHost: store\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size())
-            + "\r\n\r\n" + body;
-    }
-
 } // namespace
 
 ConditionalWriter::ConditionalWriter(boost::asio::io_context& context, const Clock& clock, boost::asio::ip::tcp::endpoint store)
@@ -39,7 +33,7 @@
         return;
     }
     m_isReadingBack = false;
-    m_call.start(m_store, postRequestText(platform::writePath, platform::transactionBody({ write.condition }, write.writes)), callTimeout);
+    m_call.start(m_store, postRequestText(platform::writePath, "store", platform::transactionBody({ write.condition }, write.writes)), callTimeout);
 }
 
 void ConditionalWriter::readBack()
--- a/src/gateway/StoreWriter.cpp
+++ b/src/gateway/StoreWriter.cpp
@@ -34,9 +34,7 @@
     m_calledKey = key;
     m_calledNumber = change.number;
     std::string body = change.value ? platform::writeBody(m_options.table, key, *change.value) : platform::deleteBody(m_options.table, key);
-    std::string text = "POST " + std::string(platform::writePath) + " HTTP/1.1\r\nHost: store\r\nContent-Type: application/json\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
-    m_call.start(m_options.store, std::move(text), writeTimeout);
+    m_call.start(m_options.store, postRequestText(platform::writePath, "store", body), writeTimeout);
 }
 
 void StoreWriter::onCallDone(const TimedHttpCallResult& result)
--- a/src/gateway/TimedHttpCall.cpp
+++ b/src/gateway/TimedHttpCall.cpp
@@ -18,6 +18,13 @@
     return text.append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n\r\n");
 }
 
+std::string postRequestText(std::string_view path, std::string_view host, std::string_view body)
+{
+    std::string text("POST ");
+    text.append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\nContent-Type: application/json\r\nContent-Length: ");
+    return text.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+}
+
 TimedHttpCall::TimedHttpCall(boost::asio::io_context& context, const Clock& clock, OnDone onDone)
     : m_context(context)
     , m_clock(clock)
--- a/src/gateway/TimedHttpCall.h
+++ b/src/gateway/TimedHttpCall.h
@@ -29,6 +29,11 @@
 ///     call.start(endpoint, getRequestText("/metrics", "store"), 1500ms);
 std::string getRequestText(std::string_view path, std::string_view host);
 
+/// The text of a POST request with a JSON body.
+///
+///     call.start(endpoint, postRequestText("/rows", "store", body), 1500ms);
+std::string postRequestText(std::string_view path, std::string_view host, std::string_view body);
+
 class TimedHttpCall final : private ExchangeHandler {
 public:
     using OnDone = std::function<void(TimedHttpCallResult&&)>;
