Keep callers and targets that read slowly, and look for silent ones in the process

Cause: TCP_USER_TIMEOUT (2 s) on callers' and targets' connections. Linux ends a connection with it when the peer's receive window has been closed for that time, although the peer acknowledges each probe. Ruled out: the stop (the same without SIGTERM), the end of the grace (8 s), the deadline (12 s), the memory bound (36 KB each), the targets (they had answered whole), unread bytes of the caller (there were none).

Change: core/PeerProgress tells slow from silent by what the kernel states of a connection: a peer is silent if nothing of what was sent, or of the probes, was acknowledged for 2 s or the kernel's next repetition, whichever is longer. The gateway asks every 0.5 s for connections with bytes on their way and switches the kernel's timeout off where the kernel keeps the needed times. A caller that takes nothing is cut at its deadline, one that takes a little by its deadline and the idle limit. An answer that ends a connection, or that is on its way while the instance stops, is waited for. What the kernel holds for a caller counts as its memory. Each answer that isn't taken whole has a line (answer_not_delivered) and a metric.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -21,6 +21,21 @@
         return "unknown";
     }
 
+    std::string_view lossName(AnswerLoss reason)
+    {
+        switch (reason) {
+        case AnswerLoss::Disconnected:
+            return "disconnected";
+        case AnswerLoss::Silent:
+            return "silent";
+        case AnswerLoss::Overdue:
+            return "overdue";
+        case AnswerLoss::Memory:
+            return "memory";
+        }
+        return "unknown";
+    }
+
     PeerLoadReport loadReportOf(const InstanceUpdate& update)
     {
         PeerLoadReport report { .failureDomain = update.failureDomain, .closedTargets = update.closedTargets };
@@ -257,6 +272,14 @@
         { { "limit", timeoutName(caller.timeout) }, { "elapsed_ms", toMilliseconds(caller.elapsed) }, { "limit_ms", toMilliseconds(caller.limit) } });
 }
 
+void Gateway::onAnswerLost(const LostAnswer& lost)
+{
+    m_metrics.lostAnswers.add();
+    m_log.line("info", "answer_not_delivered",
+        { { "reason", lossName(lost.reason) }, { "unwritten", static_cast<std::int64_t>(lost.unwrittenBytes) }, { "queued", static_cast<std::int64_t>(lost.queuedBytes) },
+            { "since_taken_ms", toMilliseconds(lost.sinceTaken) }, { "unanswered_ms", lost.unansweredFor ? toMilliseconds(*lost.unansweredFor) : -1.0 } });
+}
+
 void Gateway::onWriteBufferEmpty(HttpServerConnection& caller)
 {
     auto found = m_ticketByCaller.find(&caller);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -84,7 +84,7 @@
     /// Answers all requests in progress at once, as the instance is about to end.
     void endRequests();
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
-    /// True while a request is in progress or has arrived in part, or bytes of an answer are not written to the caller.
+    /// True while a request is in progress or has arrived in part, or a caller hasn't taken all of an answer.
     bool hasUnfinishedRequests() const;
 
     void addConnection(const std::shared_ptr<HttpServerConnection>&);
@@ -100,6 +100,7 @@
     void onRequest(const std::shared_ptr<HttpServerConnection>&, ReceivedRequest&&) override;
     void onCallerDisconnected(HttpServerConnection&, const boost::system::error_code&) override;
     void onCallerTimedOut(const TimedOutCaller&) override;
+    void onAnswerLost(const LostAnswer&) override;
     void onWriteBufferEmpty(HttpServerConnection&) override;
     void onConnectionClosed(HttpServerConnection&) override;
 
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -464,7 +464,10 @@
         dispatchWaiting(pool);
         return;
     }
-    checkStalled(exchange, now);
+    std::shared_ptr<HttpClientConnection> connection = attempt.connection;
+    connection->closeIfSilent(now);
+    if (exchange.attempt() && exchange.attempt()->connection == connection)
+        checkStalled(exchange, now);
 }
 
 } // namespace limpetpond
--- a/src/gateway/GatewayMetrics.h
+++ b/src/gateway/GatewayMetrics.h
@@ -30,6 +30,7 @@
     Counter& refusedBodies;
     Gauge& requestBodyBytes;
     Counter& untakenAnswers;
+    Counter& lostAnswers; ///< Callers left, were silent or took nothing before they had the whole answer.
     Gauge& unwrittenAnswerBytes;
     Gauge& callerConnections;
     Gauge& waiting;
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -80,11 +80,13 @@
 void Gateway::onRequest(const std::shared_ptr<HttpServerConnection>& caller, ReceivedRequest&& request)
 {
     m_metrics.requests.add();
+    caller->setAnswerDeadline(m_clock.steadyNow() + callerLimits().idleTimeout); // Of a refusal.
     RequestFacts facts;
     if (std::optional<Refusal> refusal = readFacts(request, facts)) {
         answerRefusal(*caller, request, facts.id, *refusal);
         return;
     }
+    caller->setAnswerDeadline(facts.deadline);
     WaitTicket ticket = ++m_lastTicket;
     auto exchange = std::make_shared<Exchange>(*this, m_clock, ticket, caller, std::move(request), std::move(facts));
     m_exchanges[ticket] = exchange;
--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -1,12 +1,11 @@
 #include "traffic/HttpClientConnection.h"
 
 #include "core/Guard.h"
+#include "traffic/SocketOptions.h"
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace limpetpond {
 
@@ -20,13 +19,7 @@
     constexpr Duration connectTimeout = std::chrono::milliseconds(200); ///< The latency between failure domains is a few milliseconds.
     constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
     constexpr double idleTimeShare = 0.6; ///< Of the idle time that the server announces in Keep-Alive.
-    constexpr int maxUnsentBytes = 131072; ///< The kernel would hold megabytes for a peer that reads nothing; what is on its way doesn't count.
-    constexpr int unacknowledgedTimeoutMilliseconds = 2000;
-    constexpr int probeIdleSeconds = 1;
-    constexpr int probeIntervalSeconds = 1;
-    constexpr int probeCount = 2;
-
-    void setOption(int socket, int level, int option, int value) { setsockopt(socket, level, option, &value, sizeof value); }
+    constexpr Duration peerCheckInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -44,18 +37,6 @@
     return tcp::endpoint(ip, port);
 }
 
-void setLivenessOptions(tcp::socket& socket)
-{
-    int handle = socket.native_handle();
-    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(handle, IPPROTO_TCP, TCP_NOTSENT_LOWAT, maxUnsentBytes);
-    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedTimeoutMilliseconds);
-}
-
 HttpClientConnection::HttpClientConnection(asio::io_context& context, const Clock& clock, tcp::endpoint endpoint)
     : m_socket(context)
     , m_clock(clock)
@@ -109,12 +90,31 @@
     });
 }
 
+void HttpClientConnection::closeIfSilent(SteadyTime now)
+{
+    if (!m_isConnected || m_isClosed || m_isRequestTaken || now - m_peerCheckedAt < peerCheckInterval)
+        return;
+    m_peerCheckedAt = now;
+    std::optional<TransmitFacts> facts = transmitFacts(m_socket);
+    if (!facts)
+        return;
+    m_isRequestTaken = !m_isWriting && !facts->queuedBytes;
+    if (areTimesKnown(*facts) && !std::exchange(m_looksForSilence, true))
+        disableUnacknowledgedTimeout(m_socket);
+    recordFacts(m_progress, *facts, now);
+    if (isSilent(m_progress, *facts, now))
+        fail(ExchangeFailure::Closed);
+}
+
 void HttpClientConnection::failConnect() { fail(ExchangeFailure::NotConnected); }
 
 void HttpClientConnection::startWrite()
 {
     m_isWriting = true;
     m_wroteBytes = true;
+    m_isRequestTaken = false;
+    m_peerCheckedAt = m_clock.steadyNow();
+    m_progress = {};
     std::vector<asio::const_buffer> buffers { asio::buffer(m_outputHead) };
     if (m_outputBody) {
         for (const std::vector<char>& block : m_outputBody->blocks())
@@ -306,8 +306,15 @@
 
 void HttpClientConnection::closeSocket()
 {
+    if (m_isClosed)
+        return;
     m_isClosed = true;
     m_mayReuse = false;
+    // Behind bytes that the server doesn't take, it would not see the end of the connection.
+    if (m_looksForSilence && !m_isRequestTaken && queuedBytes(m_socket) > 0) {
+        closeWithReset(m_socket);
+        return;
+    }
     boost::system::error_code ignored; // The socket may be closed already.
     m_socket.close(ignored);
 }
--- a/src/traffic/HttpClientConnection.h
+++ b/src/traffic/HttpClientConnection.h
@@ -5,6 +5,7 @@
 /// It carries one exchange at a time. Unsolicited bytes and answers that can't be parsed close it; after an answer
 /// to another request, or without a request id, it isn't reused. The daemon's blocking client is http/HttpClient.
 
+#include "core/PeerProgress.h"
 #include "limpetpond/Clock.h"
 #include "traffic/HttpParser.h"
 #include <boost/asio/io_context.hpp>
@@ -19,10 +20,6 @@
 /// Parses IP:PORT; nothing if the text is malformed or the port is 0.
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string& address);
 
-/// Enables keep-alive probes and a timeout for unacknowledged bytes, so that the kernel detects an unreachable peer, and
-/// limits the bytes that it holds unsent.
-void setLivenessOptions(boost::asio::ip::tcp::socket&);
-
 /// Why an exchange ended without a complete answer.
 enum class ExchangeFailure {
     NotConnected, ///< The connection could not be established; nothing was written.
@@ -67,6 +64,10 @@
     /// Ends the exchange with NotConnected; called when `connectDeadline` has passed.
     void failConnect();
 
+    /// Ends the exchange with Closed if the server acknowledges nothing of the request. Call it while an exchange is in
+    /// progress; it looks at the connection now and then only. A server that takes the request slowly keeps it.
+    void closeIfSilent(SteadyTime now);
+
 private:
     void onAnswerHead(HttpAnswerHead&&) override;
     void onAnswerBody(std::string_view) override;
@@ -102,6 +103,10 @@
     bool m_isSkipping { false }; ///< The answer being parsed belongs to another request.
     bool m_mayReuse { true };
     bool m_isInformational { false }; ///< The answer being parsed has a 1xx status.
+    bool m_isRequestTaken { false }; ///< The server has acknowledged the whole request.
+    bool m_looksForSilence { false }; ///< In place of the kernel's timeout for unacknowledged bytes.
+    PeerProgress m_progress; ///< Of the exchange in progress; its bytes aren't counted.
+    SteadyTime m_peerCheckedAt;
     SteadyTime m_connectDeadline;
     SteadyTime m_idleSince;
     Duration m_idleLimit;
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -1,6 +1,6 @@
 #include "traffic/HttpServerConnection.h"
 
-#include "traffic/HttpClientConnection.h"
+#include "traffic/SocketOptions.h"
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -72,6 +72,7 @@
         return;
     }
     if (error) {
+        reportLoss(AnswerLoss::Disconnected);
         if (m_isServing)
             m_handler.onCallerDisconnected(*this, error);
         close();
@@ -83,7 +84,8 @@
 void HttpServerConnection::onRead(std::string_view bytes)
 {
     m_lastReadAt = m_clock.steadyNow();
-    m_input.append(bytes);
+    if (!m_closesWhenTaken)
+        m_input.append(bytes);
     if (!m_isServing)
         parse();
     releaseSpareMemory(m_input);
@@ -184,13 +186,14 @@
     countOutput();
 }
 
-void HttpServerConnection::countOutput() { m_outputMemory.set(heapMemory(m_pending) + heapMemory(m_writing)); }
+void HttpServerConnection::countOutput() { m_outputMemory.set(heapMemory(m_pending) + heapMemory(m_writing) + m_queuedBytes); }
 
 void HttpServerConnection::startWrite()
 {
     m_writing.swap(m_pending);
     m_written = 0;
-    m_writtenAt = m_clock.steadyNow();
+    if (!hasUntakenBytes(m_progress))
+        m_progress.takenAt = m_clock.steadyNow();
     writeSome();
 }
 
@@ -204,13 +207,14 @@
     if (m_isClosed)
         return;
     if (error) {
+        reportLoss(AnswerLoss::Disconnected);
         if (m_isServing)
             m_handler.onCallerDisconnected(*this, error);
         close();
         return;
     }
     m_written += count;
-    m_writtenAt = m_clock.steadyNow();
+    recordWritten(m_progress, count, m_clock.steadyNow());
     if (m_written < m_writing.size()) {
         writeSome();
         return;
@@ -224,9 +228,7 @@
     if (!m_writing.empty())
         return;
     if (m_closesWhenWritten) {
-        boost::system::error_code ignored; // The caller may have closed already.
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        close();
+        endOutput();
         return;
     }
     if (!m_isServing)
@@ -234,21 +236,88 @@
     m_handler.onWriteBufferEmpty(*this);
 }
 
-std::size_t HttpServerConnection::stalledAnswerMemory(SteadyTime now) const
+void HttpServerConnection::endOutput()
 {
-    return !m_isClosed && !m_writing.empty() && now - m_writtenAt > stalledAnswerTime ? heapMemory(m_writing) + heapMemory(m_pending) : 0;
+    bool isTaken = !untakenInKernel();
+    boost::system::error_code ignored; // The caller may have closed already.
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (!m_answerDeadline || isTaken) {
+        close();
+        return;
+    }
+    // What the caller still sends is read, so that no reset destroys the answer on its way.
+    m_closesWhenTaken = true;
+    std::string().swap(m_input);
+    startRead();
 }
 
-void HttpServerConnection::closeStalled()
+std::size_t HttpServerConnection::untakenInKernel() const
 {
-    if (m_isClosed)
+    std::size_t queued = queuedBytes(m_socket);
+    std::size_t endOfConnection = m_closesWhenTaken ? 1 : 0;
+    return queued - std::min(queued, endOfConnection);
+}
+
+void HttpServerConnection::checkOutput(SteadyTime now)
+{
+    if (!hasOutput())
+        return;
+    std::optional<TransmitFacts> facts = transmitFacts(m_socket);
+    if (!facts)
+        return;
+    facts->queuedBytes = untakenInKernel();
+    bool wasQueued = m_queuedBytes > 0;
+    if (areTimesKnown(*facts) && !std::exchange(m_looksForSilence, true))
+        disableUnacknowledgedTimeout(m_socket);
+    recordFacts(m_progress, *facts, now);
+    m_queuedBytes = facts->queuedBytes;
+    countOutput();
+    if (!hasOutput()) {
+        if (m_closesWhenTaken)
+            close();
+        else if (!m_isServing && wasQueued)
+            becomeIdle();
+        return;
+    }
+    if (isSilent(m_progress, *facts, now))
+        giveUp(AnswerLoss::Silent);
+    else if (m_answerDeadline && isOverdue(m_progress, { .deadline = *m_answerDeadline, .idleLimit = m_handler.callerLimits().idleTimeout }, now))
+        giveUp(AnswerLoss::Overdue);
+}
+
+void HttpServerConnection::reportLoss(AnswerLoss reason)
+{
+    if (reason == AnswerLoss::Disconnected && !unwrittenBytes() && !untakenInKernel())
         return;
+    SteadyTime now = m_clock.steadyNow();
+    LostAnswer lost { .reason = reason, .unwrittenBytes = unwrittenBytes(), .queuedBytes = untakenInKernel(), .sinceTaken = now - m_progress.takenAt };
+    if (m_progress.unansweredSince)
+        lost.unansweredFor = now - *m_progress.unansweredSince;
+    m_handler.onAnswerLost(lost);
+}
+
+void HttpServerConnection::giveUp(AnswerLoss reason)
+{
     auto self = shared_from_this();
+    reportLoss(reason);
     if (m_isServing)
         m_handler.onCallerDisconnected(*this, asio::error::timed_out);
+    closeWithReset(m_socket);
     close();
 }
 
+std::size_t HttpServerConnection::stalledAnswerMemory(SteadyTime now) const
+{
+    bool isStalled = !m_isClosed && hasOutput() && now - m_progress.takenAt > stalledAnswerTime;
+    return isStalled ? heapMemory(m_writing) + heapMemory(m_pending) + m_queuedBytes : 0;
+}
+
+void HttpServerConnection::closeStalled()
+{
+    if (!m_isClosed)
+        giveUp(AnswerLoss::Memory);
+}
+
 void HttpServerConnection::finishAnswer(bool keepAlive)
 {
     if (m_isClosed)
@@ -256,7 +325,7 @@
     if (!keepAlive) {
         m_closesWhenWritten = true;
         if (m_writing.empty() && m_pending.empty())
-            close();
+            endOutput();
         return;
     }
     m_isServing = false;
@@ -289,6 +358,8 @@
 
 void HttpServerConnection::closeIfTimedOut(SteadyTime now)
 {
+    if (!m_isClosed)
+        checkOutput(now);
     if (m_isServing || m_isClosed)
         return;
     std::optional<TimedOutCaller> exceeded = exceededLimit(now);
@@ -307,9 +378,8 @@
 std::optional<TimedOutCaller> HttpServerConnection::exceededLimit(SteadyTime now) const
 {
     CallerLimits limits = m_handler.callerLimits();
-    // A caller that doesn't take its answer is detected by the timeout for unacknowledged bytes.
-    if (unwrittenBytes() > 0)
-        return std::nullopt;
+    if (hasOutput())
+        return std::nullopt; // `checkOutput()` decides.
     TimedOutCaller caller;
     if (!m_parser)
         caller = { .timeout = CallerTimeout::Idle, .elapsed = now - m_idleSince, .limit = std::max<Duration>(m_idleLimit, limits.idleTimeout) };
@@ -322,7 +392,12 @@
     return std::nullopt;
 }
 
-bool HttpServerConnection::isInUse() const { return m_isServing || m_parser || !m_input.empty() || unwrittenBytes() > 0 || unreadBytes() > 0; }
+bool HttpServerConnection::isInUse() const
+{
+    if (m_isServing || m_parser || !m_input.empty() || unwrittenBytes() > 0 || unreadBytes() > 0)
+        return true;
+    return hasUntakenBytes(m_progress) && untakenInKernel() > 0;
+}
 
 bool HttpServerConnection::closeIfIdle()
 {
@@ -338,6 +413,7 @@
         return;
     m_isClosed = true;
     auto self = shared_from_this();
+    m_queuedBytes = 0;
     m_outputMemory.set(0); // The rest is freed once the write in progress has ended.
     std::string().swap(m_pending);
     boost::system::error_code ignored; // A failed close needs no handling.
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -4,6 +4,7 @@
 ///
 /// It parses complete requests one at a time and writes their answers. The daemon's callers are served by caller/CallerServer.
 
+#include "core/PeerProgress.h"
 #include "core/ServingSettings.h"
 #include "limpetpond/Clock.h"
 #include "traffic/HttpParser.h"
@@ -32,6 +33,23 @@
     Duration limit { 0 };
 };
 
+/// Why a connection ended before its caller had taken all that was written to it.
+enum class AnswerLoss {
+    Disconnected, ///< The caller or the kernel has closed the connection.
+    Silent, ///< The caller acknowledged nothing.
+    Overdue, ///< The caller took nothing, or too little, until after its deadline.
+    Memory, ///< The caller took nothing while the answers of all callers took too much memory.
+};
+
+/// An answer, or the rest of one, that its caller has not taken.
+struct LostAnswer {
+    AnswerLoss reason { AnswerLoss::Disconnected };
+    std::size_t unwrittenBytes { 0 }; ///< Not yet passed to the kernel.
+    std::size_t queuedBytes { 0 }; ///< In the kernel, and not acknowledged.
+    Duration sinceTaken { 0 }; ///< Since the caller was last seen to have taken some.
+    std::optional<Duration> unansweredFor; ///< For how long it has acknowledged nothing that was sent.
+};
+
 /// Serves the requests of server connections.
 class RequestHandler {
 public:
@@ -50,6 +68,8 @@
     virtual void onCallerDisconnected(HttpServerConnection&, const boost::system::error_code&) = 0;
     /// The connection is about to be closed, since the caller has exceeded a time limit; `onConnectionClosed` follows.
     virtual void onCallerTimedOut(const TimedOutCaller&) { }
+    /// The connection is about to be closed with bytes that the caller has not taken; `onConnectionClosed` follows.
+    virtual void onAnswerLost(const LostAnswer&) { }
     /// All bytes queued for the caller were written.
     virtual void onWriteBufferEmpty(HttpServerConnection&) = 0;
     virtual void onConnectionClosed(HttpServerConnection&) = 0;
@@ -65,17 +85,23 @@
     /// Queues bytes of the answer in progress for writing.
     void write(std::string_view);
 
-    /// Completes the answer in progress: continues with the next request, or closes once all bytes are written.
+    /// Until when the caller wants the answer in progress. From now on a connection that ends with an answer stays open until
+    /// the caller has taken it, and one whose caller takes nothing is closed; both need calls of `closeIfTimedOut()`.
+    void setAnswerDeadline(SteadyTime deadline) { m_answerDeadline = deadline; }
+
+    /// Completes the answer in progress: continues with the next request, or closes once all bytes are written or, with an
+    /// answer deadline, taken.
     void finishAnswer(bool keepAlive);
 
     /// Writes the queued bytes and closes, so that the caller sees a truncated answer.
     void truncateAnswer();
 
-    /// Closes the connection if the next request exceeds the header, idle or body timeout. Bytes that have arrived but
-    /// were not read yet keep it open: the delay is this process's own.
+    /// Closes the connection if the next request exceeds the header, idle or body timeout, or if the caller has fallen silent or
+    /// no longer takes its answer. Bytes that have arrived but were not read yet keep it open for its request: the delay is this
+    /// process's own.
     void closeIfTimedOut(SteadyTime now);
 
-    /// True while a request is being served or has arrived in part, or bytes of an answer are not written.
+    /// True while a request is being served or has arrived in part, or the caller hasn't taken all of an answer.
     bool isInUse() const;
 
     /// Since when the connection has no request; none while it is in use.
@@ -90,12 +116,13 @@
     /// Refuses the request that is being read, and frees its body.
     void refuseBody();
 
-    /// The memory of the answer if the caller takes nothing of it, in bytes; 0 otherwise.
+    /// The memory of the answer, with that in the kernel, if the caller takes nothing of it, in bytes; 0 otherwise.
     std::size_t stalledAnswerMemory(SteadyTime now) const;
 
     /// Closes the connection of a caller that takes nothing of its answer.
     void closeStalled();
 
+    /// Bytes of answers that the kernel hasn't accepted yet.
     std::size_t unwrittenBytes() const { return m_pending.size() + m_writing.size() - m_written; }
 
     /// Bytes that have arrived and were not read yet.
@@ -113,11 +140,19 @@
     void writeSome();
     void onWritten(boost::system::error_code, std::size_t count);
     void countOutput();
+    bool hasOutput() const { return unwrittenBytes() > 0 || hasUntakenBytes(m_progress); }
+    /// Looks whether the caller has taken what was written, and closes the connection if it has fallen silent or is overdue.
+    void checkOutput(SteadyTime now);
+    /// What the kernel holds and the caller hasn't acknowledged, without the end of the connection.
+    std::size_t untakenInKernel() const;
+    void endOutput();
+    void giveUp(AnswerLoss);
+    void reportLoss(AnswerLoss);
     void close();
     void becomeIdle();
     std::optional<TimedOutCaller> exceededLimit(SteadyTime now) const;
 
-    boost::asio::ip::tcp::socket m_socket;
+    mutable boost::asio::ip::tcp::socket m_socket; ///< Its `native_handle()` isn't const.
     const Clock& m_clock;
     RequestHandler& m_handler;
     std::string m_input; ///< Bytes not parsed yet.
@@ -128,12 +163,16 @@
     std::string m_pending; ///< Queued for the next write.
     std::string m_writing; ///< Bytes of the write in progress; empty for none.
     std::size_t m_written { 0 }; ///< Bytes of `m_writing` that the kernel has taken.
-    SteadyTime m_writtenAt; ///< When the kernel last took some, or the write began.
-    CountedMemory m_outputMemory; ///< Of `m_pending` and `m_writing`.
+    PeerProgress m_progress; ///< Of the caller, with what was written.
+    std::size_t m_queuedBytes { 0 }; ///< In the kernel, when it was last looked at.
+    bool m_looksForSilence { false }; ///< In place of the kernel's timeout for unacknowledged bytes.
+    std::optional<SteadyTime> m_answerDeadline;
+    CountedMemory m_outputMemory; ///< Of `m_pending`, `m_writing` and what the kernel holds.
     bool m_isReading { false };
     bool m_isServing { false };
     bool m_isClosed { false };
     bool m_closesWhenWritten { false };
+    bool m_closesWhenTaken { false }; ///< All is written, and what still arrives is ignored.
     bool m_sentContinue { false };
     SteadyTime m_requestStartedAt; ///< When the first byte of the request being read was parsed.
     SteadyTime m_lastReadAt;
--- a/test/GatewayStopTest.cpp
+++ b/test/GatewayStopTest.cpp
@@ -60,11 +60,7 @@
         store->put("servers", "t1",
             R"({"service":"lm","addr":"127.0.0.1:)" + std::to_string(target->port()) + R"(","zone":"a","version":"v1","slots":)" + std::to_string(slots)
                 + R"(,"state":"ready","coldLeftMs":0,"seq":1,"born":1700000000000})");
-        std::string settings = documentOfVersion(1);
-        const std::string timeout = R"("timeoutMs":)";
-        for (std::size_t at = settings.find(timeout); at != std::string::npos; at = settings.find(timeout, at + 1))
-            settings.insert(at + timeout.size(), "2");
-        store->put("op", "config", settings);
+        store->put("op", "config", documentWithLongTimeouts());
         gateway = std::make_unique<RunningGateway>(store->port(), RunningGatewayOptions { .shutdownGrace = grace });
         CHECK(eventually([&] { return gateway->readiness() == 200; }));
     }
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -68,7 +68,15 @@
         context.poll();
     }
 
-    /// Serves one request and waits until its answer was written.
+    /// Whether the connection is soon unused: a caller's kernel may acknowledge the last bytes some milliseconds late.
+    bool becomesUnused() const
+    {
+        for (int i = 0; i < 1000 && connection->isInUse(); ++i)
+            std::this_thread::sleep_for(1ms);
+        return !connection->isInUse();
+    }
+
+    /// Serves one request and waits until the caller has its answer.
     void serveRequest()
     {
         int before = handler.requests;
@@ -78,6 +86,7 @@
             std::this_thread::sleep_for(1ms);
         }
         STRCMP_CONTAINS("200 OK", caller->readAnswer().c_str());
+        CHECK_TRUE(becomesUnused());
     }
 
     /// The caller sends a request or a part of one, and nothing reads it yet.
@@ -113,7 +122,7 @@
     poll();
     LONGS_EQUAL(0, handler.closed);
     LONGS_EQUAL(2, handler.requests);
-    CHECK_FALSE(connection->isInUse());
+    CHECK_TRUE(becomesUnused());
     sendUnread(request.substr(0, 10));
     CHECK_TRUE(connection->isInUse());
     poll();
--- a/test/RunningGateway.h
+++ b/test/RunningGateway.h
@@ -31,6 +31,16 @@
     return text;
 }
 
+/// The same document with timeouts that are 20 s longer.
+inline std::string documentWithLongTimeouts()
+{
+    std::string text = documentOfVersion(1);
+    const std::string timeout = R"("timeoutMs":)";
+    for (std::size_t at = text.find(timeout); at != std::string::npos; at = text.find(timeout, at + 1))
+        text.insert(at + timeout.size(), "2");
+    return text;
+}
+
 /// Addresses and identity of an instance.
 struct RunningGatewayOptions {
     std::string instance { "front-a-1" };
