Close callers that take nothing sooner, the more their answers exceed their memory

Change: the time that a caller may take nothing shrinks with the square of the excess (1 s at the limit, 0.25 s at twice the limit), by what the kernel states at that moment. Candidates are looked up once for all that have to go, not once for each.

HttpServerConnection's test of a stalled answer now lets the connection look at the caller's progress before the time passes, as the gateway does; its checks are the same.

--- a/src/core/BufferAccount.cpp
+++ b/src/core/BufferAccount.cpp
@@ -10,6 +10,7 @@
     constexpr std::size_t answersPerMemory = 4; ///< Answers may take this part of the memory; growing a buffer holds its old and its new memory for a moment.
     constexpr std::size_t bodiesPerMemory = 6; ///< The kernel may hold as much again of the bodies that are sent to targets.
     constexpr std::size_t unwrittenAnswersPerMemory = 8;
+    constexpr Duration maxStall = std::chrono::seconds(1);
     constexpr std::size_t maxSpareBytes = 1024;
     constexpr std::size_t smallBodiesPerLimit = 1024; ///< About the connections of callers.
     constexpr std::size_t maxGrowth = 1U << 20; ///< Bytes. Doubling large buffers would take twice the memory that is needed.
@@ -25,6 +26,14 @@
 
 std::size_t unwrittenAnswerLimit(std::size_t memoryBytes) { return memoryBytes / unwrittenAnswersPerMemory; }
 
+Duration allowedStall(const BufferAccount& account)
+{
+    if (!account.isExceeded())
+        return maxStall;
+    double room = static_cast<double>(account.limit) / static_cast<double>(account.used);
+    return std::chrono::duration_cast<Duration>(maxStall * room * room);
+}
+
 std::size_t heapMemory(const std::string& text) { return text.capacity() > std::string().capacity() ? text.capacity() : 0; }
 
 void releaseSpareMemory(std::string& text)
--- a/src/core/BufferAccount.h
+++ b/src/core/BufferAccount.h
@@ -5,6 +5,7 @@
 /// Load pattern: targets in trouble send bytes without an end on many connections at once, or many callers send large bodies
 /// at once. A limit on each alone leaves their sum unbounded.
 
+#include "limpetpond/Clock.h"
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -41,6 +42,12 @@
 ///     account->limit = unwrittenAnswerLimit(256 << 20);
 std::size_t unwrittenAnswerLimit(std::size_t memoryBytes);
 
+/// For how long a caller may take nothing of its answer while all answers together have room in their account or not. The
+/// more they exceed it, the shorter: many callers that read nothing may come within a second.
+///
+///     if (now - takenAt > allowedStall(*account)) close();
+Duration allowedStall(const BufferAccount&);
+
 /// The memory that a string has allocated, in bytes; 0 where its bytes are held in the object itself.
 std::size_t heapMemory(const std::string&);
 
--- a/src/gateway/GatewayAttempts.cpp
+++ b/src/gateway/GatewayAttempts.cpp
@@ -369,20 +369,20 @@
 
 void Gateway::closeStalledCallers(SteadyTime now)
 {
-    while (m_unwrittenAnswers->isExceeded()) {
-        std::shared_ptr<HttpServerConnection> largest;
-        std::size_t memory = 0;
-        for (const std::shared_ptr<HttpServerConnection>& connection : openConnections()) {
-            if (std::size_t stalled = connection->stalledAnswerMemory(now); stalled > memory) {
-                memory = stalled;
-                largest = connection;
-            }
-        }
-        if (!largest)
+    if (!m_unwrittenAnswers->isExceeded())
+        return;
+    std::vector<std::pair<std::size_t, std::shared_ptr<HttpServerConnection>>> stalled;
+    for (std::shared_ptr<HttpServerConnection>& connection : openConnections()) {
+        if (std::size_t memory = connection->stalledAnswerMemory(allowedStall(*m_unwrittenAnswers), now))
+            stalled.emplace_back(memory, std::move(connection));
+    }
+    std::sort(stalled.begin(), stalled.end(), std::greater<>());
+    for (const auto& [memory, connection] : stalled) {
+        if (!m_unwrittenAnswers->isExceeded())
             return;
         m_metrics.untakenAnswers.add();
         m_log.line("warning", "answer_not_taken", { { "bytes", static_cast<std::int64_t>(memory) }, { "bytes_of_all", static_cast<std::int64_t>(m_unwrittenAnswers->used) } });
-        largest->closeStalled();
+        connection->closeStalled();
     }
 }
 
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -16,7 +16,6 @@
 
     constexpr std::size_t readBufferBytes = 16384;
     constexpr std::size_t maxPipelinedBytes = 16384; ///< Read ahead while a request is being served; then reading pauses.
-    constexpr Duration stalledAnswerTime = std::chrono::seconds(1); ///< A caller that takes no byte for so long is stalled.
     constexpr Duration stalledBodyTime = std::chrono::seconds(2); ///< A body that doesn't fill another block for so long is stalled.
 
     int statusForError(boost::system::error_code error)
@@ -258,20 +257,28 @@
     return queued - std::min(queued, endOfConnection);
 }
 
-void HttpServerConnection::checkOutput(SteadyTime now)
+std::optional<TransmitFacts> HttpServerConnection::updateProgress(SteadyTime now)
 {
-    if (!hasOutput())
-        return;
     std::optional<TransmitFacts> facts = transmitFacts(m_socket);
     if (!facts)
-        return;
+        return std::nullopt;
     facts->queuedBytes = untakenInKernel();
-    bool wasQueued = m_queuedBytes > 0;
     if (areTimesKnown(*facts) && !std::exchange(m_looksForSilence, true))
         disableUnacknowledgedTimeout(m_socket);
     recordFacts(m_progress, *facts, now);
     m_queuedBytes = facts->queuedBytes;
     countOutput();
+    return facts;
+}
+
+void HttpServerConnection::checkOutput(SteadyTime now)
+{
+    if (!hasOutput())
+        return;
+    bool wasQueued = m_queuedBytes > 0;
+    std::optional<TransmitFacts> facts = updateProgress(now);
+    if (!facts)
+        return;
     if (!hasOutput()) {
         if (m_closesWhenTaken)
             close();
@@ -306,9 +313,12 @@
     close();
 }
 
-std::size_t HttpServerConnection::stalledAnswerMemory(SteadyTime now) const
+std::size_t HttpServerConnection::stalledAnswerMemory(Duration allowedStall, SteadyTime now)
 {
-    bool isStalled = !m_isClosed && hasOutput() && now - m_progress.takenAt > stalledAnswerTime;
+    if (m_isClosed || !hasOutput() || now - m_progress.takenAt <= allowedStall)
+        return 0;
+    updateProgress(now);
+    bool isStalled = hasOutput() && now - m_progress.takenAt > allowedStall;
     return isStalled ? heapMemory(m_writing) + heapMemory(m_pending) + m_queuedBytes : 0;
 }
 
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -116,8 +116,9 @@
     /// Refuses the request that is being read, and frees its body.
     void refuseBody();
 
-    /// The memory of the answer, with that in the kernel, if the caller takes nothing of it, in bytes; 0 otherwise.
-    std::size_t stalledAnswerMemory(SteadyTime now) const;
+    /// The memory of the answer, with that in the kernel, if the caller has taken nothing of it for so long, in bytes; 0
+    /// otherwise. Asks the kernel.
+    std::size_t stalledAnswerMemory(Duration allowedStall, SteadyTime now);
 
     /// Closes the connection of a caller that takes nothing of its answer.
     void closeStalled();
@@ -141,7 +142,9 @@
     void onWritten(boost::system::error_code, std::size_t count);
     void countOutput();
     bool hasOutput() const { return unwrittenBytes() > 0 || hasUntakenBytes(m_progress); }
-    /// Looks whether the caller has taken what was written, and closes the connection if it has fallen silent or is overdue.
+    /// Asks the kernel how much of what was written the caller has taken.
+    std::optional<TransmitFacts> updateProgress(SteadyTime now);
+    /// Closes the connection if the caller has fallen silent or is overdue, or has taken all of the last answer.
     void checkOutput(SteadyTime now);
     /// What the kernel holds and the caller hasn't acknowledged, without the end of the connection.
     std::size_t untakenInKernel() const;
--- a/test/BufferAccountTest.cpp
+++ b/test/BufferAccountTest.cpp
@@ -119,3 +119,11 @@
         LONGS_EQUAL(0, buffer.size());
     }
 }
+
+// Callers that read nothing of large answers took several times the memory of an instance within a second.
+TEST(BufferAccount, theMoreAnswersExceedTheirLimitTheShorterMayACallerTakeNothing)
+{
+    LONGS_EQUAL(1000, toMilliseconds(allowedStall({ .limit = 1000, .used = 900 })));
+    LONGS_EQUAL(250, toMilliseconds(allowedStall({ .limit = 1000, .used = 2000 })));
+    LONGS_EQUAL(10, toMilliseconds(allowedStall({ .limit = 1000, .used = 10'000 })));
+}
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -210,13 +210,15 @@
     handler.answer = "HTTP/1.1 200 OK\r\nContent-Length: 64000000\r\n\r\n";
     handler.answer.resize(64'000'000, 'x');
     sendUnread();
-    for (int i = 0; i < 100; ++i)
+    for (int i = 0; i < 100; ++i) {
         poll();
+        closeIfTimedOut(); // Looks at what the caller's kernel has taken.
+    }
     CHECK(connection->unwrittenBytes() > 0);
-    LONGS_EQUAL(0, connection->stalledAnswerMemory(clock.steadyNow()));
+    LONGS_EQUAL(0, connection->stalledAnswerMemory(1s, clock.steadyNow()));
     clock.advance(2s);
-    CHECK(connection->stalledAnswerMemory(clock.steadyNow()) > 0);
+    CHECK(connection->stalledAnswerMemory(1s, clock.steadyNow()) > 0);
     connection->closeStalled();
-    LONGS_EQUAL(0, connection->stalledAnswerMemory(clock.steadyNow()));
+    LONGS_EQUAL(0, connection->stalledAnswerMemory(1s, clock.steadyNow()));
     LONGS_EQUAL(1, handler.closed);
 }
--- a/test/process/Crowd.cpp
+++ b/test/process/Crowd.cpp
@@ -18,9 +18,11 @@
     constexpr std::size_t maxBytesPerTurn = 1U << 20;
     constexpr std::size_t statusBytes = 12; ///< Of "HTTP/1.1 503".
 
-    int connectTo(int port)
+    int connectTo(int port, int receiveBufferBytes)
     {
         int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (receiveBufferBytes > 0)
+            ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
@@ -46,7 +48,7 @@
     : m_options(std::move(options))
 {
     for (std::size_t i = 0; i < m_options.callers; ++i) {
-        int socket = connectTo(m_options.port);
+        int socket = connectTo(m_options.port, m_options.receiveBufferBytes);
         m_callers.push_back({ .socket = socket, .head = withNumber(m_options.head, i), .hasEnded = socket < 0 });
     }
 }
--- a/test/process/Crowd.h
+++ b/test/process/Crowd.h
@@ -12,6 +12,7 @@
 struct CrowdOptions {
     int port { 0 };
     std::size_t callers { 0 };
+    int receiveBufferBytes { 0 }; ///< Of each caller; 0 for the kernel's own size.
     std::string head; ///< `NUMBER` in it is replaced by the caller's number.
     std::string piece; ///< Sent `pieces` times after the head.
     std::size_t pieces { 0 };
--- a/test/process/UncontrolledClientsTest.cpp
+++ b/test/process/UncontrolledClientsTest.cpp
@@ -12,15 +12,20 @@
 
 TEST_GROUP(UncontrolledClients)
 {
-    static constexpr GatewayProcessOptions machine { .memoryMegabytes = 40, .maxDescriptors = 1000, .slots = 400 };
+    static constexpr GatewayProcessOptions defaultMachine { .memoryMegabytes = 40, .maxDescriptors = 1000, .slots = 400 };
     static constexpr std::size_t callers = 300;
     static constexpr std::size_t streams = 200; ///< The target's fake has a thread for each.
     static constexpr std::size_t bodyLimit = 4194304; ///< The default of the operator document.
     static constexpr std::size_t eventBytes = 200'000;
     static constexpr int eventsPerStream = 20;
+    static constexpr std::size_t wholeAnswerBytes = 400'000;
 
     static void serve(TargetCall & call)
     {
+        if (call.head().find(" /pay/") != std::string::npos) {
+            call.answer(200, std::string(wholeAnswerBytes, 'x'));
+            return;
+        }
         if (call.head().find(" /draft/") == std::string::npos) {
             call.answer(200, "done");
             return;
@@ -55,7 +60,7 @@
     }
 
     /// Lets the crowd send all that it can, then checks that the process holds what its settings file allows, and answers.
-    static void checkHolds(CrowdOptions options)
+    static void checkHolds(CrowdOptions options, const GatewayProcessOptions& machine = defaultMachine)
     {
         GatewayProcess gateway(machine, serve);
         CHECK_TRUE(gateway.isReady());
@@ -118,10 +123,17 @@
     checkHolds({ .callers = streams, .head = headOf("/draft/x", lengthField(0)) });
 }
 
+// They come faster than callers can be given time to read.
+TEST(UncontrolledClients, wholeAnswersWhoseCallersReadNothing)
+{
+    constexpr GatewayProcessOptions largeMachine { .memoryMegabytes = 260, .maxDescriptors = 2500, .slots = 120 };
+    checkHolds({ .callers = 1500, .receiveBufferBytes = 4096, .head = headOf("/pay/x", lengthField(0)) }, largeMachine);
+}
+
 // The bounds must not turn away what is within the limits while there is no other load.
 TEST(UncontrolledClients, aSingleBodyOfTheLargestSizeIsServed)
 {
-    GatewayProcess gateway(machine, serve);
+    GatewayProcess gateway(defaultMachine, serve);
     CHECK_TRUE(gateway.isReady());
     const std::string body(bodyLimit, 'x');
     STRCMP_EQUAL("200", gateway.statusOfRequest(lengthField(bodyLimit), body).c_str());
