Look at peers' progress only after a second, and judge silence by repeated sends

A cut-off caller was noticed after 5.1 s in one of two runs of its test, as the wait grew with the kernel's interval whenever the look came after a repetition.

Change: the kernel is asked once a peer wasn't seen to take anything for 1 s, and for its times only where bytes are queued. Silence begins at the first unanswered send, worked out from the kernel's doubling interval, and needs a second unanswered one, so that it doesn't depend on when the kernel is asked and one lost packet never makes a slow peer silent. Whether the kernel states times is learnt once for all sockets, so that the timeout is off before an answer begins.

--- a/src/core/PeerProgress.h
+++ b/src/core/PeerProgress.h
@@ -33,21 +33,29 @@
 /// Whether the kernel states when it last sent and when the peer last acknowledged. One that doesn't states 0 for both.
 bool areTimesKnown(const TransmitFacts&);
 
+/// True while bytes that the kernel has accepted may not have reached the peer.
+inline bool hasUntakenBytes(const PeerProgress& progress) { return progress.takenBytes < progress.writtenBytes; }
+
+/// Records that bytes are about to be written.
+void recordWriteBegin(PeerProgress&, SteadyTime now);
+
 /// Records bytes that the kernel has accepted.
-void recordWritten(PeerProgress&, std::size_t bytes, SteadyTime now);
+inline void recordWritten(PeerProgress& progress, std::size_t bytes) { progress.writtenBytes += bytes; }
+
+/// Whether it is time to ask the kernel for facts: the peer wasn't seen to take anything for a while.
+///
+///     if (mustAskKernel(progress, now)) recordFacts(progress, facts, now);
+bool mustAskKernel(const PeerProgress&, SteadyTime now);
 
 /// Records what the kernel states now. Without known times a peer never counts as silent.
 void recordFacts(PeerProgress&, const TransmitFacts&, SteadyTime now);
 
-/// Whether the peer has acknowledged nothing for so long that it must be gone. Call it after `recordFacts()`.
+/// Whether the peer has acknowledged none of several sends for so long that it must be gone. Call it after `recordFacts()`.
 ///
 ///     recordFacts(progress, facts, now);
 ///     if (isSilent(progress, facts, now)) close();
 bool isSilent(const PeerProgress&, const TransmitFacts&, SteadyTime now);
 
-/// True while bytes that the kernel has accepted may not have reached the peer.
-inline bool hasUntakenBytes(const PeerProgress& progress) { return progress.takenBytes < progress.writtenBytes; }
-
 /// Until when a caller may take an answer.
 struct AnswerTimes {
     SteadyTime deadline; ///< Of the request.
--- a/src/gateway/GatewayRequests.cpp
+++ b/src/gateway/GatewayRequests.cpp
@@ -80,9 +80,9 @@
 void Gateway::onRequest(const std::shared_ptr<HttpServerConnection>& caller, ReceivedRequest&& request)
 {
     m_metrics.requests.add();
-    caller->setAnswerDeadline(m_clock.steadyNow() + callerLimits().idleTimeout); // Of a refusal.
     RequestFacts facts;
     if (std::optional<Refusal> refusal = readFacts(request, facts)) {
+        caller->setAnswerDeadline(m_clock.steadyNow() + callerLimits().idleTimeout);
         answerRefusal(*caller, request, facts.id, *refusal);
         return;
     }
--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -19,7 +19,7 @@
     constexpr Duration connectTimeout = std::chrono::milliseconds(200); ///< The latency between failure domains is a few milliseconds.
     constexpr Duration defaultIdleLimit = std::chrono::seconds(4);
     constexpr double idleTimeShare = 0.6; ///< Of the idle time that the server announces in Keep-Alive.
-    constexpr Duration peerCheckInterval = std::chrono::milliseconds(500);
+    constexpr Duration askInterval = std::chrono::milliseconds(500); ///< Between two looks at what the kernel states.
 
 } // namespace
 
@@ -92,15 +92,23 @@
 
 void HttpClientConnection::closeIfSilent(SteadyTime now)
 {
-    if (!m_isConnected || m_isClosed || m_isRequestTaken || now - m_peerCheckedAt < peerCheckInterval)
+    if (!m_isConnected || m_isClosed || m_isRequestTaken)
         return;
-    m_peerCheckedAt = now;
+    if (!m_askedAt) {
+        m_askedAt = now;
+        recordWriteBegin(m_progress, now);
+        if (!m_looksForSilence)
+            m_looksForSilence = disableUnacknowledgedTimeout(m_socket);
+    }
+    if (!mustAskKernel(m_progress, now) || now - *m_askedAt < askInterval)
+        return;
+    m_askedAt = now;
     std::optional<TransmitFacts> facts = transmitFacts(m_socket);
     if (!facts)
         return;
     m_isRequestTaken = !m_isWriting && !facts->queuedBytes;
-    if (areTimesKnown(*facts) && !std::exchange(m_looksForSilence, true))
-        disableUnacknowledgedTimeout(m_socket);
+    if (!m_looksForSilence)
+        m_looksForSilence = disableUnacknowledgedTimeout(m_socket);
     recordFacts(m_progress, *facts, now);
     if (isSilent(m_progress, *facts, now))
         fail(ExchangeFailure::Closed);
@@ -113,7 +121,7 @@
     m_isWriting = true;
     m_wroteBytes = true;
     m_isRequestTaken = false;
-    m_peerCheckedAt = m_clock.steadyNow();
+    m_askedAt.reset();
     m_progress = {};
     std::vector<asio::const_buffer> buffers { asio::buffer(m_outputHead) };
     if (m_outputBody) {
--- a/src/traffic/HttpClientConnection.h
+++ b/src/traffic/HttpClientConnection.h
@@ -106,7 +106,7 @@
     bool m_isRequestTaken { false }; ///< The server has acknowledged the whole request.
     bool m_looksForSilence { false }; ///< In place of the kernel's timeout for unacknowledged bytes.
     PeerProgress m_progress; ///< Of the exchange in progress; its bytes aren't counted.
-    SteadyTime m_peerCheckedAt;
+    std::optional<SteadyTime> m_askedAt; ///< When the kernel was last asked how far the request has come.
     SteadyTime m_connectDeadline;
     SteadyTime m_idleSince;
     Duration m_idleLimit;
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -126,6 +126,7 @@
         ReceivedRequest request = m_parser->takeRequest();
         m_parser.reset();
         m_isServing = true;
+        m_answerDeadline.reset();
         if (m_isRefused) {
             finishAnswer(false);
             return;
@@ -175,6 +176,13 @@
     m_bodyMemory = 0;
 }
 
+void HttpServerConnection::setAnswerDeadline(SteadyTime deadline)
+{
+    m_answerDeadline = deadline;
+    if (!m_looksForSilence)
+        m_looksForSilence = disableUnacknowledgedTimeout(m_socket);
+}
+
 void HttpServerConnection::write(std::string_view bytes)
 {
     if (m_isClosed)
@@ -191,8 +199,7 @@
 {
     m_writing.swap(m_pending);
     m_written = 0;
-    if (!hasUntakenBytes(m_progress))
-        m_progress.takenAt = m_clock.steadyNow();
+    recordWriteBegin(m_progress, m_clock.steadyNow());
     writeSome();
 }
 
@@ -213,7 +220,7 @@
         return;
     }
     m_written += count;
-    recordWritten(m_progress, count, m_clock.steadyNow());
+    recordWritten(m_progress, count);
     if (m_written < m_writing.size()) {
         writeSome();
         return;
@@ -263,8 +270,8 @@
     if (!facts)
         return std::nullopt;
     facts->queuedBytes = untakenInKernel();
-    if (areTimesKnown(*facts) && !std::exchange(m_looksForSilence, true))
-        disableUnacknowledgedTimeout(m_socket);
+    if (!m_looksForSilence)
+        m_looksForSilence = disableUnacknowledgedTimeout(m_socket);
     recordFacts(m_progress, *facts, now);
     m_queuedBytes = facts->queuedBytes;
     countOutput();
@@ -273,19 +280,18 @@
 
 void HttpServerConnection::checkOutput(SteadyTime now)
 {
-    if (!hasOutput())
+    if (!hasOutput() || !mustAskKernel(m_progress, now))
         return;
-    bool wasQueued = m_queuedBytes > 0;
     std::optional<TransmitFacts> facts = updateProgress(now);
     if (!facts)
         return;
     if (!hasOutput()) {
         if (m_closesWhenTaken)
             close();
-        else if (!m_isServing && wasQueued)
-            becomeIdle();
         return;
     }
+    if (!m_isServing)
+        becomeIdle(); // Not before the caller has its answer.
     if (isSilent(m_progress, *facts, now))
         giveUp(AnswerLoss::Silent);
     else if (m_answerDeadline && isOverdue(m_progress, { .deadline = *m_answerDeadline, .idleLimit = m_handler.callerLimits().idleTimeout }, now))
@@ -294,7 +300,7 @@
 
 void HttpServerConnection::reportLoss(AnswerLoss reason)
 {
-    if (reason == AnswerLoss::Disconnected && !unwrittenBytes() && !untakenInKernel())
+    if (!hasOutput() || (reason == AnswerLoss::Disconnected && !unwrittenBytes() && !untakenInKernel()))
         return;
     SteadyTime now = m_clock.steadyNow();
     LostAnswer lost { .reason = reason, .unwrittenBytes = unwrittenBytes(), .queuedBytes = untakenInKernel(), .sinceTaken = now - m_progress.takenAt };
--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -87,7 +87,7 @@
 
     /// Until when the caller wants the answer in progress. From now on a connection that ends with an answer stays open until
     /// the caller has taken it, and one whose caller takes nothing is closed; both need calls of `closeIfTimedOut()`.
-    void setAnswerDeadline(SteadyTime deadline) { m_answerDeadline = deadline; }
+    void setAnswerDeadline(SteadyTime);
 
     /// Completes the answer in progress: continues with the next request, or closes once all bytes are written or, with an
     /// answer deadline, taken.
--- a/src/traffic/SocketOptions.h
+++ b/src/traffic/SocketOptions.h
@@ -13,8 +13,9 @@
 void setLivenessOptions(boost::asio::ip::tcp::socket&);
 
 /// Switches the kernel's timeout for unacknowledged bytes off, since it also ends connections to peers that acknowledge but
-/// keep their receive window closed. From now on the process has to look for silent peers, by `transmitFacts()`.
-void disableUnacknowledgedTimeout(boost::asio::ip::tcp::socket&);
+/// keep their receive window closed. From now on the process has to look for silent peers, by `transmitFacts()`. True where it
+/// did: the kernel is known to state the times that this needs, by earlier calls of `transmitFacts()`.
+bool disableUnacknowledgedTimeout(boost::asio::ip::tcp::socket&);
 
 /// What the kernel states about the bytes that were written; nothing if it doesn't tell.
 std::optional<TransmitFacts> transmitFacts(boost::asio::ip::tcp::socket&);
