Don't let a stop wait for callers that keep a finished connection open

A connection whose last answer is taken but whose caller hasn't closed counted as used until the next look at it, a second later; it no longer does, and it is closed at the next look. The line of a stopped instance tells how many callers were left unfinished.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -240,6 +240,12 @@
     return std::any_of(open.begin(), open.end(), [](const auto& connection) { return connection->isInUse(); });
 }
 
+std::size_t Gateway::unfinishedCallers() const
+{
+    std::vector<std::shared_ptr<HttpServerConnection>> open = openConnections();
+    return static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [](const auto& connection) { return connection->isInUse(); }));
+}
+
 CallerLimits Gateway::callerLimits() const { return m_settings ? m_settings->settings.limits : CallerLimits {}; }
 
 void Gateway::onCallerDisconnected(HttpServerConnection& caller, const boost::system::error_code& error)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -86,6 +86,8 @@
     std::size_t exchangesInProgress() const { return m_exchanges.size(); }
     /// True while a request is in progress or has arrived in part, or a caller hasn't taken all of an answer.
     bool hasUnfinishedRequests() const;
+    /// Callers that have not sent all of a request, or not taken all of an answer.
+    std::size_t unfinishedCallers() const;
 
     void addConnection(const std::shared_ptr<HttpServerConnection>&);
     std::size_t callerConnections() const { return m_connections.size(); }
--- a/src/gateway/GatewayInstance.cpp
+++ b/src/gateway/GatewayInstance.cpp
@@ -514,7 +514,8 @@
     bool isEmpty = (!acceptsRequests && !m_gateway.hasUnfinishedRequests() && hasAnsweredLastRequests(now)) || isGuardDisabled(GuardId::StopWaitsForWork);
     if (!isEmpty && elapsed < grace - exitReserve)
         return;
-    m_log.line("info", "stopped", { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) } });
+    m_log.line("info", "stopped",
+        { { "in_progress", static_cast<std::int64_t>(m_gateway.exchangesInProgress()) }, { "unfinished_callers", static_cast<std::int64_t>(m_gateway.unfinishedCallers()) } });
     m_log.flush();
     m_context.stop();
 }
--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -280,7 +280,7 @@
 
 void HttpServerConnection::checkOutput(SteadyTime now)
 {
-    if (!hasOutput() || !mustAskKernel(m_progress, now))
+    if (!hasOutput() || (!m_closesWhenTaken && !mustAskKernel(m_progress, now)))
         return;
     std::optional<TransmitFacts> facts = updateProgress(now);
     if (!facts)
@@ -410,7 +410,8 @@
 
 bool HttpServerConnection::isInUse() const
 {
-    if (m_isServing || m_parser || !m_input.empty() || unwrittenBytes() > 0 || unreadBytes() > 0)
+    bool hasRequest = m_isServing || m_parser || !m_input.empty() || unreadBytes() > 0;
+    if ((hasRequest && !m_closesWhenTaken) || unwrittenBytes() > 0)
         return true;
     return hasUntakenBytes(m_progress) && untakenInKernel() > 0;
 }
