--- a/src/traffic/HttpServerConnection.h
+++ b/src/traffic/HttpServerConnection.h
@@ -148,8 +148,11 @@
     void checkOutput(SteadyTime now);
     /// What the kernel holds and the caller hasn't acknowledged, without the end of the connection.
     std::size_t untakenInKernel() const;
+    /// Ends the sending side after the last answer, and closes once the caller has taken it.
     void endOutput();
+    /// Closes the connection and drops what the caller hasn't taken.
     void giveUp(AnswerLoss);
+    /// Tells the handler if the caller hasn't taken all.
     void reportLoss(AnswerLoss);
     void close();
     void becomeIdle();
@@ -169,7 +172,7 @@
     PeerProgress m_progress; ///< Of the caller, with what was written.
     std::size_t m_queuedBytes { 0 }; ///< In the kernel, when it was last looked at.
     bool m_looksForSilence { false }; ///< In place of the kernel's timeout for unacknowledged bytes.
-    std::optional<SteadyTime> m_answerDeadline;
+    std::optional<SteadyTime> m_answerDeadline; ///< Of the answer in progress or the last one; none if the handler sets none.
     CountedMemory m_outputMemory; ///< Of `m_pending`, `m_writing` and what the kernel holds.
     bool m_isReading { false };
     bool m_isServing { false };
