--- a/test/process/GatewayProcess.h
+++ b/test/process/GatewayProcess.h
@@ -38,6 +38,8 @@
 
     bool isRunning() { return m_process->isRunning(); }
 
+    void sendSignal(int signal) const { m_process->sendSignal(signal); }
+
     /// The most memory that it has held so far, in bytes (`VmHWM`).
     std::size_t peakMemory() const;
 
