Look at a connection before a write that follows a pause of the process

The caller lost a true "not run".

Cause: the process had been paused, so the connection had not been looked at since its last answer, and that answer still counted as not taken. The first look came before the write was accounted for, after the deadline, and took the caller for one that had stopped reading. Ruled out: a caller that didn't read (it had taken the answer before).

Change: a write asks the kernel first where the last look is older than a second and bytes are open.

Test: HttpServerConnection.anAnswerAfterAPauseOfTheProcessIsNotOverdue, failed before (closed 1, wanted 0).

--- a/src/traffic/HttpServerConnection.cpp
+++ b/src/traffic/HttpServerConnection.cpp
@@ -199,7 +199,11 @@
 {
     m_writing.swap(m_pending);
     m_written = 0;
-    recordWriteBegin(m_progress, m_clock.steadyNow());
+    SteadyTime now = m_clock.steadyNow();
+    // After a pause of this process, what the caller took meanwhile isn't known yet.
+    if (hasUntakenBytes(m_progress) && mustAskKernel(m_progress, now))
+        updateProgress(now);
+    recordWriteBegin(m_progress, now);
     writeSome();
 }
 
--- a/test/HttpServerConnectionTest.cpp
+++ b/test/HttpServerConnectionTest.cpp
@@ -21,6 +21,7 @@
 struct AnsweringHandler final : RequestHandler {
     CallerLimits limits { .idleTimeout = 15s };
     std::string answer { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" };
+    std::optional<SteadyTime> lookAt; ///< The connection is looked at in the moment of writing, 1 s after the deadline of its answer.
     int requests { 0 };
     int closed { 0 };
 
@@ -28,7 +29,11 @@
     void onRequest(const std::shared_ptr<HttpServerConnection>& connection, ReceivedRequest&&) override
     {
         ++requests;
+        if (lookAt)
+            connection->setAnswerDeadline(*lookAt - 1s);
         connection->write(answer);
+        if (lookAt)
+            connection->closeIfTimedOut(*lookAt);
         connection->finishAnswer(true);
     }
     void onCallerDisconnected(HttpServerConnection&, const boost::system::error_code&) override { }
@@ -222,3 +227,17 @@
     LONGS_EQUAL(0, connection->stalledAnswerMemory(1s, clock.steadyNow()));
     LONGS_EQUAL(1, handler.closed);
 }
+
+// After a pause of the process, an answer was cut as overdue in the moment in which it was written, as the connection had not
+// been looked at since the last one.
+TEST(HttpServerConnection, anAnswerAfterAPauseOfTheProcessIsNotOverdue)
+{
+    serveRequest();
+    clock.advance(5s);
+    handler.lookAt = clock.steadyNow();
+    sendUnread();
+    poll();
+    LONGS_EQUAL(2, handler.requests);
+    LONGS_EQUAL(0, handler.closed);
+    STRCMP_CONTAINS("200 OK", caller->readAnswer().c_str());
+}
