A reset during an upload is never the end of an answer

The caller got the part as a complete answer, and a stream its last chunk.

Cause: the kernel reports a reset once. If the write of the request meets it first, it takes the error from the socket, and the read that follows sees an orderly end of the stream, which ends an answer without a length. HttpClientConnection dropped the write's error.

Change: a write that failed other than by EPIPE marks the connection as broken, and its end of stream is then a failure. A read that sees the end while the write has not been reported waits for the handlers that are queued, as the write's error is among them. Why this works: an end of stream comes from the kernel only after an orderly end by the server, which turns a later reset into EPIPE, or after an error that one of our two operations has taken; the read's own error was handled before. It holds for each error that ends a connection, the kernel's timeout for unacknowledged bytes included, and for targets, store and peers, which share the connection.

--- a/src/traffic/HttpClientConnection.cpp
+++ b/src/traffic/HttpClientConnection.cpp
@@ -135,11 +135,18 @@
         self->m_outputBody.reset();
         // The server may have answered before it read the whole request; the read reports the outcome.
         if (error)
-            self->m_mayReuse = false;
+            self->onWriteError(error);
     });
     startRead();
 }
 
+void HttpClientConnection::onWriteError(boost::system::error_code error)
+{
+    m_mayReuse = false;
+    // Only after an orderly end of the answer does the kernel report a reset as a broken pipe.
+    m_isBroken = error != asio::error::broken_pipe;
+}
+
 void HttpClientConnection::startRead()
 {
     if (m_isReading || m_isPaused || m_isClosed)
@@ -162,11 +169,17 @@
         startRead();
         return;
     }
+    if (error == asio::error::eof && m_isWriting) {
+        // The error of a write that ended before this read may not have been handled yet.
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->onEndOfStream(); });
+        return;
+    }
+    if (error == asio::error::eof) {
+        onEndOfStream();
+        return;
+    }
     if (error) {
-        if (error == asio::error::eof && m_handler && m_parser)
-            parseEnd();
-        else
-            fail(ExchangeFailure::Closed);
+        fail(ExchangeFailure::Closed);
         return;
     }
     onRead({ buffer.data(), count });
@@ -214,6 +227,16 @@
     }
 }
 
+void HttpClientConnection::onEndOfStream()
+{
+    if (m_isClosed)
+        return;
+    if (m_handler && m_parser && !m_isBroken)
+        parseEnd();
+    else
+        fail(ExchangeFailure::Closed);
+}
+
 void HttpClientConnection::parseEnd()
 {
     boost::system::error_code error;
--- a/src/traffic/HttpClientConnection.h
+++ b/src/traffic/HttpClientConnection.h
@@ -77,6 +77,8 @@
     void onReadable(boost::system::error_code);
     void onRead(std::string_view);
     void parse();
+    void onWriteError(boost::system::error_code);
+    void onEndOfStream();
     void parseEnd();
     void onAnswerParsed();
     void fail(ExchangeFailure);
@@ -98,6 +100,7 @@
     bool m_isClosed { false };
     bool m_isWriting { false };
     bool m_wroteBytes { false };
+    bool m_isBroken { false }; ///< A write failed before the server ended its answer. The kernel reports the error once, so a read sees an orderly end.
     bool m_isReading { false };
     bool m_isPaused { false };
     bool m_isSkipping { false }; ///< The answer being parsed belongs to another request.
--- /dev/null
+++ b/test/AnswerReaders.h
@@ -0,0 +1,117 @@
+#pragma once
+
+/// The ways in which the programs read answers, for tests that hold each of them to the same rules.
+
+#include "base/BootTimeClock.h"
+#include "gateway/TimedHttpCall.h"
+#include "http/HttpClient.h"
+#include "test/CallFailures.h"
+#include <string>
+
+namespace limpetpond {
+
+/// What a reader makes of the bytes that a server sends.
+struct AnswerRead {
+    bool isWhole { false };
+    int status { 0 };
+    std::string body;
+};
+
+struct AnswerReader {
+    const char* name;
+    AnswerRead (*read)(int port, const std::string& requestBody); ///< Sends a POST and waits for the end of its answer.
+};
+
+namespace readers {
+
+    /// Runs the context's handlers until the condition holds, at most 5 s.
+    template <typename Condition>
+    void runUntil(boost::asio::io_context& context, Condition condition)
+    {
+        auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!condition() && std::chrono::steady_clock::now() < until) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds(2));
+        }
+    }
+
+    inline std::string postText(const std::string& body)
+    {
+        return "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    /// The gateway's connection to targets, the store and other instances.
+    inline AnswerRead byGatewayConnection(int port, const std::string& requestBody)
+    {
+        struct Handler final : ExchangeHandler {
+            AnswerRead answer;
+            bool hasEnded { false };
+            void onHead(HttpAnswerHead&& head) override { answer.status = head.status; }
+            void onBody(std::string_view bytes) override { answer.body += bytes; }
+            void onComplete() override { hasEnded = answer.isWhole = true; }
+            void onFailure(ExchangeFailure, bool) override { hasEnded = true; }
+        } handler;
+        boost::asio::io_context context { 1 };
+        BootTimeClock clock;
+        auto connection = std::make_shared<HttpClientConnection>(context, clock, *parseEndpoint("127.0.0.1:" + std::to_string(port)));
+        connection->send(postText(requestBody), nullptr, {}, false, handler);
+        runUntil(context, [&] { return handler.hasEnded; });
+        connection->close();
+        runUntil(context, [&] { return connection.use_count() == 1; });
+        return handler.answer;
+    }
+
+    /// The gateway's calls to the store and to other instances.
+    inline AnswerRead byTimedCall(int port, const std::string& requestBody)
+    {
+        boost::asio::io_context context { 1 };
+        BootTimeClock clock;
+        AnswerRead answer;
+        TimedHttpCall call(context, clock, [&](TimedHttpCallResult&& result) {
+            answer = { .isWhole = result.status != 0, .status = result.status, .body = std::move(result.body) };
+        });
+        call.start(*parseEndpoint("127.0.0.1:" + std::to_string(port)), postText(requestBody), std::chrono::seconds(5));
+        runUntil(context, [&] { return !call.isInProgress(); });
+        call.closeConnection();
+        context.restart();
+        context.poll();
+        return answer;
+    }
+
+    inline AnswerRead fromResponse(const HttpResponse& response) { return { .isWhole = true, .status = response.status, .body = response.body }; }
+
+    /// The answer of a call of the daemon, or what it reports of a failed one.
+    template <typename Call>
+    AnswerRead ofCall(Call call)
+    {
+        return boost::leaf::try_handle_all([&]() -> Result<AnswerRead> {
+            BOOST_LEAF_ASSIGN(HttpResponse response, call());
+            return fromResponse(response); },
+            [](const CallError& error) { return AnswerRead { .status = error.status }; }, [] { return AnswerRead {}; });
+    }
+
+    inline HttpRequest post(const std::string& body) { return { .method = "POST", .path = "/x", .body = body }; }
+
+    /// The daemon's single calls, to engines and services.
+    inline AnswerRead byDaemonCall(int port, const std::string& requestBody)
+    {
+        return ofCall([&] { return httpCall({ "127.0.0.1", port }, post(requestBody), {}); });
+    }
+
+    /// The daemon's calls on kept connections, to the table service and other parts of the platform.
+    inline AnswerRead byDaemonPool(int port, const std::string& requestBody)
+    {
+        HttpConnectionPool pool({ "127.0.0.1", port }, {});
+        return ofCall([&] { return pool.call(post(requestBody)); });
+    }
+
+} // namespace readers
+
+inline constexpr AnswerReader answerReaders[] = {
+    { "the gateway's connection", readers::byGatewayConnection },
+    { "the gateway's timed call", readers::byTimedCall },
+    { "the daemon's call", readers::byDaemonCall },
+    { "the daemon's pool", readers::byDaemonPool },
+};
+
+} // namespace limpetpond
--- a/test/GatewayFixture.h
+++ b/test/GatewayFixture.h
@@ -50,14 +50,14 @@
     void putRow(std::size_t index, const TargetRowOptions& options = {}) { store->put("servers", "t" + std::to_string(index + 1), rowOf(index, options)); }
 
     /// Before the start: its handler may refer to variables that the test's body has declared so far.
-    void addTarget(fakes::TargetFake::Handler handler, const TargetRowOptions& options = {})
+    void addTarget(fakes::TargetFake::Handler handler, const TargetRowOptions& options = {}, fakes::RequestPart neededPart = fakes::RequestPart::Whole)
     {
         CHECK(!gateway);
-        putTarget(std::move(handler), options);
+        putTarget(std::move(handler), options, neededPart);
     }
 
     /// A target that is added while the gateway runs refers to nothing of the test's body.
-    void addLaterTarget(void (*handler)(fakes::TargetCall&)) { putTarget(handler, {}); }
+    void addLaterTarget(void (*handler)(fakes::TargetCall&)) { putTarget(handler, {}, fakes::RequestPart::Whole); }
 
     void startGateway(const RunningGatewayOptions& options = {}, const std::string& settings = documentOfVersion(1))
     {
@@ -101,9 +101,9 @@
     }
 
 private:
-    void putTarget(fakes::TargetFake::Handler handler, const TargetRowOptions& options)
+    void putTarget(fakes::TargetFake::Handler handler, const TargetRowOptions& options, fakes::RequestPart neededPart)
     {
-        targets.push_back(std::make_unique<fakes::TargetFake>(std::move(handler)));
+        targets.push_back(std::make_unique<fakes::TargetFake>(std::move(handler), neededPart));
         putRow(targets.size() - 1, options);
     }
 };
--- a/test/fakes/edge/TargetFake.h
+++ b/test/fakes/edge/TargetFake.h
@@ -99,6 +99,16 @@
     }
     bool closesConnection() const { return m_closesConnection; }
 
+    /// Ends the answer in an orderly way; the client may still send.
+    void endWriting() { ::shutdown(m_socket, SHUT_WR); }
+
+    /// Reads and drops what the client still sends, until it ends the connection.
+    void discardRest()
+    {
+        char piece[4096];
+        while (::recv(m_socket, piece, sizeof piece, 0) > 0) { }
+    }
+
     /// True if the client closes the connection within the time.
     bool waitForClose(int milliseconds)
     {
@@ -115,13 +125,20 @@
     bool m_closesConnection { false };
 };
 
+/// When a target handles a request.
+enum class RequestPart {
+    Whole, ///< Once the body has arrived.
+    Head, ///< Without reading the body, which is empty for the handler. The connection ends when the handler returns.
+};
+
 /// Listens on a free loopback port and calls the handler for each request, on a thread for each connection.
 class TargetFake {
 public:
     using Handler = std::function<void(TargetCall&)>;
 
-    explicit TargetFake(Handler handler)
+    explicit TargetFake(Handler handler, RequestPart neededPart = RequestPart::Whole)
         : m_handler(std::move(handler))
+        , m_neededPart(neededPart)
         , m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address {};
@@ -216,18 +233,19 @@
             std::string head = input.substr(0, end + 2);
             input.erase(0, end + 4);
             std::string length = TargetCall(socket, head, "").field("Content-Length");
-            std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
+            std::size_t bodySize = length.empty() || m_neededPart == RequestPart::Head ? 0 : std::stoul(length);
             while (input.size() < bodySize && readMore(socket, input)) { }
             TargetCall call(socket, head, input.substr(0, bodySize));
             input.erase(0, bodySize);
             ++m_calls;
             m_handler(call);
-            if (call.closesConnection())
+            if (call.closesConnection() || m_neededPart == RequestPart::Head)
                 return;
         }
     }
 
     Handler m_handler;
+    RequestPart m_neededPart;
     int m_listener;
     int m_port { 0 }; ///< 0 if no port could be opened.
     std::atomic<int> m_calls { 0 };
