The daemon reads answers by the gateway's rules

What callers saw: the daemon took answers of a target in trouble as good: with the status 000 or 099, and with names that hold a blank or a control byte, also "Content-Length :" and "Transfer-Encoding :", whose meaning it ignored, so that the body was not the target's. Found on the way, of the same cause: sound answers were broken (after an interim 102 or 103, or a 100 with fields, the caller got status 102 and the answer's head as its body; trailers were an error), a 204 and an answer to HEAD reached the caller with the status 0, and "%0d%0a" in a value became the end of a line and so a field of the caller's answer.

Cause: cpp-httplib 0.11 reads a head leniently: any three digits are a status, what stands before the first colon is a name, lines that it doesn't understand are skipped, values are decoded, only a bare 100 is an interim answer. It can't be set to be strict.

Change: AnswerStream reads the connection with the gateway's AnswerParser and shows the library a plain head and then the body up to the end of the stream, so that the library decides nothing about the answer's bytes; AnswerClient puts it between the library and its socket. Heads are now bounded (64 KB, 100 interim answers). A connection with bytes behind an answer isn't kept. Why this works: there is one parser for both programs, and nothing of an answer reaches the daemon past it. Ruled out: a look at the names afterwards (skipped lines are gone by then); the gateway itself (its parser held, tests kept). A status line without the blank behind its status is refused now in the daemon, as in the gateway.

--- /dev/null
+++ b/src/http/AnswerClient.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// A client of cpp-httplib for one server whose answers are read through an AnswerStream.
+
+#include "http/AnswerStream.h"
+#include "http/HttpClient.h"
+
+namespace limpetpond {
+
+/// Makes one call at a time over one connection.
+///
+///     AnswerClient client({ "127.0.0.1", 8080 }, {});
+///     Result<HttpResponse> answer = client.call(request);
+class AnswerClient final : public httplib::ClientImpl {
+public:
+    AnswerClient(const HttpEndpoint&, const HttpTimeouts&);
+
+    /// Sends a request and returns its whole answer; the body is empty if the request has a content receiver.
+    Result<HttpResponse> call(httplib::Request&, std::function<bool(const HttpResponse& head)> onHead = {});
+
+    /// True if the last answer is whole and the connection can carry another call.
+    bool mayReuse() const { return m_progress.mayReuse; }
+
+private:
+    bool process_socket(const Socket&, std::function<bool(httplib::Stream&)> makeCall) override;
+
+    AnswerStreamOptions m_streamOptions; ///< Of the call in progress.
+    AnswerProgress m_progress; ///< Of the last call.
+};
+
+} // namespace limpetpond
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,9 +1,8 @@
 #include "http/HttpClient.h"
 
+#include "http/AnswerClient.h"
 #include <algorithm>
 #include <cerrno>
-#include <csignal>
-#include <httplib.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -24,25 +23,6 @@
             [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
     }
 
-    // A write to a connection that the server closed would otherwise end this process.
-    void ignoreSigpipe()
-    {
-        static const auto done = std::signal(SIGPIPE, SIG_IGN);
-        static_cast<void>(done);
-    }
-
-    std::unique_ptr<httplib::Client> makeClient(const HttpEndpoint& endpoint, const HttpTimeouts& timeouts)
-    {
-        ignoreSigpipe();
-        auto client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
-        client->set_tcp_nodelay(true);
-        client->set_decompress(false);
-        client->set_connection_timeout(timeouts.connect);
-        client->set_read_timeout(timeouts.read);
-        client->set_write_timeout(timeouts.write);
-        return client;
-    }
-
     httplib::Request toHttplib(const HttpRequest& request)
     {
         httplib::Request out;
@@ -58,35 +38,6 @@
         return out;
     }
 
-    HttpResponse fromHttplib(const httplib::Response& response)
-    {
-        HttpResponse out { .status = response.status };
-        for (const auto& [name, value] : response.headers)
-            out.headers.push_back({ name, value });
-        out.body = response.body;
-        return out;
-    }
-
-    CallFailure failureOf(httplib::Error error)
-    {
-        switch (error) {
-        case httplib::Error::Connection:
-        case httplib::Error::ConnectionTimeout:
-        case httplib::Error::BindIPAddress:
-        case httplib::Error::SSLConnection:
-        case httplib::Error::SSLLoadingCerts:
-        case httplib::Error::SSLServerVerification:
-            return CallFailure::NotSent;
-        default:
-            return CallFailure::NoAnswer;
-        }
-    }
-
-    CallError callError(httplib::Error error, int status)
-    {
-        return CallError { .failure = failureOf(error), .status = status, .detail = httplib::to_string(error) };
-    }
-
     // Starts to send the body only until `sendBefore`; after that, sets `late` and ends the call.
     void limitBodySendTime(httplib::Request& out, const HttpRequest& request, bool& late)
     {
@@ -101,7 +52,7 @@
     // Registers a call's socket with its CallStop while the call runs.
     class StopGuard {
     public:
-        StopGuard(CallStop* stop, httplib::Client& client)
+        StopGuard(CallStop* stop, httplib::ClientImpl& client)
             : m_stop(stop)
         {
             if (m_stop)
@@ -168,28 +119,19 @@
     if (stopped())
         return boost::leaf::new_error(CallError { .failure = CallFailure::NotSent, .detail = "the call was stopped before it started" });
 
-    auto client = makeClient(endpoint, timeouts);
-    StopGuard guard(stop, *client);
+    AnswerClient client(endpoint, timeouts);
+    StopGuard guard(stop, client);
     httplib::Request out = toHttplib(request);
     bool late = false;
     if (request.sendBefore && !request.body.empty())
         limitBodySendTime(out, request, late);
-    HttpResponse head;
-    out.response_handler = [&](const httplib::Response& response) {
-        head = fromHttplib(response);
-        return !stopped() && (!handlers.head || handlers.head(head));
-    };
     out.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
         return !stopped() && handlers.data(std::string_view(data, length));
     };
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    bool answered = client->send(out, response, error);
+    Result<HttpResponse> answer = client.call(out, [&](const HttpResponse& head) { return !stopped() && (!handlers.head || handlers.head(head)); });
     if (late)
         return boost::leaf::new_error(CallError { .failure = CallFailure::NotSent, .detail = "the request was not sent within its time limit" });
-    if (!answered)
-        return boost::leaf::new_error(callError(error, head.status));
-    return head;
+    return answer;
 }
 
 Result<HttpResponse> httpCall(const HttpEndpoint& endpoint, const HttpRequest& request, const HttpTimeouts& timeouts, CallStop* stop)
@@ -218,15 +160,13 @@
 {
     auto client = acquire();
     httplib::Request out = toHttplib(request);
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    if (!client->send(out, response, error))
-        return boost::leaf::new_error(callError(error, 0));
-    release(std::move(client));
-    return fromHttplib(response);
+    Result<HttpResponse> answer = client->call(out);
+    if (client->mayReuse())
+        release(std::move(client));
+    return answer;
 }
 
-std::unique_ptr<httplib::Client> HttpConnectionPool::acquire()
+std::unique_ptr<AnswerClient> HttpConnectionPool::acquire()
 {
     {
         std::lock_guard lock(m_mutex);
@@ -236,12 +176,12 @@
             return client;
         }
     }
-    auto client = makeClient(m_endpoint, m_timeouts);
+    auto client = std::make_unique<AnswerClient>(m_endpoint, m_timeouts);
     client->set_keep_alive(true);
     return client;
 }
 
-void HttpConnectionPool::release(std::unique_ptr<httplib::Client> client)
+void HttpConnectionPool::release(std::unique_ptr<AnswerClient> client)
 {
     std::lock_guard lock(m_mutex);
     if (m_idle.size() < maxIdleConnections)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -15,12 +15,10 @@
 #include <string_view>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace limpetpond {
 
+class AnswerClient;
+
 /// The IP address and TCP port of an HTTP server.
 struct HttpEndpoint {
     std::string host;
@@ -86,7 +84,7 @@
 
 /// Callbacks of a streamed call. A callback that returns false ends the call.
 struct HttpStreamHandlers {
-    std::function<bool(const HttpResponse& head)> head; ///< Status and headers; may be null.
+    std::function<bool(const HttpResponse& head)> head; ///< Called once with status and headers, not for interim answers (1xx); may be null.
     std::function<bool(std::string_view data)> data;
 };
 
@@ -97,7 +95,8 @@
 Result<HttpResponse> httpCall(const HttpEndpoint&, const HttpRequest&, const HttpTimeouts&, CallStop* stop = nullptr);
 
 /// As `httpCall`, but passes the answer's body to `handlers.data` as it arrives.
-/// Fails with `CallFailure::NoAnswer` and the received status when the body is incomplete.
+/// Fails with the received status and `CallFailure::NoAnswer` when the body is incomplete, `CallFailure::Malformed` when the
+/// answer breaks the rules of HTTP.
 ///
 ///     httpStream(endpoint, request, {}, { .data = [&](std::string_view data) { return append(data); } });
 Result<HttpResponse> httpStream(const HttpEndpoint&, const HttpRequest&, const HttpTimeouts&, const HttpStreamHandlers&, CallStop* stop = nullptr);
@@ -119,13 +118,13 @@
     Result<HttpResponse> call(const HttpRequest&);
 
 private:
-    std::unique_ptr<httplib::Client> acquire();
-    void release(std::unique_ptr<httplib::Client>);
+    std::unique_ptr<AnswerClient> acquire();
+    void release(std::unique_ptr<AnswerClient>);
 
     HttpEndpoint m_endpoint;
     HttpTimeouts m_timeouts;
     std::mutex m_mutex;
-    std::vector<std::unique_ptr<httplib::Client>> m_idle;
+    std::vector<std::unique_ptr<AnswerClient>> m_idle;
 };
 
 } // namespace limpetpond
--- a/test/fakes/edge/TargetFake.h
+++ b/test/fakes/edge/TargetFake.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <mutex>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <set>
 #include <string>
@@ -42,6 +43,14 @@
 
     void write(const std::string& bytes) { ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
 
+    void writeBytewise(const std::string& bytes)
+    {
+        int on = 1;
+        ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        for (char byte : bytes)
+            ::send(m_socket, &byte, 1, MSG_NOSIGNAL);
+    }
+
     /// Writes the block again and again until the client closes the connection, and returns the bytes written; at most
     /// `maxBytes`.
     std::size_t writeUntilClosed(const std::string& block, std::size_t maxBytes)
