An answer with a status below 100 is broken

What a caller could see: of a target that sent an empty answer with the status 000 and another one behind it, the second one as the answer.

Cause: AnswerParser left the status to its users, and Boost.Beast takes any three digits; both programs took everything below 200 for an interim answer and went on to the next head. Evidence: "a status of 000 before the answer" was the one row of the table of 410 that the gateway's readers took.

Change: the parser refuses a status below 100, so that no reader needs a rule of its own. A status above 599 is passed on as it is, as before: RFC 9110 (15) has it treated as a server error, which both programs do (no repeat where that isn't allowed, "failed"), and a caller can do so too; an answer of our own would hide what the target said. Tests: the row of the table and HttpClient.aStatusBelow100IsMalformed failed before; AnswerReaders, HttpClient, HttpParser green.

--- a/src/traffic/HttpParser.cpp
+++ b/src/traffic/HttpParser.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr std::uint32_t maxAnswerHeaderBytes = 65536;
+    constexpr int minStatus = 100; ///< Boost.Beast takes any three digits.
     constexpr std::size_t maxFields = 1000; ///< A field takes far more memory than the bytes of a short one.
 
     std::string toString(boost::beast::string_view text) { return std::string(text.data(), text.size()); }
@@ -121,7 +122,12 @@
     eager(true);
 }
 
-void AnswerParser::on_response_impl(int status, View, int, Error&) { m_head.status = status; }
+void AnswerParser::on_response_impl(int status, View, int, Error& error)
+{
+    if (status < minStatus)
+        error = http::error::bad_status;
+    m_head.status = status;
+}
 
 void AnswerParser::on_field_impl(http::field known, View name, View value, Error& error)
 {
--- a/src/traffic/HttpParser.h
+++ b/src/traffic/HttpParser.h
@@ -4,7 +4,8 @@
 ///
 /// Boost.Beast parses the grammar. It accepts some messages that a target could read differently; these are
 /// rejected here: folded fields, transfer codings other than chunked, Content-Length together with chunked coding,
-/// and repeated Host or Content-Length fields.
+/// and repeated Host or Content-Length fields. So are answers with a status below 100. One above 599 is passed on as it
+/// is: it counts as a server error, and the caller can tell by itself that it has no other meaning.
 
 #include "core/BufferAccount.h"
 #include "limpetpond/Units.h"
--- a/test/AnswerTable.h
+++ b/test/AnswerTable.h
@@ -85,6 +85,7 @@
     addFraming("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n0\r\nX Odd: 1\r\n\r\n");
 
     out.push_back({ .name = "an interim answer alone", .statusLine = "HTTP/1.1 100 Continue" });
+    out.push_back({ .name = "a status of 000 before the answer", .interim = "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", .fields = length, .body = body });
     out.push_back({ .name = "a bad name in an interim answer", .interim = "HTTP/1.1 102 Processing\r\nX Odd: 1\r\n\r\n", .fields = length, .body = body });
     return out;
 }
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -122,6 +122,14 @@
     STRCMP_CONTAINS("the answer breaks the rules of HTTP", error->detail.c_str());
 }
 
+TEST(HttpClient, aStatusBelow100IsMalformed)
+{
+    for (const char* status : { "000", "001", "099" }) {
+        TargetFake server(writing("HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 4\r\n\r\ndone"));
+        CHECK(failsAs(CallFailure::Malformed, [&] { return httpCall({ "127.0.0.1", server.port() }, {}, {}); }));
+    }
+}
+
 // A status above 599 counts as a server error, which a caller can judge by itself.
 TEST(HttpClient, aStatusOutsideTheKnownClassesIsPassedOn)
 {
