--- a/test/GatewayBrokenAnswersTest.cpp
+++ b/test/GatewayBrokenAnswersTest.cpp
@@ -1,5 +1,6 @@
 /// Tests that callers never get a broken answer of a target as a whole one.
 
+#include "test/AnswerTable.h"
 #include "test/GatewayFixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -57,6 +58,19 @@
         return connection.readUntil("no such text");
     }
 
+    /// What the caller gets if the target writes the bytes, with its own fields in the head, and ends the connection.
+    std::string answerThrough(const std::string& path, const AnswerText& answer)
+    {
+        addTarget([&answer](TargetCall& call) {
+            call.write(answer.bytes("X-Request-Id: " + call.field("X-Request-Id") + "\r\nX-Server-Stamp: s1\r\n"));
+            call.closeConnection();
+        });
+        auto running = start();
+        RawConnection connection(gateway->callerPort());
+        connection.send("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        return connection.readUntil("no such text");
+    }
+
     /// Runs the check on the answer to an upload on the path, after each pause. Each gateway is new, so that it hasn't ejected the target.
     template <typename Check>
     void afterEachPause(const std::string& path, Check check)
@@ -147,3 +161,41 @@
         });
     }
 }
+
+// The gateway is new for each answer, so only those that other systems passed on are tried; AnswerReaders has the whole table.
+TEST(GatewayBrokenAnswers, aHeadThatBreaksTheRulesIsAnUnknownOutcome)
+{
+    std::vector<AnswerText> answers;
+    for (const char* status : { "000", "099" })
+        answers.push_back({ .statusLine = "HTTP/1.1 " + std::string(status) + " OK" });
+    for (const char* line : { "X Odd: 1", "X-Odd : 1", "X-\x01Odd: 1", "X-\tOdd: 1", "X-\x7fOdd: 1", ": 1", "odd line", "Content-Length : 4", "Transfer-Encoding : chunked" })
+        answers.push_back({ .fields = std::string(line) + "\r\n" });
+    for (AnswerText& answer : answers) {
+        answer.fields += "Content-Length: 4\r\n";
+        answer.body = "done";
+        for (const char* path : { "/pay/x", "/read/x", "/sum/x" }) {
+            std::string received = answerThrough(path, answer);
+            std::string seen = printable(path + (" " + answer.statusLine) + " " + answer.fields + " -> " + received);
+            STRCMP_EQUAL_TEXT("502", statusOf(received).c_str(), seen.c_str());
+            CHECK_TRUE_TEXT(received.find("Odd") == std::string::npos && received.find("done") == std::string::npos, seen.c_str());
+        }
+    }
+}
+
+TEST(GatewayBrokenAnswers, anUnusualAnswerIsPassedOnWhole)
+{
+    for (const AnswerText& answer : soundAnswers("done")) {
+        std::string received = answerThrough("/pay/x", answer);
+        STRCMP_EQUAL_TEXT("200", statusOf(received).c_str(), answer.name.c_str());
+        CHECK_TRUE_TEXT(received.ends_with("\r\n\r\ndone"), answer.name.c_str());
+    }
+}
+
+// It counts as a server error, and the caller gets what the target said.
+TEST(GatewayBrokenAnswers, aStatusAbove599IsPassedOnAsItIs)
+{
+    for (const char* status : { "600", "999" }) {
+        std::string received = answerThrough("/pay/x", { .statusLine = "HTTP/1.1 " + std::string(status) + " X", .fields = "Content-Length: 4\r\n", .body = "done" });
+        STRCMP_EQUAL(status, statusOf(received).c_str());
+    }
+}
