A stopped call of the daemon has no answer

What callers could see: the part of an answer without a length that had arrived when the daemon stopped the call, as the whole answer. When a daemon ends, it stops all calls; for one that may run once, that part was also stored as the answer to later requests with its key.

CallStop shuts the socket down, and the read then sees an orderly end of the stream, which ends an answer without a length; nobody asked who had ended it. Change: at the end of its connection AnswerStream asks whether the call was stopped. An answer that was whole before keeps. Ruled out: answers with a length or chunks (an error before); engines' streams (whole by their marker only). Not shown: a stored part through a whole daemon; it follows from runServiceAttempt, which stores each answer of a service.

--- a/src/http/AnswerClient.cpp
+++ b/src/http/AnswerClient.cpp
@@ -58,12 +58,12 @@
     set_write_timeout(timeouts.write);
 }
 
-Result<HttpResponse> AnswerClient::call(httplib::Request& request, std::function<bool(const HttpResponse&)> onHead)
+Result<HttpResponse> AnswerClient::call(httplib::Request& request, const AnswerHandlers& handlers)
 {
     m_progress = {};
-    m_streamOptions = { .answerHasNoBody = request.method == "HEAD" };
-    if (onHead)
-        m_streamOptions.onHead = [&onHead](const HttpAnswerHead& head) { return onHead(toResponse(head)); };
+    m_streamOptions = { .answerHasNoBody = request.method == "HEAD", .isStopped = handlers.isStopped };
+    if (handlers.onHead)
+        m_streamOptions.onHead = [&handlers](const HttpAnswerHead& head) { return handlers.onHead(toResponse(head)); };
     httplib::Response received; // Its head is a plain one.
     auto error = httplib::Error::Success;
     if (!send(request, received, error) || !m_progress.isWhole)
--- a/src/http/AnswerClient.h
+++ b/src/http/AnswerClient.h
@@ -7,6 +7,12 @@
 
 namespace limpetpond {
 
+/// Callbacks of one call; each may be null.
+struct AnswerHandlers {
+    std::function<bool(const HttpResponse& head)> onHead; ///< Called once; returns false to end the call.
+    std::function<bool()> isStopped; ///< True once the call was stopped by the end of its connection.
+};
+
 /// Makes one call at a time over one connection.
 ///
 ///     AnswerClient client({ "127.0.0.1", 8080 }, {});
@@ -16,7 +22,7 @@
     AnswerClient(const HttpEndpoint&, const HttpTimeouts&);
 
     /// Sends a request and returns its whole answer; the body is empty if the request has a content receiver.
-    Result<HttpResponse> call(httplib::Request&, std::function<bool(const HttpResponse& head)> onHead = {});
+    Result<HttpResponse> call(httplib::Request&, const AnswerHandlers& = {});
 
     /// True if the last answer is whole and the connection can carry another call.
     bool mayReuse() const { return m_progress.mayReuse; }
--- a/src/http/AnswerStream.cpp
+++ b/src/http/AnswerStream.cpp
@@ -90,6 +90,10 @@
 
 void AnswerStream::onEndOfConnection()
 {
+    if (m_options.isStopped && m_options.isStopped()) {
+        fail("the call was stopped");
+        return;
+    }
     boost::system::error_code error;
     if (m_parser)
         m_parser->put_eof(error);
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -128,7 +128,10 @@
     out.content_receiver = [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
         return !stopped() && handlers.data(std::string_view(data, length));
     };
-    Result<HttpResponse> answer = client.call(out, [&](const HttpResponse& head) { return !stopped() && (!handlers.head || handlers.head(head)); });
+    AnswerHandlers answerHandlers;
+    answerHandlers.onHead = [&](const HttpResponse& head) { return !stopped() && (!handlers.head || handlers.head(head)); };
+    answerHandlers.isStopped = stopped;
+    Result<HttpResponse> answer = client.call(out, answerHandlers);
     if (late)
         return boost::leaf::new_error(CallError { .failure = CallFailure::NotSent, .detail = "the request was not sent within its time limit" });
     return answer;
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -86,6 +86,35 @@
     released = true;
 }
 
+// The stop ends the connection from this side, which is no end of an answer without a length.
+TEST(HttpClient, aStoppedCallHasNoAnswer)
+{
+    std::atomic<bool> hasWritten { false };
+    TargetFake server([&](TargetCall& call) {
+        call.write("HTTP/1.1 200 OK\r\n\r\npart");
+        hasWritten = true;
+        call.waitForClose(5'000);
+        call.closeConnection();
+    });
+    CallStop stop;
+    std::string body;
+    HttpStreamHandlers handlers;
+    handlers.data = [&](std::string_view data) {
+        body += data;
+        return true;
+    };
+    std::thread stopper([&] {
+        while (!hasWritten)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // The part arrives, and the call waits for more.
+        stop.request();
+    });
+    bool hasNoAnswer = failsAs(CallFailure::NoAnswer, [&] { return httpStream({ "127.0.0.1", server.port() }, {}, {}, handlers, &stop); });
+    stopper.join();
+    CHECK_TRUE(hasNoAnswer);
+    STRCMP_EQUAL("part", body.c_str());
+}
+
 TEST(HttpClient, poolReusesItsConnection)
 {
     std::mutex mutex;
