The daemon keeps no connection on which bytes arrive between calls

What could be seen: an answer that a server sent twice, or late, was taken for the answer to the next call on the same connection: a wrong row of the table service, for example.

Cause: cpp-httplib takes a connection with unread bytes for a live one and reads them as the next answer. Change: the pool drops idle connections on which something can be read; an end of the connection counts as well. What remains: bytes that arrive in the moment of the next call can't be told from its answer; the protocols to the platform have no request id.

--- a/src/http/AnswerClient.cpp
+++ b/src/http/AnswerClient.cpp
@@ -1,6 +1,7 @@
 #include "http/AnswerClient.h"
 
 #include <csignal>
+#include <poll.h>
 
 namespace limpetpond {
 
@@ -73,6 +74,12 @@
     return answer;
 }
 
+bool AnswerClient::isQuiet() const
+{
+    pollfd watched { .fd = socket(), .events = POLLIN, .revents = 0 };
+    return ::poll(&watched, 1, 0) == 0;
+}
+
 bool AnswerClient::process_socket(const Socket& socket, std::function<bool(httplib::Stream&)> makeCall)
 {
     return httplib::detail::process_client_socket(socket.sock, read_timeout_sec_, read_timeout_usec_, write_timeout_sec_, write_timeout_usec_,
--- a/src/http/AnswerClient.h
+++ b/src/http/AnswerClient.h
@@ -27,6 +27,9 @@
     /// True if the last answer is whole and the connection can carry another call.
     bool mayReuse() const { return m_progress.mayReuse; }
 
+    /// True if the connection is open and nothing has arrived on it since the last answer.
+    bool isQuiet() const;
+
 private:
     bool process_socket(const Socket&, std::function<bool(httplib::Stream&)> makeCall) override;
 
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -173,10 +173,11 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        if (!m_idle.empty()) {
+        while (!m_idle.empty()) {
             auto client = std::move(m_idle.back());
             m_idle.pop_back();
-            return client;
+            if (client->isQuiet())
+                return client;
         }
     }
     auto client = std::make_unique<AnswerClient>(m_endpoint, m_timeouts);
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -231,3 +231,21 @@
         STRCMP_EQUAL(body, answer->body.c_str());
     }
 }
+
+// A second answer would be taken for the one to the next request.
+TEST(HttpClient, poolKeepsNoConnectionOnWhichBytesArriveLater)
+{
+    std::atomic<int> calls { 0 };
+    TargetFake server([&](TargetCall& call) {
+        call.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(++calls));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        call.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+    });
+    HttpConnectionPool pool({ "127.0.0.1", server.port() }, {});
+    for (const char* body : { "1", "2" }) {
+        auto answer = pool.call({});
+        CHECK(answer.has_value());
+        STRCMP_EQUAL(body, answer->body.c_str());
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+}
