Tests of answer readers: no text shared with a writer that goes on

Cause: a reader refuses a broken answer at once, while the stand-in may still be writing it byte by byte; the next answer was set in the same string meanwhile. Change: the stand-in copies its text under a lock, one stand-in a reader and way of writing.

--- a/src/http/AnswerClient.h
+++ b/src/http/AnswerClient.h
@@ -10,7 +10,7 @@
 /// Callbacks of one call; each may be null.
 struct AnswerHandlers {
     std::function<bool(const HttpResponse& head)> onHead; ///< Called once; returns false to end the call.
-    std::function<bool()> isStopped; ///< True once the call was stopped by the end of its connection.
+    std::function<bool()> isStopped; ///< True once this side has ended the connection to stop the call.
 };
 
 /// Makes one call at a time over one connection.
@@ -27,7 +27,7 @@
     /// True if the last answer is whole and the connection can carry another call.
     bool mayReuse() const { return m_progress.mayReuse; }
 
-    /// True if the connection is open and nothing has arrived on it since the last answer.
+    /// True if nothing has arrived since the last answer, neither bytes nor the end of the connection.
     bool isQuiet() const;
 
 private:
--- a/src/http/AnswerStream.h
+++ b/src/http/AnswerStream.h
@@ -26,7 +26,7 @@
 struct AnswerStreamOptions {
     bool answerHasNoBody { false }; ///< The answer is one to a HEAD request.
     std::function<bool(const HttpAnswerHead&)> onHead; ///< Called once; returns false to end the call. May be null.
-    std::function<bool()> isStopped; ///< True once this side has ended the connection, whose end is then no end of an answer. May be null.
+    std::function<bool()> isStopped; ///< True once this side has ended the connection; that ends no answer. May be null.
 };
 
 /// The connection of one call as cpp-httplib sees it. The request is written unchanged.
--- a/test/AnswerReadersTest.cpp
+++ b/test/AnswerReadersTest.cpp
@@ -3,6 +3,7 @@
 #include "test/AnswerReaders.h"
 #include "test/AnswerTable.h"
 #include "test/fakes/edge/TargetFake.h"
+#include <mutex>
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,23 +23,30 @@
     template <typename Check>
     void forEachReader(const std::vector<AnswerText>& answers, Check check)
     {
+        for (const AnswerReader& reader : answerReaders) {
+            readEach(reader, answers, ": ", &TargetCall::write, check);
+            readEach(reader, answers, ", byte by byte: ", &TargetCall::writeBytewise, check);
+        }
+    }
+
+    template <typename Check>
+    void readEach(const AnswerReader& reader, const std::vector<AnswerText>& answers, const std::string& way, void (TargetCall::*write)(const std::string&), Check check)
+    {
+        std::mutex mutex;
         std::string bytes;
-        bool isBytewise = false;
         TargetFake server([&](TargetCall& call) {
-            if (isBytewise)
-                call.writeBytewise(bytes);
-            else
-                call.write(bytes);
+            std::unique_lock lock(mutex);
+            std::string answer = bytes; // A reader may end before all is written, and the next answer is set.
+            lock.unlock();
+            (call.*write)(answer);
             call.closeConnection();
         });
-        for (const AnswerReader& reader : answerReaders) {
-            for (const AnswerText& answer : answers) {
+        for (const AnswerText& answer : answers) {
+            {
+                std::lock_guard lock(mutex);
                 bytes = answer.bytes();
-                for (bool bytewise : { false, true }) {
-                    isBytewise = bytewise;
-                    check(reader.read(server.port(), "{}"), std::string(reader.name).append(bytewise ? ", byte by byte: " : ": ").append(answer.name));
-                }
             }
+            check(reader.read(server.port(), "{}"), reader.name + way + answer.name);
         }
     }
 };
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -10,16 +10,20 @@
 using fakes::TargetCall;
 using fakes::TargetFake;
 
-TEST_GROUP(HttpClient) {
-    /// Answers each request with the bytes and then ends the connection.
-    static auto writing(const std::string& bytes) {
-        return [bytes](TargetCall& call) {
-            call.write(bytes);
-            call.closeConnection();
-        };
-}
+namespace {
+
+/// Answers each request with the bytes and then ends the connection.
+TargetFake::Handler writing(const std::string& bytes)
+{
+    return [bytes](TargetCall& call) {
+        call.write(bytes);
+        call.closeConnection();
+    };
 }
-;
+
+} // namespace
+
+TEST_GROUP(HttpClient) {};
 
 TEST(HttpClient, anyStatusIsAnAnswer)
 {
