Tests of broken answers: call what the project has

Cause: seen on reading the change once more. AnswerReaders.h wrote the text of a POST again, which TimedHttpCall's postRequestText() gives; GatewayBrokenAnswers had the same request twice; AnswerTable.h used snprintf without its header. Change: one piece each, in test files only.

--- a/test/AnswerReaders.h
+++ b/test/AnswerReaders.h
@@ -45,11 +45,6 @@
         }
     }
 
-    inline std::string postText(const std::string& body)
-    {
-        return "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
     /// The gateway's connection to targets, the store and other instances.
     inline AnswerRead byGatewayConnection(int port, const std::string& requestBody)
     {
@@ -65,7 +60,7 @@
         boost::asio::io_context context { 1 };
         BootTimeClock clock;
         auto connection = std::make_shared<HttpClientConnection>(context, clock, *parseEndpoint("127.0.0.1:" + std::to_string(port)));
-        connection->send(postText(requestBody), nullptr, {}, false, handler);
+        connection->send(postRequestText("/x", "a", requestBody), nullptr, {}, false, handler);
         runUntil(context, [&] { return handler.hasEnded; });
         connection->close();
         runUntil(context, [&] { return connection.use_count() == 1; });
@@ -81,7 +76,7 @@
         TimedHttpCall call(context, clock, [&](TimedHttpCallResult&& result) {
             answer = { .isWhole = result.status != 0, .status = result.status, .body = std::move(result.body) };
         });
-        call.start(*parseEndpoint("127.0.0.1:" + std::to_string(port)), postText(requestBody), std::chrono::seconds(5));
+        call.start(*parseEndpoint("127.0.0.1:" + std::to_string(port)), postRequestText("/x", "a", requestBody), std::chrono::seconds(5));
         runUntil(context, [&] { return !call.isInProgress(); });
         call.closeConnection();
         context.restart();
--- a/test/AnswerTable.h
+++ b/test/AnswerTable.h
@@ -2,6 +2,7 @@
 
 /// Answers that break the rules of HTTP, and unusual ones that keep them.
 
+#include <cstdio>
 #include <string>
 #include <vector>
 
--- a/test/GatewayBrokenAnswersTest.cpp
+++ b/test/GatewayBrokenAnswersTest.cpp
@@ -49,15 +49,17 @@
             call.resetConnection();
     }
 
-    /// The answer to a long upload, or what had arrived of it at the end of the connection.
-    std::string upload(const std::string& path) const
+    /// The answer to a POST with so many bytes, or what had arrived of it at the end of the connection.
+    std::string post(const std::string& path, std::size_t bytes) const
     {
         RawConnection connection(gateway->callerPort());
         connection.send("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nConnection: close\r\nContent-Length: "
-            + std::to_string(uploadBytes) + "\r\n\r\n" + std::string(uploadBytes, 'u'));
+            + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'u'));
         return connection.readUntil("no such text");
     }
 
+    std::string upload(const std::string& path) const { return post(path, uploadBytes); }
+
     /// What the caller gets if the target writes the bytes, with its own fields in the head, and ends the connection.
     std::string answerThrough(const std::string& path, const AnswerText& answer)
     {
@@ -66,9 +68,7 @@
             call.closeConnection();
         });
         auto running = start();
-        RawConnection connection(gateway->callerPort());
-        connection.send("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-        return connection.readUntil("no such text");
+        return post(path, 0);
     }
 
     /// Runs the check on the answer to an upload on the path, after each pause. Each gateway is new, so that it hasn't ejected the target.
