--- a/review/standins-3/Stage.h
+++ b/review/standins-3/Stage.h
@@ -397,6 +397,38 @@
     Server m_server;
 };
 
+/// A worker that can be signalled by its id.
+struct WorkerProcess {
+    pid_t pid { -1 };
+    std::string address;
+};
+
+/// Starts a worker as a process of its own; to be called before any thread is started.
+inline WorkerProcess startWorker(const Worker::Handler& handler)
+{
+    int ports[2];
+    if (::pipe(ports))
+        cannotRun("no pipe");
+    WorkerProcess worker { .pid = ::fork() };
+    if (worker.pid < 0)
+        cannotRun("no process");
+    if (!worker.pid) {
+        Worker served(handler);
+        std::string address = served.address();
+        (void)!::write(ports[1], address.data(), address.size());
+        ::close(ports[1]);
+        while (::getppid() != 1)
+            sleepFor(0.2);
+        std::_Exit(0);
+    }
+    ::close(ports[1]);
+    char buffer[64];
+    ssize_t count = ::read(ports[0], buffer, sizeof buffer);
+    ::close(ports[0]);
+    worker.address.assign(buffer, static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    return worker;
+}
+
 /// The entry of a worker in the store.
 inline std::string workerEntry(const std::string& service, const std::string& address, int slots, int sequence = 1, const std::string& state = "ready")
 {
