--- a/review/standins-3/Stage.h
+++ b/review/standins-3/Stage.h
@@ -469,11 +469,7 @@
              << "  maxStretchMs: 5000\n  strictRevoke: false\n  revokeMs: 5000\n  budgetRatio: 0.2\n  budgetWindowS: 10\n  budgetSlack: 52\n  quotaWindowS: 8\n  quotaExcess: 0.1\n  quotaSlack: 190000\n  recoveryS: 12\n  eventLagMs: 120\n  retryAfterS: 10\n"
              << "platform:\n  addr: \"127.0.0.1:" << storePort << "\"\n  form: \"table\"\n  writesPerS: 400\n  readsPerS: 2000\n  txnMs: 3.0\n  partWritesS: 300\n  maxRowBytes: 65536\n  crossRegion: true\n  retentionS: 20\n  maxBlobBytes: 8388608\n  blobLatMs: 25.0\n  blobMbS: 80.0\n";
     }
-    ~Gateway()
-    {
-        stop();
-        std::filesystem::remove_all(m_folder);
-    }
+    ~Gateway() { stop(); }
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
 
@@ -509,13 +505,16 @@
         return false;
     }
     int status() const { return m_status; }
+    /// Ends the process and removes its folder.
     void stop()
     {
-        if (!isRunning())
-            return;
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
-        m_pid = -1;
+        if (isRunning()) {
+            ::kill(m_pid, SIGKILL);
+            ::waitpid(m_pid, nullptr, 0);
+            m_pid = -1;
+        }
+        std::error_code ignored; // The folder may be gone already.
+        std::filesystem::remove_all(m_folder, ignored);
     }
     /// Resident memory and its peak, in megabytes.
     double memory(const std::string& field = "VmRSS:") const
